--- /dev/null
+++ b/internal/control/board/board.go
@@ -0,0 +1,145 @@
+// Package board is the blackboard of a node: plain sections that controllers read and write, one writer for each
+// section, and the one goroutine that owns them.
+//
+// # Usage
+//
+//	loop := board.NewLoop(initial)
+//	loop.Post(func(b *board.Board) { b.Backend.Service = "access" })
+//	now := loop.Snapshot()
+//
+// Traffic goroutines read snapshots. A snapshot never changes: whoever writes a section replaces its maps and slices.
+package board
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+)
+
+// Board is the whole blackboard.
+type Board struct {
+	Self      Self
+	Backend   Backend
+	Members   Members
+	Documents Documents
+	Leader    Leader
+	Platform  Platform
+}
+
+// Self says who the node is and whether it leaves. Written by the node.
+type Self struct {
+	Node          string
+	Zone          string
+	Region        string
+	PeerAddress   string
+	CallerAddress string
+	Draining      bool
+}
+
+// Backend is the local backend server, as it announced itself. Written by the backend listener.
+type Backend struct {
+	Service     string
+	Address     string
+	Slots       int
+	Connections int
+	Leaving     bool
+	AnnouncedAt time.Time
+}
+
+// Members are the nodes known here. Written by the zone controller.
+type Members struct {
+	// ByNode holds every member that is not down.
+	ByNode map[string]membership.Member
+	// ByService lists the members with a backend server that takes work.
+	ByService map[string][]membership.Member
+}
+
+// Documents are the documents in force. Written by the zone controller.
+type Documents struct {
+	ByService map[string]DocumentInForce
+}
+
+// DocumentInForce is one document and its revision.
+type DocumentInForce struct {
+	Revision uint64
+	Document *document.Document
+	InForce  time.Time
+}
+
+// Leader is the leader of the node's availability zone. Written by the zone controller.
+type Leader struct {
+	Node        string
+	PeerAddress string
+	IsSelf      bool
+}
+
+// Platform tells how the platform answers. Written by the zone controller.
+type Platform struct {
+	Reachable bool
+	Since     time.Time
+}
+
+// Loop owns a Board.
+type Loop struct {
+	board    Board
+	inbox    chan func(*Board)
+	snapshot atomic.Pointer[Board]
+}
+
+// inboxLength is how many updates may wait.
+const inboxLength = 1024
+
+// NewLoop returns a loop around the initial board. Run must be started for posts to be carried out.
+func NewLoop(initial Board) *Loop {
+	l := &Loop{board: initial, inbox: make(chan func(*Board), inboxLength)}
+	l.publish()
+	return l
+}
+
+// Run carries out updates, one after the other, until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case update := <-l.inbox:
+			update(&l.board)
+			l.publish()
+		}
+	}
+}
+
+// Post hands an update to the loop. It waits while the inbox is full.
+func (l *Loop) Post(ctx context.Context, update func(*Board)) {
+	select {
+	case l.inbox <- update:
+	case <-ctx.Done():
+	}
+}
+
+// Do hands an update to the loop and waits until the snapshot shows it.
+func (l *Loop) Do(ctx context.Context, update func(*Board)) {
+	done := make(chan struct{})
+	l.Post(ctx, func(b *Board) {
+		update(b)
+		l.publish()
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Snapshot returns the board as it last was.
+func (l *Loop) Snapshot() *Board {
+	return l.snapshot.Load()
+}
+
+func (l *Loop) publish() {
+	copied := l.board
+	l.snapshot.Store(&copied)
+}
--- /dev/null
+++ b/internal/control/document/document.go
@@ -0,0 +1,78 @@
+// Package document reads the team documents: one INI file a service, owned by the service's team, that names the
+// kinds of work it takes, how they rank, and which are idempotent.
+//
+// # Usage
+//
+//	d, err := document.Parse(source)
+//	kind, ok := d.Match("GET", "/sheets/today")
+//
+// Parse reports every fault of the document at once.
+package document
+
+import (
+	"strings"
+	"time"
+)
+
+// Bounds of the values in a document.
+const (
+	// MostUrgentRank is shed last.
+	MostUrgentRank = 0
+	// LeastUrgentRank is shed first.
+	LeastUrgentRank = 9
+	// MaxDeadline bounds the deadline of a kind.
+	MaxDeadline = 2 * time.Minute
+	// MaxShare bounds the share of a kind.
+	MaxShare = 100
+	// DefaultDeadline holds where a kind names none.
+	DefaultDeadline = 2 * time.Second
+	// DefaultAttempts is how many further attempts a root request may spend in its whole chain.
+	DefaultAttempts = 2
+	// MaxAttempts bounds the attempts of a document.
+	MaxAttempts = 5
+)
+
+// Document is the accepted description of one service.
+type Document struct {
+	Service string
+	Team    string
+	// Attempts is how many further attempts a root request of this service may spend in its whole chain.
+	Attempts int
+	// Kinds are in the order of the file; the first that matches a request is taken.
+	Kinds []Kind
+}
+
+// Match returns the first kind whose method and path pattern fit.
+func (d *Document) Match(method, path string) (Kind, bool) {
+	for _, k := range d.Kinds {
+		if k.matches(method, path) {
+			return k, true
+		}
+	}
+	return Kind{}, false
+}
+
+// Kind is one kind of work.
+type Kind struct {
+	Name string
+	// Method is an HTTP method, or "*" for any.
+	Method string
+	// Path is a path, with a trailing "*" for any rest.
+	Path       string
+	Rank       int
+	Idempotent bool
+	Deadline   time.Duration
+	// Share weighs the kind against the others of its rank.
+	Share int
+}
+
+func (k Kind) matches(method, path string) bool {
+	if k.Method != "*" && k.Method != method {
+		return false
+	}
+	prefix, open := strings.CutSuffix(k.Path, "*")
+	if open {
+		return strings.HasPrefix(path, prefix)
+	}
+	return path == k.Path
+}
--- /dev/null
+++ b/internal/control/platform/platform.go
@@ -0,0 +1,163 @@
+// Package platform speaks to the platform's key-value service: compare-and-swap, leases and watches.
+//
+// # Usage
+//
+//	client := platform.NewClient(platform.Config{URL: url, Timeout: time.Second})
+//	entry, err := client.CompareAndSwap(ctx, platform.Swap{Key: key, Value: value, Expected: entry.Revision})
+//
+// A CompareFailed error means that the write was refused. Any other error leaves it open whether it took effect.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Entry is one key with its value.
+type Entry struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	// Revision grows with every write to the store; 0 means that the key does not exist.
+	Revision uint64 `json:"revision"`
+	// Deleted marks an entry of a watch whose key is gone.
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// Swap is a write that takes effect only where the key's revision is the expected one.
+type Swap struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	// Expected is the revision to be replaced; 0 where the key must not exist.
+	Expected uint64 `json:"expected"`
+	// Lease deletes the key when it lapses; empty for none.
+	Lease string `json:"lease,omitempty"`
+}
+
+// Changes is the answer to a watch or a list.
+type Changes struct {
+	Entries  []Entry `json:"entries"`
+	Revision uint64  `json:"revision"`
+}
+
+// Lease is a grant of the store.
+type Lease struct {
+	ID  string        `json:"id"`
+	TTL time.Duration `json:"ttl"`
+}
+
+// ErrCompareFailed says that a swap was refused because the revision was another.
+var ErrCompareFailed = errors.New("revision is not the expected one")
+
+// ErrNotFound says that a key or lease does not exist.
+var ErrNotFound = errors.New("not found")
+
+// Config sets a Client up.
+type Config struct {
+	URL     string
+	Timeout time.Duration
+}
+
+// Client is an HTTP client of the store.
+type Client struct {
+	config Config
+	http   *http.Client
+}
+
+// NewClient returns a client.
+func NewClient(config Config) *Client {
+	return &Client{config: config, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+}
+
+// Get returns the entry under the key, or ErrNotFound.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	var e Entry
+	err := c.call(ctx, c.config.Timeout, http.MethodGet, "/v1/key", url.Values{"key": {key}}, nil, &e)
+	return e, err
+}
+
+// List returns the entries whose keys begin with the prefix.
+func (c *Client) List(ctx context.Context, prefix string) (Changes, error) {
+	var changes Changes
+	err := c.call(ctx, c.config.Timeout, http.MethodGet, "/v1/list", url.Values{"prefix": {prefix}}, nil, &changes)
+	return changes, err
+}
+
+// CompareAndSwap writes the value and returns the new entry, or ErrCompareFailed.
+func (c *Client) CompareAndSwap(ctx context.Context, s Swap) (Entry, error) {
+	var e Entry
+	err := c.call(ctx, c.config.Timeout, http.MethodPut, "/v1/key", nil, s, &e)
+	return e, err
+}
+
+// Watch returns what changed under the prefix after the revision. It waits for a change for up to the given time.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error) {
+	var changes Changes
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {strconv.FormatUint(after, 10)},
+		"wait":   {wait.String()},
+	}
+	err := c.call(ctx, wait+c.config.Timeout, http.MethodGet, "/v1/watch", query, nil, &changes)
+	return changes, err
+}
+
+// GrantLease returns a new lease.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (Lease, error) {
+	var lease Lease
+	err := c.call(ctx, c.config.Timeout, http.MethodPost, "/v1/lease", nil, Lease{TTL: ttl}, &lease)
+	return lease, err
+}
+
+// RenewLease keeps a lease for another term, or returns ErrNotFound where it has lapsed.
+func (c *Client) RenewLease(ctx context.Context, lease Lease) error {
+	return c.call(ctx, c.config.Timeout, http.MethodPut, "/v1/lease", nil, lease, nil)
+}
+
+func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, query url.Values, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	body, err := json.Marshal(in)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	address := c.config.URL + path + "?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return trace.ConnectionProblem(err, "platform: %v", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return readAnswer(response, out)
+}
+
+func readAnswer(response *http.Response, out any) error {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return trace.ConnectionProblem(err, "platform: %v", err)
+	}
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return trace.Wrap(ErrNotFound)
+	case http.StatusConflict:
+		return trace.Wrap(ErrCompareFailed)
+	default:
+		return trace.ConnectionProblem(nil, "platform: status %d", response.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	return trace.Wrap(json.Unmarshal(body, out))
+}
--- /dev/null
+++ b/internal/control/settings/settings.go
@@ -0,0 +1,253 @@
+// Package settings reads and checks the settings of a node: flags override the environment, which overrides the INI
+// file.
+//
+// # Usage
+//
+//	flags := flag.NewFlagSet("node", flag.ContinueOnError)
+//	s := settings.Register(flags)
+//	err := settings.Parse(flags, arguments)
+//	err = s.Check()
+//
+// A key "address" of the INI section [caller] is the flag -caller.address and the environment variable
+// COMFREYHOIST_CALLER_ADDRESS.
+package settings
+
+import (
+	"errors"
+	"flag"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Settings are all settings of one node.
+type Settings struct {
+	Node     Node
+	Caller   Caller
+	Peer     Peer
+	Backend  Backend
+	Operator Operator
+	Platform Platform
+	Log      Log
+}
+
+// Node says who the node is.
+type Node struct {
+	Name   string
+	Zone   string
+	Region string
+	// Zones are all availability zones that remember keys; the same list everywhere.
+	Zones string
+}
+
+// Caller is the listener for callers and for the local backend server's own calls.
+type Caller struct {
+	Address string
+	// MaxBody is in bytes.
+	MaxBody       int64
+	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
+}
+
+// Peer is the listener for other nodes.
+type Peer struct {
+	Address string
+	// MaxConnections bounds the connections to one other node.
+	MaxConnections int
+	// Seeds are peer addresses to join through while the platform is away, separated by commas.
+	Seeds string
+}
+
+// Backend is the listener for the local backend server's announcements, and the bounds of its use.
+type Backend struct {
+	Address string
+	MaxWait time.Duration
+}
+
+// Operator is the listener of the administration API.
+type Operator struct {
+	Address string
+	// Tokens are team:token pairs, separated by commas. Team "*" may edit every document.
+	Tokens string
+}
+
+// Platform is the platform's key-value service.
+type Platform struct {
+	URL     string
+	Timeout time.Duration
+}
+
+// Log sets what is logged.
+type Log struct {
+	Level string
+}
+
+// Default values.
+const (
+	defaultMaxBody        = 1 << 20
+	defaultHeaderTimeout  = 5 * time.Second
+	defaultBodyTimeout    = 10 * time.Second
+	defaultPeerConns      = 64
+	defaultMaxWait        = 100 * time.Millisecond
+	defaultPlatformWait   = time.Second
+	maxBodyCeiling        = 3 << 20
+	maxPeerConnsCeiling   = 1300
+	maxPlatformWait       = 30 * time.Second
+	leastTokenBytes       = 16
+	maxQueueWait          = 10 * time.Second
+	zoneListSeparator     = ","
+	tokenTeamSeparator    = ":"
+	everyTeam             = "*"
+	environmentVarsPrefix = "COMFREYHOIST"
+)
+
+// Register adds a flag for every setting and returns where their values will be.
+func Register(flags *flag.FlagSet) *Settings {
+	s := &Settings{}
+	flags.StringVar(&s.Node.Name, "node.name", "", "unique name of this node")
+	flags.StringVar(&s.Node.Zone, "node.zone", "", "availability zone of this node")
+	flags.StringVar(&s.Node.Region, "node.region", "", "region of this node")
+	flags.StringVar(&s.Node.Zones, "node.zones", "", "all availability zones, separated by commas")
+	flags.StringVar(&s.Caller.Address, "caller.address", "", "IP and port that callers use")
+	flags.Int64Var(&s.Caller.MaxBody, "caller.max_body", defaultMaxBody, "largest body in bytes")
+	flags.DurationVar(&s.Caller.HeaderTimeout, "caller.header_timeout", defaultHeaderTimeout, "time for a caller to send its headers")
+	flags.DurationVar(&s.Caller.BodyTimeout, "caller.body_timeout", defaultBodyTimeout, "time for a caller to send its whole request")
+	flags.StringVar(&s.Peer.Address, "peer.address", "", "IP and port that other nodes use")
+	flags.IntVar(&s.Peer.MaxConnections, "peer.max_connections", defaultPeerConns, "most connections to one other node")
+	flags.StringVar(&s.Peer.Seeds, "peer.seeds", "", "peer addresses to join through while the platform is away")
+	flags.StringVar(&s.Backend.Address, "backend.address", "", "IP and port for the local backend server's announcements and for health, metrics and the dump")
+	flags.DurationVar(&s.Backend.MaxWait, "backend.max_wait", defaultMaxWait, "longest wait for a slot")
+	flags.StringVar(&s.Operator.Address, "operator.address", "", "IP and port of the administration API; empty for none")
+	flags.StringVar(&s.Operator.Tokens, "operator.tokens", "", "team:token pairs, separated by commas")
+	flags.StringVar(&s.Platform.URL, "platform.url", "", "URL of the platform's key-value service")
+	flags.DurationVar(&s.Platform.Timeout, "platform.timeout", defaultPlatformWait, "time for one answer of the platform")
+	flags.StringVar(&s.Log.Level, "log.level", "info", "debug, info, warn or error")
+	return s
+}
+
+// Check returns all faults of the values at once.
+func (s *Settings) Check() error {
+	c := &checker{}
+	c.name("node.name", s.Node.Name)
+	c.name("node.zone", s.Node.Zone)
+	c.zones(s.Node)
+	c.address("caller.address", s.Caller.Address)
+	c.address("peer.address", s.Peer.Address)
+	c.address("backend.address", s.Backend.Address)
+	if s.Operator.Address != "" {
+		c.address("operator.address", s.Operator.Address)
+	}
+	c.within("caller.max_body", s.Caller.MaxBody, 1, maxBodyCeiling)
+	c.within("peer.max_connections", int64(s.Peer.MaxConnections), 1, maxPeerConnsCeiling)
+	c.duration("caller.header_timeout", s.Caller.HeaderTimeout, s.Caller.BodyTimeout)
+	c.duration("platform.timeout", s.Platform.Timeout, maxPlatformWait)
+	c.duration("backend.max_wait", s.Backend.MaxWait, maxQueueWait)
+	c.distinct(s)
+	if !strings.HasPrefix(s.Platform.URL, "http://") && !strings.HasPrefix(s.Platform.URL, "https://") {
+		c.fault("platform.url", "must begin with http:// or https://")
+	}
+	if _, err := s.Operator.TeamTokens(); err != nil {
+		c.fault("operator.tokens", err.Error())
+	}
+	return trace.Wrap(errors.Join(c.faults...))
+}
+
+// ZoneList returns the availability zones.
+func (n Node) ZoneList() []string {
+	return splitList(n.Zones)
+}
+
+// SeedList returns the seed addresses.
+func (p Peer) SeedList() []string {
+	return splitList(p.Seeds)
+}
+
+// TeamTokens returns the token of each team.
+func (o Operator) TeamTokens() (map[string]string, error) {
+	tokens := map[string]string{}
+	for _, pair := range splitList(o.Tokens) {
+		team, token, found := strings.Cut(pair, tokenTeamSeparator)
+		if !found || team == "" {
+			return nil, trace.BadParameter("a pair is not team:token")
+		}
+		if len(token) < leastTokenBytes {
+			return nil, trace.BadParameter("the token of %q is shorter than %d bytes", team, leastTokenBytes)
+		}
+		tokens[team] = token
+	}
+	return tokens, nil
+}
+
+func splitList(list string) []string {
+	var items []string
+	for _, item := range strings.Split(list, zoneListSeparator) {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+// checker collects faults.
+type checker struct {
+	faults []error
+}
+
+func (c *checker) fault(key, reason string) {
+	c.faults = append(c.faults, trace.BadParameter("%s: %s", key, reason))
+}
+
+func (c *checker) name(key, value string) {
+	if value == "" || strings.ContainsAny(value, " /,\t\n") {
+		c.fault(key, "must be a name without spaces, commas and slashes")
+	}
+}
+
+func (c *checker) zones(n Node) {
+	for _, z := range n.ZoneList() {
+		if z == n.Zone {
+			return
+		}
+	}
+	c.fault("node.zones", "must hold node.zone")
+}
+
+func (c *checker) address(key, value string) {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil {
+		c.fault(key, "must be an IP and a port, such as 127.0.0.1:7001")
+		return
+	}
+	if net.ParseIP(host) == nil {
+		c.fault(key, "the host must be an IP")
+	}
+}
+
+func (c *checker) within(key string, value, low, high int64) {
+	if value < low || value > high {
+		c.fault(key, "out of range")
+	}
+}
+
+func (c *checker) duration(key string, value, high time.Duration) {
+	if value <= 0 || value > high {
+		c.fault(key, "must be more than 0 and at most "+high.String())
+	}
+}
+
+func (c *checker) distinct(s *Settings) {
+	seen := map[string]string{}
+	for key, value := range map[string]string{
+		"caller.address":   s.Caller.Address,
+		"peer.address":     s.Peer.Address,
+		"backend.address":  s.Backend.Address,
+		"operator.address": s.Operator.Address,
+	} {
+		if other, stands := seen[value]; stands && value != "" {
+			c.fault(key, "is the same as "+other)
+		}
+		seen[value] = key
+	}
+}
--- /dev/null
+++ b/internal/control/zone/publish.go
@@ -0,0 +1,87 @@
+package zone
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+)
+
+// StoredDocument is the value of a document in the platform.
+type StoredDocument struct {
+	// Revision grows by one with each accepted edit.
+	Revision uint64 `json:"revision"`
+	Source   string `json:"source"`
+	// Operation identifies the edit, so that a lost answer can be settled.
+	Operation string    `json:"operation"`
+	Editor    string    `json:"editor"`
+	Time      time.Time `json:"time"`
+}
+
+// DocumentRecord returns the record of a stored document.
+func DocumentRecord(key string, value []byte) (membership.Record, error) {
+	var stored StoredDocument
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return membership.Record{}, trace.Wrap(err)
+	}
+	return membership.Record{Key: key, Version: membership.Version{Epoch: stored.Revision}, Value: value}, nil
+}
+
+// publish renews the sections of the board that the changed records concern.
+func (c *Controller) publish(b *board.Board, changed []membership.Record) {
+	membersChanged := false
+	for _, r := range changed {
+		switch {
+		case strings.HasPrefix(r.Key, membership.MemberPrefix):
+			membersChanged = true
+		case strings.HasPrefix(r.Key, DocumentPrefix):
+			c.publishDocument(b, r)
+		}
+	}
+	if membersChanged {
+		c.publishMembers(b)
+	}
+}
+
+func (c *Controller) publishMembers(b *board.Board) {
+	members := board.Members{
+		ByNode:    map[string]membership.Member{},
+		ByService: map[string][]membership.Member{},
+	}
+	for _, r := range c.records.Prefix(membership.MemberPrefix) {
+		m, err := membership.ParseMember(r)
+		if err != nil || m.State == membership.Down {
+			continue
+		}
+		members.ByNode[m.Node] = m
+		if m.Service != "" && m.State == membership.Up {
+			members.ByService[m.Service] = append(members.ByService[m.Service], m)
+		}
+	}
+	b.Members = members
+}
+
+func (c *Controller) publishDocument(b *board.Board, r membership.Record) {
+	var stored StoredDocument
+	if json.Unmarshal(r.Value, &stored) != nil {
+		return
+	}
+	parsed, err := document.Parse([]byte(stored.Source))
+	if err != nil {
+		c.config.Log.Emit(events.DocumentRefused, events.Fields{"key": r.Key, "error": err.Error()})
+		return
+	}
+	documents := board.Documents{ByService: make(map[string]board.DocumentInForce, len(b.Documents.ByService)+1)}
+	for service, d := range b.Documents.ByService {
+		documents.ByService[service] = d
+	}
+	documents.ByService[parsed.Service] = board.DocumentInForce{Revision: stored.Revision, Document: parsed, InForce: time.Now()}
+	b.Documents = documents
+	c.config.Log.Emit(events.DocumentInForce, events.Fields{"service": parsed.Service, "revision": stored.Revision})
+}
--- /dev/null
+++ b/internal/decide/membership/member.go
@@ -0,0 +1,46 @@
+package membership
+
+import "encoding/json"
+
+// MemberPrefix begins the key of each member's record.
+const MemberPrefix = "member/"
+
+// State is a member's own or its leader's view of it.
+type State string
+
+// The states.
+const (
+	Up      State = "up"
+	Leaving State = "leaving"
+	Down    State = "down"
+)
+
+// Member is one node with its backend server, as others know it.
+type Member struct {
+	Node          string `json:"node"`
+	Zone          string `json:"zone"`
+	Region        string `json:"region,omitempty"`
+	PeerAddress   string `json:"peer_address"`
+	CallerAddress string `json:"caller_address"`
+	// Service is empty while no backend server has announced itself.
+	Service     string `json:"service,omitempty"`
+	Slots       int    `json:"slots,omitempty"`
+	Connections int    `json:"connections,omitempty"`
+	State       State  `json:"state"`
+}
+
+// Record returns the member as a record.
+func (m Member) Record(v Version) Record {
+	value, err := json.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return Record{Key: MemberPrefix + m.Node, Version: v, Value: value}
+}
+
+// ParseMember reads a member's record.
+func ParseMember(r Record) (Member, error) {
+	var m Member
+	err := json.Unmarshal(r.Value, &m)
+	return m, err
+}
--- /dev/null
+++ b/internal/lab/load/load.go
@@ -0,0 +1,174 @@
+// Package load is an open-loop load generator: it sends requests at a rate, whether or not earlier ones were
+// answered, and records every outcome that a caller was told.
+//
+// # Usage
+//
+//	results := load.Run(ctx, load.Config{Streams: streams, Targets: addresses, Duration: 10 * time.Second})
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
+)
+
+// Stream is one kind of requests at one rate.
+type Stream struct {
+	Name    string
+	Service string
+	Method  string
+	Path    string
+	Body    string
+	Rank    int
+	// Rate is in requests a second.
+	Rate  float64
+	Start time.Duration
+	// Stop is when the stream ends; 0 for the end of the run.
+	Stop time.Duration
+	// Resends is how often a caller sends a failed request again.
+	Resends int
+	// Timeout is the caller's patience and the deadline that it sends.
+	Timeout time.Duration
+}
+
+// Config sets a run up.
+type Config struct {
+	Streams []Stream
+	// Targets are the caller addresses of nodes.
+	Targets  []string
+	Duration time.Duration
+	Seed     uint64
+}
+
+// Result is one request as its caller saw it.
+type Result struct {
+	Stream string `json:"stream"`
+	Rank   int    `json:"rank"`
+	ID     string `json:"id"`
+	// Sent and Took count from the start of the run.
+	Sent    time.Duration `json:"sent"`
+	Took    time.Duration `json:"took"`
+	Status  int           `json:"status"`
+	Outcome string        `json:"outcome"`
+	Reason  string        `json:"reason"`
+	Sends   int           `json:"sends"`
+}
+
+// OK reports whether the caller got a whole good answer.
+func (r Result) OK() bool {
+	return r.Status == http.StatusOK
+}
+
+// Run sends all streams and returns every result.
+func Run(ctx context.Context, config Config) []Result {
+	g := &generator{
+		config: config,
+		start:  time.Now(),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerTarget}},
+	}
+	ctx, cancel := context.WithTimeout(ctx, config.Duration+lastAnswers)
+	defer cancel()
+	var group conc.WaitGroup
+	for i, s := range config.Streams {
+		random := rand.New(rand.NewPCG(config.Seed, uint64(i)))
+		group.Go(func() { g.send(ctx, s, random) })
+	}
+	group.Wait()
+	return g.results
+}
+
+const (
+	idlePerTarget = 256
+	// lastAnswers is how long the last requests may take.
+	lastAnswers = 10 * time.Second
+)
+
+type generator struct {
+	config Config
+	start  time.Time
+	client *http.Client
+
+	mu      sync.Mutex
+	results []Result
+}
+
+// send starts the requests of a stream at random times that give its rate.
+func (g *generator) send(ctx context.Context, s Stream, random *rand.Rand) {
+	stop := g.config.Duration
+	if s.Stop > 0 {
+		stop = min(stop, s.Stop)
+	}
+	var group conc.WaitGroup
+	defer group.Wait()
+	next := s.Start
+	for number := 0; next < stop; number++ {
+		if !sleepUntil(ctx, g.start.Add(next)) {
+			return
+		}
+		target := g.config.Targets[random.IntN(len(g.config.Targets))]
+		id := fmt.Sprintf("%s-%d", s.Name, number)
+		group.Go(func() { g.request(ctx, s, target, id) })
+		next += time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))
+	}
+}
+
+func (g *generator) request(ctx context.Context, s Stream, target, id string) {
+	result := Result{Stream: s.Name, Rank: s.Rank, ID: id, Sent: time.Since(g.start)}
+	begin := time.Now()
+	for result.Sends <= s.Resends && ctx.Err() == nil {
+		result.Sends++
+		g.once(ctx, s, target, &result)
+		if result.OK() || time.Since(begin) > s.Timeout {
+			break
+		}
+	}
+	result.Took = time.Since(begin)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.results = append(g.results, result)
+}
+
+func (g *generator) once(ctx context.Context, s Stream, target string, result *Result) {
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
+	defer cancel()
+	result.Status, result.Outcome, result.Reason = 0, "", ""
+	address := "http://" + target + "/call/" + s.Service + s.Path
+	request, err := http.NewRequestWithContext(ctx, s.Method, address, strings.NewReader(s.Body))
+	if err != nil {
+		return
+	}
+	request.Header.Set(server.RequestHeader, result.ID)
+	request.Header.Set(caller.DeadlineHeader, fmt.Sprint(s.Timeout.Milliseconds()))
+	response, err := g.client.Do(request)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return
+	}
+	result.Status = response.StatusCode
+	result.Outcome = response.Header.Get(caller.OutcomeHeader)
+	result.Reason = response.Header.Get(caller.ReasonHeader)
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/lab/server/handle.go
@@ -0,0 +1,194 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+)
+
+// Report is what a server tells an experiment about itself.
+type Report struct {
+	Service         string `json:"service"`
+	Runs            []Run  `json:"runs"`
+	Crashes         int    `json:"crashes"`
+	PeakConnections int    `json:"peak_connections"`
+}
+
+// Report returns the ledger and the counters.
+func (s *Server) Report() Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Report{Service: s.config.Service, Runs: s.ledger.Runs(), Crashes: s.crashes, PeakConnections: s.peak}
+}
+
+func (s *Server) handleBehaviour(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var b Behaviour
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetBehaviour(b)
+}
+
+func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	b := s.Behaviour()
+	if b.FailFast {
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return
+	}
+	if !s.takeSlot(r.Context(), b) {
+		http.Error(w, "shed", http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.slots }()
+	s.runRequest(w, r, b, body)
+}
+
+func (s *Server) runRequest(w http.ResponseWriter, r *http.Request, b Behaviour, body []byte) {
+	run := s.ledger.start(r.Header.Get(RequestHeader), r.Header.Get(backend.KeyHeader))
+	if b.CrashOn != "" && bytes.Contains(body, []byte(b.CrashOn)) {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
+	sleep(r.Context(), serviceTime(b))
+	if r.Context().Err() != nil {
+		return
+	}
+	if status := s.callAll(r, b); status != http.StatusOK {
+		http.Error(w, "a call failed", status)
+		return
+	}
+	s.ledger.end(run)
+	_, _ = fmt.Fprintf(w, "%s ran %s %s\n", s.config.Service, r.Method, r.URL.Path)
+}
+
+func (s *Server) takeSlot(ctx context.Context, b Behaviour) bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if !s.wait(1, b.Queue) {
+		return false
+	}
+	defer s.wait(-1, b.Queue)
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) wait(change, bound int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if change > 0 && s.waiting >= bound {
+		return false
+	}
+	s.waiting += change
+	return true
+}
+
+func (s *Server) crash() {
+	s.mu.Lock()
+	s.crashes++
+	s.mu.Unlock()
+	select {
+	case s.crashed <- struct{}{}:
+	default:
+	}
+}
+
+func serviceTime(b Behaviour) time.Duration {
+	factor := 1 + b.Spread*(2*rand.Float64()-1)
+	return time.Duration(float64(b.ServiceTime) * factor)
+}
+
+// callAll makes the calls to other services and returns the first status that is not OK.
+func (s *Server) callAll(r *http.Request, b Behaviour) int {
+	for _, d := range b.Calls {
+		if !strings.HasPrefix(r.URL.Path, d.Prefix) {
+			continue
+		}
+		if status := s.callOne(r, d); status != http.StatusOK {
+			return status
+		}
+	}
+	return http.StatusOK
+}
+
+func (s *Server) callOne(r *http.Request, d Downstream) int {
+	address := "http://" + s.config.NodeCaller + "/call/" + d.Service + d.Path
+	request, err := http.NewRequestWithContext(r.Context(), d.Method, address, http.NoBody)
+	if err != nil {
+		return http.StatusInternalServerError
+	}
+	request.Header.Set(backend.ChainHeader, r.Header.Get(backend.ChainHeader))
+	request.Header.Set(RequestHeader, r.Header.Get(RequestHeader))
+	response, err := s.client.Do(request)
+	if err != nil {
+		return http.StatusBadGateway
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return http.StatusBadGateway
+	}
+	return response.StatusCode
+}
+
+// announceEvery is the time between announcements.
+const announceEvery = 500 * time.Millisecond
+
+// announce tells the local node again and again that the server is there.
+func (s *Server) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := announceEvery
+		if s.announceOnce(ctx) != nil {
+			wait /= 5
+		}
+		sleep(ctx, wait)
+	}
+}
+
+func (s *Server) announceOnce(ctx context.Context) error {
+	body, err := json.Marshal(backend.Announcement{
+		Service:     s.config.Service,
+		Address:     s.config.Address,
+		Slots:       s.config.Slots,
+		Connections: s.config.Connections,
+		Leaving:     s.Behaviour().Leaving,
+	})
+	if err != nil {
+		return err
+	}
+	address := "http://" + s.config.NodeBackend + backend.AnnouncePath
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/lab/server/ledger.go
@@ -0,0 +1,55 @@
+package server
+
+import "sync"
+
+// RequestHeader carries the load generator's name of a request down the chain.
+const RequestHeader = "X-Lab-Request"
+
+// Run is what the ledger holds about one request.
+type Run struct {
+	Request string `json:"request"`
+	Key     string `json:"key,omitempty"`
+	Started int    `json:"started"`
+	Ended   int    `json:"ended"`
+}
+
+// Ledger counts how often each request ran here.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string]*Run
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{runs: map[string]*Run{}}
+}
+
+func (l *Ledger) start(request, key string) *Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id := request + " " + key
+	r, ok := l.runs[id]
+	if !ok {
+		r = &Run{Request: request, Key: key}
+		l.runs[id] = r
+	}
+	r.Started++
+	return r
+}
+
+func (l *Ledger) end(r *Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.Ended++
+}
+
+// Runs returns a copy of all entries.
+func (l *Ledger) Runs() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	runs := make([]Run, 0, len(l.runs))
+	for _, r := range l.runs {
+		runs = append(runs, *r)
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/lab/server/server.go
@@ -0,0 +1,182 @@
+// Package server is a stand-in for a backend server: slots, service time, calls to other services through the local
+// node, faults, and a ledger of which request ran how often.
+//
+// # Usage
+//
+//	s := server.New(server.Config{Service: "access", Address: "127.0.0.1:9001", ...})
+//	err := s.Run(ctx)
+//
+// Experiments change its behaviour with PUT /lab/behaviour and read its ledger with GET /lab/ledger.
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+)
+
+// Config sets a Server up.
+type Config struct {
+	Service string
+	Address string
+	// NodeBackend is the local node's address for announcements.
+	NodeBackend string
+	// NodeCaller is the local node's address for calls to other services.
+	NodeCaller  string
+	Slots       int
+	Connections int
+	Behaviour   Behaviour
+}
+
+// Behaviour is how the server works until it is changed.
+type Behaviour struct {
+	// ServiceTime is the mean time that a request holds a slot.
+	ServiceTime time.Duration `json:"service_time"`
+	// Spread is the part of ServiceTime by which single requests differ, from 0 to 1.
+	Spread float64 `json:"spread"`
+	// Queue is how many requests may wait for a slot; more are shed with 503.
+	Queue int `json:"queue"`
+	// Calls are made, one after the other, for each request.
+	Calls []Downstream `json:"calls"`
+	// FailFast answers every request with 500 at once.
+	FailFast bool `json:"fail_fast"`
+	// CrashOn closes the listener and all connections when a body holds the text; empty for never.
+	CrashOn string `json:"crash_on"`
+	// RestartAfter is how long a crash lasts.
+	RestartAfter time.Duration `json:"restart_after"`
+	// Leaving is announced to the node.
+	Leaving bool `json:"leaving"`
+}
+
+// Downstream is a call to another service.
+type Downstream struct {
+	Service string `json:"service"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	// Prefix limits the call to requests whose path begins with it; empty for all.
+	Prefix string `json:"prefix"`
+}
+
+// Server is one stand-in.
+type Server struct {
+	config Config
+	slots  chan struct{}
+	client *http.Client
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	waiting   int
+	crashed   chan struct{}
+	crashes   int
+	peak      int
+	open      int
+	ledger    *Ledger
+}
+
+// New returns a server that does not run yet.
+func New(config Config) *Server {
+	return &Server{
+		config:    config,
+		slots:     make(chan struct{}, config.Slots),
+		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: config.Connections}},
+		behaviour: config.Behaviour,
+		crashed:   make(chan struct{}, 1),
+		ledger:    NewLedger(),
+	}
+}
+
+// Ledger returns the server's ledger.
+func (s *Server) Ledger() *Ledger {
+	return s.ledger
+}
+
+// SetBehaviour changes how the server works from now on.
+func (s *Server) SetBehaviour(b Behaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behaviour = b
+}
+
+// Behaviour returns how the server works.
+func (s *Server) Behaviour() Behaviour {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.behaviour
+}
+
+// Run serves until the context ends. After a crash it starts again.
+func (s *Server) Run(ctx context.Context) error {
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { s.announce(ctx) })
+	for ctx.Err() == nil {
+		if err := s.serve(ctx); err != nil {
+			return trace.Wrap(err)
+		}
+		sleep(ctx, s.Behaviour().RestartAfter)
+	}
+	return nil
+}
+
+func (s *Server) serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.config.Address)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	server := &http.Server{Handler: s.router(), ConnState: s.countConnections}
+	ended := make(chan struct{})
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer close(ended)
+	group.Go(func() {
+		select {
+		case <-ctx.Done():
+		case <-s.crashed:
+		case <-ended:
+		}
+		_ = server.Close()
+	})
+	_ = server.Serve(listener)
+	return nil
+}
+
+func (s *Server) router() http.Handler {
+	router := httprouter.New()
+	router.GET("/lab/ledger", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		writeJSON(w, s.Report())
+	})
+	router.PUT("/lab/behaviour", s.handleBehaviour)
+	router.NotFound = http.HandlerFunc(s.handleRequest)
+	router.HandleMethodNotAllowed = false
+	return router
+}
+
+func (s *Server) countConnections(_ net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.open++
+		s.peak = max(s.peak, s.open)
+	case http.StateClosed, http.StateHijacked:
+		s.open--
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/lab/store/http.go
@@ -0,0 +1,166 @@
+package store
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
+)
+
+// Handler returns the HTTP API of the store, and /faults and /counts for experiments.
+func (s *Store) Handler() http.Handler {
+	router := httprouter.New()
+	router.GET("/v1/key", s.read(s.handleGet))
+	router.GET("/v1/list", s.read(s.handleList))
+	router.GET("/v1/watch", s.read(s.handleWatch))
+	router.PUT("/v1/key", s.write(s.handleSwap))
+	router.POST("/v1/lease", s.write(s.handleGrant))
+	router.PUT("/v1/lease", s.write(s.handleRenew))
+	router.PUT("/faults", s.handleFaults)
+	router.GET("/counts", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { answer(w, s.Counts()) })
+	return router
+}
+
+type operation func(r *http.Request) (status int, body any)
+
+func (s *Store) read(f operation) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		if s.fail(w, func(c *Counts) { c.Reads++ }) {
+			return
+		}
+		status, body := f(r)
+		reply(w, status, body)
+	}
+}
+
+func (s *Store) write(f operation) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		if s.fail(w, func(c *Counts) { c.Writes++ }) {
+			return
+		}
+		status, body := f(r)
+		s.mu.Lock()
+		lose := s.faults.LoseAnswers
+		s.mu.Unlock()
+		if lose {
+			panic(http.ErrAbortHandler)
+		}
+		reply(w, status, body)
+	}
+}
+
+// fail counts the call and makes it fail or wait as the faults say.
+func (s *Store) fail(w http.ResponseWriter, count func(*Counts)) bool {
+	s.mu.Lock()
+	count(&s.counts)
+	faults := s.faults
+	s.mu.Unlock()
+	time.Sleep(faults.Delay)
+	if faults.Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+	}
+	return faults.Down
+}
+
+func (s *Store) handleGet(r *http.Request) (int, any) {
+	entry, ok := s.get(r.URL.Query().Get("key"))
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	return http.StatusOK, entry
+}
+
+func (s *Store) handleList(r *http.Request) (int, any) {
+	changes, _ := s.since(r.URL.Query().Get("prefix"), 0)
+	return http.StatusOK, changes
+}
+
+// lapsePoll is how often a waiting watch looks for lapsed leases.
+const lapsePoll = 100 * time.Millisecond
+
+func (s *Store) handleWatch(r *http.Request) (int, any) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	end := time.Now().Add(wait)
+	for {
+		changes, next := s.since(query.Get("prefix"), after)
+		if len(changes.Entries) > 0 || !time.Now().Before(end) {
+			return http.StatusOK, changes
+		}
+		select {
+		case <-next:
+		case <-time.After(lapsePoll):
+		case <-r.Context().Done():
+			return http.StatusOK, changes
+		}
+	}
+}
+
+func (s *Store) handleSwap(r *http.Request) (int, any) {
+	var w platform.Swap
+	if json.NewDecoder(r.Body).Decode(&w) != nil {
+		return http.StatusBadRequest, nil
+	}
+	if len(w.Value) > maxValue {
+		return http.StatusRequestEntityTooLarge, nil
+	}
+	entry, ok := s.swap(w)
+	if !ok {
+		return http.StatusConflict, nil
+	}
+	return http.StatusOK, entry
+}
+
+// maxValue is the largest value in bytes.
+const maxValue = 1 << 20
+
+func (s *Store) handleGrant(r *http.Request) (int, any) {
+	var lease platform.Lease
+	if json.NewDecoder(r.Body).Decode(&lease) != nil {
+		return http.StatusBadRequest, nil
+	}
+	return http.StatusOK, s.grant(lease.TTL)
+}
+
+func (s *Store) handleRenew(r *http.Request) (int, any) {
+	var lease platform.Lease
+	if json.NewDecoder(r.Body).Decode(&lease) != nil {
+		return http.StatusBadRequest, nil
+	}
+	if !s.renew(lease) {
+		return http.StatusNotFound, nil
+	}
+	return http.StatusOK, lease
+}
+
+func (s *Store) handleFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	if status != http.StatusOK {
+		http.Error(w, http.StatusText(status), status)
+		return
+	}
+	answer(w, body)
+}
+
+func answer(w http.ResponseWriter, body any) {
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/process/node/health.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+// Dump is the state of a node at one moment.
+type Dump struct {
+	Board        *board.Board
+	Load         call.Load
+	QueuedByRank []int
+	Connections  map[string]int
+}
+
+func (n *Node) registerHealth(router *httprouter.Router) {
+	router.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	router.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		n.ready(w)
+	})
+	router.GET("/dump", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		n.writeDump(w)
+	})
+	router.Handler(http.MethodGet, "/debug/vars", expvar.Handler())
+}
+
+func (n *Node) ready(w http.ResponseWriter) {
+	b := n.loop.Snapshot()
+	if b.Self.Draining || b.Backend.Service == "" || len(b.Documents.ByService) == 0 {
+		http.Error(w, "draining, no backend server or no documents", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (n *Node) writeDump(w http.ResponseWriter) {
+	byRank := n.gate.QueuedByRank()
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(Dump{
+		Board:        n.loop.Snapshot(),
+		Load:         n.gate.Load(),
+		QueuedByRank: byRank[:],
+		Connections:  n.pool.Open(),
+	})
+}
--- /dev/null
+++ b/internal/process/node/node.go
@@ -0,0 +1,246 @@
+// Package node puts the parts of one node together and runs them until the process is asked to stop.
+//
+// # Usage
+//
+//	err := node.Run(ctx, node.Config{Settings: settings, Log: log})
+//
+// When the context ends the node drains: it refuses new work, finishes what is in flight, and returns.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/zonepb"
+)
+
+// Config sets a node up.
+type Config struct {
+	Settings *settings.Settings
+	Log      *events.Log
+}
+
+// Node is one node.
+type Node struct {
+	config     Config
+	loop       *board.Loop
+	gate       *backend.Gate
+	client     *backend.Client
+	pool       *peer.Pool
+	receiver   *flow.Receiver
+	sender     *flow.Sender
+	controller *zone.Controller
+	chains     *call.Chains
+	listeners  listeners
+}
+
+// New builds a node without starting it.
+func New(config Config) *Node {
+	s := config.Settings
+	n := &Node{config: config, chains: call.NewChains()}
+	n.loop = board.NewLoop(board.Board{Self: board.Self{
+		Node:          s.Node.Name,
+		Zone:          s.Node.Zone,
+		Region:        s.Node.Region,
+		PeerAddress:   s.Peer.Address,
+		CallerAddress: s.Caller.Address,
+	}})
+	n.gate = backend.NewGate(gateConfig(s))
+	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody}, n.chains)
+	n.pool = peer.NewPool(poolConfig(s))
+	n.receiver = flow.NewReceiver(flow.ReceiverConfig{Board: n.loop, Gate: n.gate, Backend: n.client})
+	n.sender = flow.NewSender(flow.SenderConfig{
+		Board:    n.loop,
+		Peers:    peer.NewClient(n.pool, s.Node.Name),
+		Receiver: n.receiver,
+		Budget:   retryBudget,
+		Ejection: ejection,
+	})
+	n.controller = zone.NewController(zone.Config{
+		Board:       n.loop,
+		Platform:    platform.NewClient(platform.Config{URL: s.Platform.URL, Timeout: s.Platform.Timeout}),
+		Peers:       zone.NewClient(n.pool, s.Node.Name, s.Node.Zone, controlTimeout),
+		Log:         config.Log,
+		Timing:      zone.DefaultTiming,
+		Incarnation: uint64(time.Now().UnixNano()),
+	})
+	return n
+}
+
+// Run listens and works until the context ends and the node has drained.
+func Run(ctx context.Context, config Config) error {
+	n := New(config)
+	if err := n.listen(); err != nil {
+		config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
+		return trace.Wrap(err)
+	}
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group conc.WaitGroup
+	n.start(working, &group)
+	config.Log.Emit(events.NodeStarted, events.Fields{"settings": config.Settings.Node.Name})
+	<-ctx.Done()
+	n.drain(working)
+	stop()
+	n.listeners.close()
+	n.pool.Close()
+	group.Wait()
+	config.Log.Emit(events.NodeStopped, nil)
+	return nil
+}
+
+// listeners are the sockets of a node.
+type listeners struct {
+	caller  net.Listener
+	peer    net.Listener
+	backend net.Listener
+}
+
+func (l *listeners) close() {
+	_ = l.caller.Close()
+	_ = l.peer.Close()
+	_ = l.backend.Close()
+}
+
+func (n *Node) listen() error {
+	s := n.config.Settings
+	for _, open := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&n.listeners.caller, s.Caller.Address},
+		{&n.listeners.peer, s.Peer.Address},
+		{&n.listeners.backend, s.Backend.Address},
+	} {
+		l, err := net.Listen("tcp", open.address)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		*open.listener = l
+	}
+	return nil
+}
+
+func (n *Node) start(ctx context.Context, group *conc.WaitGroup) {
+	group.Go(func() { n.loop.Run(ctx) })
+	group.Go(func() { n.controller.Run(ctx) })
+	group.Go(func() { n.advanceGate(ctx) })
+	group.Go(func() { n.servePeers(ctx) })
+	group.Go(func() { n.serveHTTP(ctx, n.listeners.caller, n.callerRouter()) })
+	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
+}
+
+func (n *Node) callerRouter() *httprouter.Router {
+	router := httprouter.New()
+	caller.Register(router, caller.Config{
+		Board:   n.loop,
+		Sender:  n.sender,
+		Chains:  n.chains,
+		MaxBody: n.config.Settings.Caller.MaxBody,
+	})
+	return router
+}
+
+func (n *Node) backendRouter(ctx context.Context) *httprouter.Router {
+	router := httprouter.New()
+	backend.RegisterAnnouncements(router, func(a backend.Announcement) { n.announced(ctx, a) })
+	n.registerHealth(router)
+	return router
+}
+
+// announced takes in what the local backend server says of itself.
+func (n *Node) announced(ctx context.Context, a backend.Announcement) {
+	n.gate.Announce(a.Slots)
+	n.client.SetConnections(a.Connections)
+	before := n.loop.Snapshot().Backend
+	n.loop.Do(ctx, func(b *board.Board) {
+		b.Backend = board.Backend{
+			Service:     a.Service,
+			Address:     a.Address,
+			Slots:       a.Slots,
+			Connections: a.Connections,
+			Leaving:     a.Leaving,
+			AnnouncedAt: time.Now(),
+		}
+	})
+	if before.Service != a.Service || before.Address != a.Address {
+		n.config.Log.Emit(events.BackendAnnounced, events.Fields{"service": a.Service, "address": a.Address})
+	}
+	if a.Leaving && !before.Leaving {
+		n.config.Log.Emit(events.BackendLeaving, events.Fields{"service": a.Service})
+	}
+}
+
+func (n *Node) advanceGate(ctx context.Context) {
+	ticker := time.NewTicker(gateTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.gate.Advance()
+		}
+	}
+}
+
+func (n *Node) servePeers(ctx context.Context) {
+	mux := drpcmux.New()
+	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.receiver))
+	if err == nil {
+		err = zonepb.DRPCRegisterZone(mux, zone.NewServer(n.controller))
+	}
+	if err != nil {
+		n.config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
+		return
+	}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Log: func(err error) { n.config.Log.Emit(events.PeerGarbage, events.Fields{"error": err.Error()}) },
+	})
+	_ = server.Serve(ctx, n.listeners.peer)
+}
+
+func (n *Node) serveHTTP(ctx context.Context, l net.Listener, router http.Handler) {
+	server := &http.Server{
+		Handler:           router,
+		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
+		ReadTimeout:       n.config.Settings.Caller.BodyTimeout,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	_ = server.Serve(l)
+}
+
+// drain refuses new work and waits until nothing is in flight.
+func (n *Node) drain(ctx context.Context) {
+	n.config.Log.Emit(events.DrainStarted, nil)
+	n.loop.Do(ctx, func(b *board.Board) { b.Self.Draining = true })
+	deadline := time.Now().Add(drainTimeout)
+	settled := time.Now().Add(drainSettle)
+	for time.Now().Before(deadline) {
+		if time.Now().After(settled) && n.gate.Load().InFlight == 0 {
+			break
+		}
+		time.Sleep(gateTick)
+	}
+	n.config.Log.Emit(events.DrainFinished, nil)
+}
--- /dev/null
+++ b/internal/traffic/call/call.go
@@ -0,0 +1,115 @@
+// Package call holds the messages of the traffic side: a request on its way to a backend server, the reply that
+// comes back, and the outcome and reason that a caller is told.
+//
+// # Usage
+//
+// The caller side builds a Request from HTTP, the flow passes it on, and every layer answers with a Reply:
+//
+//	reply := call.Refused(call.NotRun, call.ReasonOverload, 250*time.Millisecond)
+package call
+
+import (
+	"net/http"
+	"time"
+)
+
+// Outcome says what a caller may rely on about its request.
+type Outcome int
+
+// The outcomes, from docs/CALLERS.md.
+const (
+	// Unknown means that the request may have run; nobody will run it again.
+	Unknown Outcome = iota
+	// Ran means that the reply is the backend server's own whole answer.
+	Ran
+	// NotRun means that the request under its key has not run and that no late copy can still run.
+	NotRun
+	// NotAdmitted means that this attempt started nothing; an earlier attempt under the same key may have.
+	NotAdmitted
+)
+
+var outcomeNames = map[Outcome]string{
+	Unknown:     "unknown",
+	Ran:         "ran",
+	NotRun:      "not_run",
+	NotAdmitted: "not_admitted",
+}
+
+// String returns the name that the outcome header carries.
+func (o Outcome) String() string {
+	return outcomeNames[o]
+}
+
+// Root identifies the request of a caller from which a chain of calls grew. Every call of the chain carries it.
+type Root struct {
+	// ID is unique to the root request.
+	ID string
+	// Start is when the entry node took the root request.
+	Start time.Time
+	// Rank is the rank of the root's kind; 0 is the most urgent.
+	Rank int
+	// Caller names who sent the root request, for fairness between callers.
+	Caller string
+}
+
+// Request is one request on its way to a backend server.
+type Request struct {
+	// AttemptID is unique to this attempt to run the request.
+	AttemptID string
+	Root      Root
+	// Depth is 0 for a root request and grows by one for each call down the chain.
+	Depth      int
+	Service    string
+	Kind       string
+	Method     string
+	Path       string
+	Header     http.Header
+	Body       []byte
+	Idempotent bool
+	// Key names a non-idempotent request for all of its attempts.
+	Key string
+	// KeyMinted says that the entry node made the key for this very request.
+	KeyMinted bool
+	Deadline  time.Time
+	// AttemptsLeft is how many further attempts the whole chain below may spend.
+	AttemptsLeft int
+	// SourceNode is the node that sent the request here; empty at the entry.
+	SourceNode string
+	// Delegated says that the key's home passed the request on to be run.
+	Delegated bool
+}
+
+// Load is what a node reports about its own backend server with each reply.
+type Load struct {
+	InFlight int
+	Queued   int
+	Limit    int
+	// SheddingRank is the most urgent rank that is being shed; 0 for none.
+	SheddingRank int
+}
+
+// Reply is the answer to one Request.
+type Reply struct {
+	Outcome    Outcome
+	Reason     Reason
+	RetryAfter time.Duration
+	Status     int
+	Header     http.Header
+	Body       []byte
+	// AttemptsUsed is how much of AttemptsLeft was spent below.
+	AttemptsUsed int
+	// Final forbids further attempts by anybody up the chain.
+	Final bool
+	Load  Load
+}
+
+// Refused returns the reply to a request that was given up for the reason.
+func Refused(outcome Outcome, reason Reason, retryAfter time.Duration) Reply {
+	return Reply{
+		Outcome:    outcome,
+		Reason:     reason,
+		RetryAfter: retryAfter,
+		Status:     reason.Entry().Status,
+		Final:      reason.Entry().Final,
+	}
+}
--- /dev/null
+++ b/internal/traffic/flow/receiver.go
@@ -0,0 +1,69 @@
+package flow
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+// ReceiverConfig sets a Receiver up.
+type ReceiverConfig struct {
+	Board   *board.Loop
+	Gate    *backend.Gate
+	Backend *backend.Client
+}
+
+// Receiver runs requests on the local backend server.
+type Receiver struct {
+	config ReceiverConfig
+}
+
+// NewReceiver returns a receiver.
+func NewReceiver(config ReceiverConfig) *Receiver {
+	return &Receiver{config: config}
+}
+
+// Receive admits the request, runs it on the backend server and returns the reply with the load after it.
+func (v *Receiver) Receive(ctx context.Context, r *call.Request) call.Reply {
+	reply := v.receive(ctx, r)
+	reply.Load = v.config.Gate.Load()
+	return reply
+}
+
+func (v *Receiver) receive(ctx context.Context, r *call.Request) call.Reply {
+	b := v.config.Board.Snapshot()
+	if b.Backend.Service != r.Service || b.Backend.Address == "" {
+		return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
+	}
+	if b.Self.Draining || b.Backend.Leaving {
+		return call.Refused(call.NotRun, call.ReasonDraining, 0)
+	}
+	if !time.Now().Before(r.Deadline) {
+		return call.Refused(call.NotRun, call.ReasonDeadline, 0)
+	}
+	refusal, admitted := v.config.Gate.Enter(ctx, r, share(b, r))
+	if !admitted {
+		return refusal
+	}
+	result := v.config.Backend.Run(ctx, b.Backend.Address, r)
+	v.config.Gate.Leave(admission.Sample{Took: result.Took, Overloaded: result.Overloaded})
+	return result.Reply
+}
+
+// share returns the share that the service's document gives the request's kind.
+func share(b *board.Board, r *call.Request) int {
+	d, ok := b.Documents.ByService[r.Service]
+	if !ok {
+		return 1
+	}
+	for _, k := range d.Document.Kinds {
+		if k.Name == r.Kind {
+			return k.Share
+		}
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/traffic/peer/client.go
@@ -0,0 +1,96 @@
+// Package peer carries requests between nodes over drpc.
+//
+// # Usage
+//
+//	client := peer.NewClient(pool, "node_1")
+//	reply, err := client.Call(ctx, address, request)
+//
+// An *Error from Call says whether the other node may have begun the request.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
+)
+
+// Error is a failed exchange with another node.
+type Error struct {
+	Address string
+	// Sent says that the request was sent, so that the other node may have begun it.
+	Sent bool
+	// Reason is what a caller is told.
+	Reason call.Reason
+	Cause  error
+}
+
+// Error returns the failure on one line.
+func (e *Error) Error() string {
+	return fmt.Sprintf("peer %s: %s: %v", e.Address, e.Reason, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
+}
+
+// Client sends requests to other nodes.
+type Client struct {
+	pool *Pool
+	node string
+}
+
+// NewClient returns a client that names itself as the source node.
+func NewClient(pool *Pool, node string) *Client {
+	return &Client{pool: pool, node: node}
+}
+
+// Call sends one attempt to the node at the address and returns its reply.
+func (c *Client) Call(ctx context.Context, address string, r *call.Request) (call.Reply, error) {
+	message := requestMessage(r, c.node, time.Now())
+	var answer *peerpb.CallReply
+	sent := false
+	err := c.pool.Use(ctx, address, func(conn *drpcconn.Conn) error {
+		sent = true
+		var err error
+		answer, err = peerpb.NewDRPCPeerClient(conn).Call(ctx, message)
+		return err
+	})
+	if err != nil {
+		return call.Reply{}, &Error{Address: address, Sent: sent, Reason: reasonOf(ctx), Cause: err}
+	}
+	if err := checkReply(r, answer); err != nil {
+		return call.Reply{}, &Error{Address: address, Sent: true, Reason: call.ReasonCorrupt, Cause: err}
+	}
+	return replyOf(answer), nil
+}
+
+func reasonOf(ctx context.Context) call.Reason {
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		return call.ReasonPeerSilent
+	case context.Canceled:
+		return call.ReasonCanceled
+	default:
+		return call.ReasonPeerUnreachable
+	}
+}
+
+func checkReply(r *call.Request, answer *peerpb.CallReply) error {
+	if answer.GetAttemptId() != r.AttemptID {
+		return fmt.Errorf("answer is for attempt %q, not %q", answer.GetAttemptId(), r.AttemptID)
+	}
+	if answer.GetBodyChecksum() != xxhash.Sum64(answer.GetBody()) {
+		return fmt.Errorf("answer's body does not match its checksum")
+	}
+	if answer.GetOutcome() == peerpb.Outcome_OUTCOME_UNSPECIFIED {
+		return fmt.Errorf("answer has no outcome")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/peer/messages.go
@@ -0,0 +1,155 @@
+package peer
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
+)
+
+var outcomeMessages = map[call.Outcome]peerpb.Outcome{
+	call.Unknown:     peerpb.Outcome_OUTCOME_UNKNOWN,
+	call.Ran:         peerpb.Outcome_OUTCOME_RAN,
+	call.NotRun:      peerpb.Outcome_OUTCOME_NOT_RUN,
+	call.NotAdmitted: peerpb.Outcome_OUTCOME_NOT_ADMITTED,
+}
+
+var outcomes = map[peerpb.Outcome]call.Outcome{
+	peerpb.Outcome_OUTCOME_UNKNOWN:      call.Unknown,
+	peerpb.Outcome_OUTCOME_RAN:          call.Ran,
+	peerpb.Outcome_OUTCOME_NOT_RUN:      call.NotRun,
+	peerpb.Outcome_OUTCOME_NOT_ADMITTED: call.NotAdmitted,
+}
+
+func requestMessage(r *call.Request, node string, now time.Time) *peerpb.CallRequest {
+	return &peerpb.CallRequest{
+		AttemptId:           r.AttemptID,
+		RootId:              r.Root.ID,
+		RootStartUnixMicros: r.Root.Start.UnixMicro(),
+		Service:             r.Service,
+		Kind:                r.Kind,
+		Method:              r.Method,
+		Path:                r.Path,
+		Headers:             headerMessages(r.Header),
+		Body:                r.Body,
+		BodyChecksum:        xxhash.Sum64(r.Body),
+		Key:                 r.Key,
+		KeyMinted:           r.KeyMinted,
+		Idempotent:          r.Idempotent,
+		Rank:                int32(r.Root.Rank),
+		Depth:               int32(r.Depth),
+		AttemptsLeft:        int32(r.AttemptsLeft),
+		TimeLeftMicros:      r.Deadline.Sub(now).Microseconds(),
+		Caller:              r.Root.Caller,
+		SourceNode:          node,
+		Delegated:           r.Delegated,
+	}
+}
+
+// parseRequest checks a message from another node and returns the request in it.
+func parseRequest(m *peerpb.CallRequest, now time.Time) (*call.Request, error) {
+	if m.GetAttemptId() == "" || m.GetService() == "" || m.GetKind() == "" || m.GetMethod() == "" {
+		return nil, fmt.Errorf("attempt, service, kind or method is missing")
+	}
+	if m.GetRank() < 0 || m.GetRank() >= admission.Ranks {
+		return nil, fmt.Errorf("rank %d is out of range", m.GetRank())
+	}
+	if m.GetAttemptsLeft() < 0 || m.GetDepth() < 0 {
+		return nil, fmt.Errorf("attempts or depth is negative")
+	}
+	if m.GetBodyChecksum() != xxhash.Sum64(m.GetBody()) {
+		return nil, fmt.Errorf("body does not match its checksum")
+	}
+	return &call.Request{
+		AttemptID: m.GetAttemptId(),
+		Root: call.Root{
+			ID:     m.GetRootId(),
+			Start:  time.UnixMicro(m.GetRootStartUnixMicros()),
+			Rank:   int(m.GetRank()),
+			Caller: m.GetCaller(),
+		},
+		Depth:        int(m.GetDepth()),
+		Service:      m.GetService(),
+		Kind:         m.GetKind(),
+		Method:       m.GetMethod(),
+		Path:         m.GetPath(),
+		Header:       headerOf(m.GetHeaders()),
+		Body:         m.GetBody(),
+		Idempotent:   m.GetIdempotent(),
+		Key:          m.GetKey(),
+		KeyMinted:    m.GetKeyMinted(),
+		Deadline:     now.Add(time.Duration(m.GetTimeLeftMicros()) * time.Microsecond),
+		AttemptsLeft: int(m.GetAttemptsLeft()),
+		SourceNode:   m.GetSourceNode(),
+		Delegated:    m.GetDelegated(),
+	}, nil
+}
+
+func replyMessage(attemptID string, r call.Reply) *peerpb.CallReply {
+	return &peerpb.CallReply{
+		AttemptId:        attemptID,
+		Outcome:          outcomeMessages[r.Outcome],
+		Reason:           string(r.Reason),
+		RetryAfterMicros: r.RetryAfter.Microseconds(),
+		Status:           int32(r.Status),
+		Headers:          headerMessages(r.Header),
+		Body:             r.Body,
+		BodyChecksum:     xxhash.Sum64(r.Body),
+		AttemptsUsed:     int32(r.AttemptsUsed),
+		Final:            r.Final,
+		Load: &peerpb.Load{
+			InFlight:     int32(r.Load.InFlight),
+			Queued:       int32(r.Load.Queued),
+			Limit:        int32(r.Load.Limit),
+			SheddingRank: int32(r.Load.SheddingRank),
+		},
+	}
+}
+
+func replyOf(m *peerpb.CallReply) call.Reply {
+	return call.Reply{
+		Outcome:      outcomes[m.GetOutcome()],
+		Reason:       call.Reason(m.GetReason()),
+		RetryAfter:   time.Duration(m.GetRetryAfterMicros()) * time.Microsecond,
+		Status:       int(m.GetStatus()),
+		Header:       headerOf(m.GetHeaders()),
+		Body:         m.GetBody(),
+		AttemptsUsed: int(m.GetAttemptsUsed()),
+		Final:        m.GetFinal(),
+		Load: call.Load{
+			InFlight:     int(m.GetLoad().GetInFlight()),
+			Queued:       int(m.GetLoad().GetQueued()),
+			Limit:        int(m.GetLoad().GetLimit()),
+			SheddingRank: int(m.GetLoad().GetSheddingRank()),
+		},
+	}
+}
+
+func headerMessages(h http.Header) []*peerpb.Header {
+	names := make([]string, 0, len(h))
+	for name := range h {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var messages []*peerpb.Header
+	for _, name := range names {
+		for _, value := range h[name] {
+			messages = append(messages, &peerpb.Header{Name: name, Value: value})
+		}
+	}
+	return messages
+}
+
+func headerOf(messages []*peerpb.Header) http.Header {
+	h := make(http.Header, len(messages))
+	for _, m := range messages {
+		h.Add(m.GetName(), m.GetValue())
+	}
+	return h
+}
--- /dev/null
+++ b/internal/traffic/peer/pool.go
@@ -0,0 +1,175 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc/drpcconn"
+)
+
+// PoolConfig sets a Pool up.
+type PoolConfig struct {
+	// MaxPerPeer bounds the connections to one node.
+	MaxPerPeer int
+	// MaxIdle is how long an unused connection is trusted.
+	MaxIdle     time.Duration
+	DialTimeout time.Duration
+}
+
+// Pool keeps drpc connections to other nodes. A connection carries one RPC at a time.
+type Pool struct {
+	config PoolConfig
+
+	mu    sync.Mutex
+	peers map[string]*peerConns
+}
+
+// NewPool returns an empty pool.
+func NewPool(config PoolConfig) *Pool {
+	return &Pool{config: config, peers: map[string]*peerConns{}}
+}
+
+type peerConns struct {
+	idle []idleConn
+	open int
+}
+
+type idleConn struct {
+	conn  *drpcconn.Conn
+	since time.Time
+}
+
+// errTooManyConnections says that the bound of connections to one node is reached.
+var errTooManyConnections = trace.LimitExceeded("too many connections to the node")
+
+// Use runs f on a connection to the address. The connection is kept for later use only if f succeeds.
+func (p *Pool) Use(ctx context.Context, address string, f func(*drpcconn.Conn) error) error {
+	conn, err := p.take(ctx, address)
+	if err != nil {
+		return err
+	}
+	return p.run(address, conn, f)
+}
+
+// UseNew runs f on a connection that is made for it, for what an older connection left open.
+func (p *Pool) UseNew(ctx context.Context, address string, f func(*drpcconn.Conn) error) error {
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	return f(conn)
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.peers {
+		for _, i := range peer.idle {
+			_ = i.conn.Close()
+		}
+		peer.open -= len(peer.idle)
+		peer.idle = nil
+	}
+}
+
+// Open returns the number of pooled connections to each address.
+func (p *Pool) Open() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	open := make(map[string]int, len(p.peers))
+	for address, peer := range p.peers {
+		open[address] = peer.open
+	}
+	return open
+}
+
+func (p *Pool) run(address string, conn *drpcconn.Conn, f func(*drpcconn.Conn) error) error {
+	err := f(conn)
+	if err != nil || isClosed(conn) {
+		_ = conn.Close()
+		p.drop(address)
+		return err
+	}
+	p.put(address, conn)
+	return nil
+}
+
+func (p *Pool) take(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	conn, err := p.takeIdle(address, time.Now())
+	if conn != nil || err != nil {
+		return conn, err
+	}
+	conn, err = p.dial(ctx, address)
+	if err != nil {
+		p.drop(address)
+		return nil, err
+	}
+	return conn, nil
+}
+
+// takeIdle returns the idle connection used last, or nil with a place reserved for a new one.
+func (p *Pool) takeIdle(address string, now time.Time) (*drpcconn.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer := p.peer(address)
+	for len(peer.idle) > 0 {
+		last := len(peer.idle) - 1
+		i := peer.idle[last]
+		peer.idle = peer.idle[:last]
+		if now.Sub(i.since) < p.config.MaxIdle && !isClosed(i.conn) {
+			return i.conn, nil
+		}
+		_ = i.conn.Close()
+		peer.open--
+	}
+	if peer.open >= p.config.MaxPerPeer {
+		return nil, errTooManyConnections
+	}
+	peer.open++
+	return nil, nil
+}
+
+func (p *Pool) put(address string, conn *drpcconn.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer := p.peer(address)
+	peer.idle = append(peer.idle, idleConn{conn: conn, since: time.Now()})
+}
+
+func (p *Pool) drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peer(address).open--
+}
+
+func (p *Pool) peer(address string) *peerConns {
+	peer, ok := p.peers[address]
+	if !ok {
+		peer = &peerConns{}
+		p.peers[address] = peer
+	}
+	return peer
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	dialer := net.Dialer{Timeout: p.config.DialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "dial %s: %v", address, err)
+	}
+	return drpcconn.New(conn), nil
+}
+
+func isClosed(conn *drpcconn.Conn) bool {
+	select {
+	case <-conn.Closed():
+		return true
+	default:
+		return false
+	}
+}
