Fault-injecting proxy, naive baseline, processes that can be killed and frozen, and a harness for proofs

Every node connects from an IP of its own, so that the proxy can set faults for each pair and direction. Sections of records are now registered with the zone controller, so that other controllers can add theirs.

--- a/internal/control/platform/platform.go
+++ b/internal/control/platform/platform.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -64,6 +65,8 @@
 type Config struct {
 	URL     string
 	Timeout time.Duration
+	// LocalIP is the IP to connect from; nil for any.
+	LocalIP net.IP
 }
 
 // Client is an HTTP client of the store.
@@ -72,9 +75,14 @@
 	http   *http.Client
 }
 
+// idleConnections are kept open to the platform.
+const idleConnections = 4
+
 // NewClient returns a client.
 func NewClient(config Config) *Client {
-	return &Client{config: config, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: config.LocalIP}}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections}
+	return &Client{config: config, http: &http.Client{Transport: transport}}
 }
 
 // Get returns the entry under the key, or ErrNotFound.
--- a/internal/control/settings/settings.go
+++ b/internal/control/settings/settings.go
@@ -54,6 +54,8 @@
 // Peer is the listener for other nodes.
 type Peer struct {
 	Address string
+	// Advertised is the address that other nodes are told; empty for Address.
+	Advertised string
 	// MaxConnections bounds the connections to one other node.
 	MaxConnections int
 	// Seeds are peer addresses to join through while the platform is away, separated by commas.
@@ -115,6 +117,7 @@
 	flags.DurationVar(&s.Caller.HeaderTimeout, "caller.header_timeout", defaultHeaderTimeout, "time for a caller to send its headers")
 	flags.DurationVar(&s.Caller.BodyTimeout, "caller.body_timeout", defaultBodyTimeout, "time for a caller to send its whole request")
 	flags.StringVar(&s.Peer.Address, "peer.address", "", "IP and port that other nodes use")
+	flags.StringVar(&s.Peer.Advertised, "peer.advertised", "", "IP and port that other nodes are told; empty for peer.address")
 	flags.IntVar(&s.Peer.MaxConnections, "peer.max_connections", defaultPeerConns, "most connections to one other node")
 	flags.StringVar(&s.Peer.Seeds, "peer.seeds", "", "peer addresses to join through while the platform is away")
 	flags.StringVar(&s.Backend.Address, "backend.address", "", "IP and port for the local backend server's announcements and for health, metrics and the dump")
@@ -136,6 +139,9 @@
 	c.address("caller.address", s.Caller.Address)
 	c.address("peer.address", s.Peer.Address)
 	c.address("backend.address", s.Backend.Address)
+	if s.Peer.Advertised != "" {
+		c.address("peer.advertised", s.Peer.Advertised)
+	}
 	if s.Operator.Address != "" {
 		c.address("operator.address", s.Operator.Address)
 	}
@@ -159,6 +165,23 @@
 	return splitList(n.Zones)
 }
 
+// AdvertisedAddress returns the address that other nodes are told.
+func (p Peer) AdvertisedAddress() string {
+	if p.Advertised != "" {
+		return p.Advertised
+	}
+	return p.Address
+}
+
+// IP returns the IP from which the node connects to others and to the platform.
+func (p Peer) IP() net.IP {
+	host, _, err := net.SplitHostPort(p.Address)
+	if err != nil {
+		return nil
+	}
+	return net.ParseIP(host)
+}
+
 // SeedList returns the seed addresses.
 func (p Peer) SeedList() []string {
 	return splitList(p.Seeds)
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -38,10 +39,20 @@
 	Peers    *Client
 	Log      *events.Log
 	Timing   Timing
+	// Sections are kinds of records that other controllers own, by the prefix of their keys.
+	Sections map[string]Section
 	// Incarnation is the time of the node's start; it orders the records of one node across restarts.
 	Incarnation uint64
 }
 
+// Section says how one kind of records comes from the platform and gets onto the board.
+type Section struct {
+	// Decode returns the records in an entry of the platform.
+	Decode func(platform.Entry) []membership.Record
+	// Publish renews the board. It runs in the control goroutine.
+	Publish func(b *board.Board, changed []membership.Record)
+}
+
 // Timing holds the intervals of the control plane.
 type Timing struct {
 	// Beat is the time between heartbeats.
@@ -68,6 +79,7 @@
 	config    Config
 	records   *membership.Records
 	detector  *membership.Detector
+	sections  map[string]Section
 	sequence  uint64
 	own       membership.Member
 	published uint64
@@ -84,11 +96,18 @@
 
 // NewController returns a controller.
 func NewController(config Config) *Controller {
-	return &Controller{
+	c := &Controller{
 		config:   config,
 		records:  membership.NewRecords(),
 		detector: membership.NewDetector(config.Timing.DownAfter),
+		sections: map[string]Section{},
 	}
+	maps.Copy(c.sections, config.Sections)
+	c.sections[membership.MemberPrefix] = Section{Publish: c.publishMembers}
+	c.sections[zonePrefix] = Section{Decode: decodeZone}
+	c.sections[DocumentPrefix] = Section{Decode: decodeDocument, Publish: c.publishDocuments}
+	c.sections[leaderPrefix] = Section{Decode: decodeLeader}
+	return c
 }
 
 // Run works until the context ends.
@@ -218,9 +237,9 @@
 	c.publish(b, changed)
 }
 
-// AcceptDocument spreads a document that was written to the platform.
-func (c *Controller) AcceptDocument(ctx context.Context, r membership.Record) {
-	c.config.Board.Do(ctx, func(b *board.Board) { c.merge(b, r) })
+// Offer takes in records that were made here, such as a document just written to the platform, and spreads them.
+func (c *Controller) Offer(ctx context.Context, records ...membership.Record) {
+	c.config.Board.Do(ctx, func(b *board.Board) { c.merge(b, records...) })
 }
 
 // elect reads who leads, or takes the lead where nobody does.
--- a/internal/control/zone/leader.go
+++ b/internal/control/zone/leader.go
@@ -137,34 +137,44 @@
 func (c *Controller) takeIn(ctx context.Context, entries []platform.Entry) {
 	var records []membership.Record
 	for _, e := range entries {
-		records = append(records, recordsOf(e)...)
+		records = append(records, c.decode(e)...)
 	}
 	c.config.Board.Do(ctx, func(b *board.Board) { c.merge(b, records...) })
 }
 
-// recordsOf returns the records that an entry of the platform stands for.
-func recordsOf(e platform.Entry) []membership.Record {
-	switch {
-	case e.Deleted:
+// decode returns the records that an entry of the platform stands for.
+func (c *Controller) decode(e platform.Entry) []membership.Record {
+	if e.Deleted {
 		return nil
-	case strings.HasPrefix(e.Key, zonePrefix):
-		var v zoneValue
-		if json.Unmarshal(e.Value, &v) != nil {
-			return nil
-		}
-		return v.Records
-	case strings.HasPrefix(e.Key, DocumentPrefix):
-		r, err := DocumentRecord(e.Key, e.Value)
-		if err != nil {
-			return nil
+	}
+	for prefix, section := range c.sections {
+		if strings.HasPrefix(e.Key, prefix) && section.Decode != nil {
+			return section.Decode(e)
 		}
-		return []membership.Record{r}
-	case strings.HasPrefix(e.Key, leaderPrefix):
-		return []membership.Record{{Key: e.Key, Version: membership.Version{Epoch: e.Revision}, Value: e.Value}}
 	}
 	return nil
 }
 
+func decodeZone(e platform.Entry) []membership.Record {
+	var v zoneValue
+	if json.Unmarshal(e.Value, &v) != nil {
+		return nil
+	}
+	return v.Records
+}
+
+func decodeDocument(e platform.Entry) []membership.Record {
+	r, err := DocumentRecord(e.Key, e.Value)
+	if err != nil {
+		return nil
+	}
+	return []membership.Record{r}
+}
+
+func decodeLeader(e platform.Entry) []membership.Record {
+	return []membership.Record{{Key: e.Key, Version: membership.Version{Epoch: e.Revision}, Value: e.Value}}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/control/zone/publish.go
+++ b/internal/control/zone/publish.go
@@ -35,21 +35,25 @@
 
 // publish renews the sections of the board that the changed records concern.
 func (c *Controller) publish(b *board.Board, changed []membership.Record) {
-	membersChanged := false
-	for _, r := range changed {
-		switch {
-		case strings.HasPrefix(r.Key, membership.MemberPrefix):
-			membersChanged = true
-		case strings.HasPrefix(r.Key, DocumentPrefix):
-			c.publishDocument(b, r)
+	for prefix, section := range c.sections {
+		concerned := withPrefix(changed, prefix)
+		if len(concerned) > 0 && section.Publish != nil {
+			section.Publish(b, concerned)
 		}
 	}
-	if membersChanged {
-		c.publishMembers(b)
+}
+
+func withPrefix(records []membership.Record, prefix string) []membership.Record {
+	var found []membership.Record
+	for _, r := range records {
+		if strings.HasPrefix(r.Key, prefix) {
+			found = append(found, r)
+		}
 	}
+	return found
 }
 
-func (c *Controller) publishMembers(b *board.Board) {
+func (c *Controller) publishMembers(b *board.Board, _ []membership.Record) {
 	members := board.Members{
 		ByNode:    map[string]membership.Member{},
 		ByService: map[string][]membership.Member{},
@@ -67,6 +71,12 @@
 	b.Members = members
 }
 
+func (c *Controller) publishDocuments(b *board.Board, changed []membership.Record) {
+	for _, r := range changed {
+		c.publishDocument(b, r)
+	}
+}
+
 func (c *Controller) publishDocument(b *board.Board, r membership.Record) {
 	var stored StoredDocument
 	if json.Unmarshal(r.Value, &stored) != nil {
--- a/internal/lab/fleet/deployment.go
+++ b/internal/lab/fleet/deployment.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -111,7 +110,3 @@
 	defer func() { _ = response.Body.Close() }()
 	return dump, trace.Wrap(json.NewDecoder(response.Body).Decode(&dump))
 }
-
-func joinZones(zones []string) string {
-	return strings.Join(zones, ",")
-}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strings"
 	"syscall"
 	"time"
 
@@ -23,48 +24,47 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/baseline"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/proxy"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/store"
 )
 
 // Config sets a Fleet up.
 type Config struct {
-	// Binary is the path of the built comfreyhoist program.
+	// Binary is the path of the built comfreyhoist program; unused with Baseline.
 	Binary     string
 	Deployment Deployment
 	// Output takes the logs of the nodes.
 	Output io.Writer
+	// Baseline puts the naive baseline in the place of the nodes.
+	Baseline bool
+	// Seed drives the random parts of the network's faults.
+	Seed uint64
+	// Settings are further flags for every node.
+	Settings []string
 }
 
 // Fleet is a running deployment.
 type Fleet struct {
 	config Config
 	Store  *store.Store
-	// StoreURL is where the platform's stand-in listens.
+	// StoreURL is where the platform's stand-in listens, past the network's faults.
 	StoreURL string
-	Nodes    []*Node
+	// Network stands between the nodes, and between each node and the platform.
+	Network *proxy.Network
+	Nodes   []*Node
 
-	cancel context.CancelFunc
-	group  conc.WaitGroup
-	http   *http.Server
-}
-
-// Node is one node process with its stand-in backend server.
-type Node struct {
-	Name    string
-	Zone    string
-	Service string
-	Caller  string
-	Peer    string
-	Backend string
-	Server  *server.Server
-	process *exec.Cmd
+	platformURL string
+	cancel      context.CancelFunc
+	group       conc.WaitGroup
+	http        *http.Server
 }
 
 // Start starts everything. Stop must be called, also after an error.
 func Start(ctx context.Context, config Config) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	f := &Fleet{config: config, Store: store.New(), cancel: cancel}
+	f := &Fleet{config: config, Store: store.New(), Network: proxy.NewNetwork(config.Seed), cancel: cancel}
 	if err := f.startStore(ctx); err != nil {
 		return f, trace.Wrap(err)
 	}
@@ -73,27 +73,32 @@
 	}
 	for _, s := range config.Deployment.Services {
 		for i := range s.Instances {
-			if err := f.startNode(ctx, s, i); err != nil {
+			if err := f.addInstance(ctx, s, i); err != nil {
 				return f, trace.Wrap(err)
 			}
 		}
 	}
+	if config.Baseline {
+		f.startBaseline(ctx)
+	}
 	return f, nil
 }
 
 // Stop asks all nodes to stop, waits for them, and ends the stand-ins.
 func (f *Fleet) Stop() {
 	for _, n := range f.Nodes {
-		_ = n.process.Process.Signal(syscall.SIGTERM)
+		n.Resume()
+		n.signal(syscall.SIGTERM)
 	}
 	for _, n := range f.Nodes {
-		_ = n.process.Wait()
+		n.wait()
 	}
 	f.cancel()
 	if f.http != nil {
 		_ = f.http.Close()
 	}
 	f.group.Wait()
+	f.Network.Wait()
 }
 
 // Callers returns the caller addresses of all nodes.
@@ -123,6 +128,9 @@
 }
 
 func (f *Fleet) ready(ctx context.Context, n *Node) bool {
+	if f.config.Baseline {
+		return true
+	}
 	dump, err := FetchDump(ctx, n.Backend)
 	if err != nil || len(dump.Board.Documents.ByService) < len(f.config.Deployment.Services) {
 		return false
@@ -142,9 +150,14 @@
 	f.StoreURL = "http://" + listener.Addr().String()
 	f.http = &http.Server{Handler: f.Store.Handler(), BaseContext: func(net.Listener) context.Context { return ctx }}
 	f.group.Go(func() { _ = f.http.Serve(listener) })
-	return nil
+	address, err := f.Network.Listen(ctx, PlatformEnd, listener.Addr().String())
+	f.platformURL = "http://" + address
+	return trace.Wrap(err)
 }
 
+// PlatformEnd is the platform's name in the Network; nodes go by their own names.
+const PlatformEnd = "platform"
+
 func (f *Fleet) putDocuments(ctx context.Context) error {
 	client := platform.NewClient(platform.Config{URL: f.StoreURL, Timeout: time.Second})
 	for _, s := range f.config.Deployment.Services {
@@ -155,55 +168,92 @@
 	return nil
 }
 
-func (f *Fleet) startNode(ctx context.Context, s Service, number int) error {
+// addInstance starts a backend server and, but for the baseline, its node.
+func (f *Fleet) addInstance(ctx context.Context, s Service, number int) error {
+	n, err := f.newNode(ctx, s, number)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f.Nodes = append(f.Nodes, n)
+	if !f.config.Baseline {
+		if err := n.Start(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	f.group.Go(func() { _ = n.Server.Run(ctx) })
+	return nil
+}
+
+func (f *Fleet) newNode(ctx context.Context, s Service, number int) (*Node, error) {
 	zones := f.config.Deployment.Zones
 	n := &Node{
 		Name:    fmt.Sprintf("%s_%d", s.Name, number),
 		Zone:    zones[number%len(zones)],
 		Service: s.Name,
+		IP:      fmt.Sprintf("127.1.%d.%d", len(f.Nodes)/hostsPerNet, 1+len(f.Nodes)%hostsPerNet),
+		output:  f.config.Output,
 	}
-	addresses, err := freeAddresses(4)
+	addresses, err := freeAddresses(n.IP, 5)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
-	n.Caller, n.Peer, n.Backend = addresses[0], addresses[1], addresses[2]
-	n.process = exec.Command(f.config.Binary, f.arguments(n)...)
-	n.process.Stdout, n.process.Stderr = f.config.Output, f.config.Output
-	if err := n.process.Start(); err != nil {
-		return trace.Wrap(err)
+	n.Caller, n.Backend, n.Operator = addresses[0], addresses[1], addresses[2]
+	f.Network.Name(n.IP, n.Name)
+	n.Peer, err = f.Network.Listen(ctx, n.Name, addresses[3])
+	if err != nil {
+		return nil, trace.Wrap(err)
 	}
-	f.Nodes = append(f.Nodes, n)
+	n.command = append([]string{f.config.Binary}, f.arguments(n, addresses[3])...)
 	n.Server = server.New(server.Config{
 		Service:     s.Name,
-		Address:     addresses[3],
+		Address:     addresses[4],
 		NodeBackend: n.Backend,
 		NodeCaller:  n.Caller,
 		Slots:       s.Slots,
 		Connections: s.Connections,
 		Behaviour:   s.Behaviour,
 	})
-	f.group.Go(func() { _ = n.Server.Run(ctx) })
-	return nil
+	return n, nil
 }
 
-func (f *Fleet) arguments(n *Node) []string {
-	return []string{
+// hostsPerNet is how many loopback IPs are used below one third byte.
+const hostsPerNet = 250
+
+// OperatorToken may edit every document of a fleet.
+const OperatorToken = "operator-token-of-the-lab"
+
+func (f *Fleet) arguments(n *Node, listen string) []string {
+	return append([]string{
 		"node",
 		"-node.name", n.Name,
 		"-node.zone", n.Zone,
-		"-node.zones", joinZones(f.config.Deployment.Zones),
+		"-node.zones", strings.Join(f.config.Deployment.Zones, ","),
 		"-caller.address", n.Caller,
-		"-peer.address", n.Peer,
+		"-peer.address", listen,
+		"-peer.advertised", n.Peer,
 		"-backend.address", n.Backend,
-		"-platform.url", f.StoreURL,
+		"-operator.address", n.Operator,
+		"-operator.tokens", "*:" + OperatorToken,
+		"-platform.url", f.platformURL,
+	}, f.config.Settings...)
+}
+
+// startBaseline serves every node's caller address with the naive baseline.
+func (f *Fleet) startBaseline(ctx context.Context) {
+	instances := map[string][]string{}
+	for _, n := range f.Nodes {
+		instances[n.Service] = append(instances[n.Service], n.Server.Address())
+	}
+	for _, n := range f.Nodes {
+		f.group.Go(func() { _ = baseline.Serve(ctx, n.Caller, baseline.New(instances)) })
 	}
 }
 
-// freeAddresses returns loopback addresses whose ports were free a moment ago.
-func freeAddresses(count int) ([]string, error) {
+// freeAddresses returns addresses on the IP whose ports were free a moment ago.
+func freeAddresses(ip string, count int) ([]string, error) {
 	var addresses []string
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -1,7 +1,6 @@
 package fleet_test
 
 import (
-	"context"
 	"net/http"
 	"os"
 	"testing"
@@ -11,43 +10,16 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
 
-// binary is the product's program, built once for all tests.
-var binary string
-
 func TestMain(m *testing.M) {
-	os.Exit(runTests(m))
-}
-
-func runTests(m *testing.M) int {
-	directory, err := os.MkdirTemp("", "fleet")
-	if err != nil {
-		panic(err)
-	}
-	defer func() { _ = os.RemoveAll(directory) }()
-	if binary, err = fleet.Build(context.Background(), directory); err != nil {
-		panic(err)
-	}
-	return m.Run()
-}
-
-// start starts the deployment and waits until it is ready.
-func start(t *testing.T, d fleet.Deployment) *fleet.Fleet {
-	t.Helper()
-	is := is.New(t)
-	f, err := fleet.Start(t.Context(), fleet.Config{Binary: binary, Deployment: d, Output: t.Output()})
-	t.Cleanup(f.Stop)
-	is.NoErr(err)
-	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
-	defer cancel()
-	is.NoErr(f.WaitReady(ctx))
-	return f
+	os.Exit(harness.Main(m))
 }
 
 func TestWholePath(t *testing.T) {
 	is := is.New(t)
-	f := start(t, fleet.Chain())
+	f := harness.Start(t, fleet.Config{Deployment: fleet.Chain()})
 	results := load.Run(t.Context(), load.Config{
 		Streams: []load.Stream{{
 			Name:    "sheets",
--- /dev/null
+++ b/internal/lab/proxy/network.go
@@ -0,0 +1,192 @@
+// Package proxy is a fault-injecting TCP proxy. A Network stands between named ends: each end listens behind a
+// proxy of its own, and dials from an IP of its own, so that faults can be set for each pair and direction.
+//
+// # Usage
+//
+//	network := proxy.NewNetwork(1)
+//	network.Name("127.1.0.1", "access_0")
+//	address, err := network.Listen(ctx, "access_1", target)
+//	network.Set("access_0", "access_1", proxy.Fault{Cut: true})
+//	network.SilenceOpen("access_0", "access_1")
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/conc"
+)
+
+// Fault is what happens to the bytes from one end to another.
+type Fault struct {
+	// Cut holds all bytes back until the fault is taken away, as a partition does.
+	Cut bool
+	// Delay holds each chunk of bytes back.
+	Delay time.Duration
+	// Spread adds a random delay of up to this much.
+	Spread time.Duration
+	// TruncateAfter closes the connection after so many bytes; 0 for never.
+	TruncateAfter int64
+	// Corrupt flips a bit in every chunk.
+	Corrupt bool
+}
+
+type link struct {
+	from string
+	to   string
+}
+
+// Network holds the proxies and the faults between them.
+type Network struct {
+	group conc.WaitGroup
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	names   map[string]string
+	faults  map[link]Fault
+	changed chan struct{}
+	pairs   map[*pair]bool
+}
+
+// NewNetwork returns a network without faults. The seed drives its random delays.
+func NewNetwork(seed uint64) *Network {
+	return &Network{
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		names:   map[string]string{},
+		faults:  map[link]Fault{},
+		changed: make(chan struct{}),
+		pairs:   map[*pair]bool{},
+	}
+}
+
+// Name says which end dials from the IP.
+func (n *Network) Name(ip, name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.names[ip] = name
+}
+
+// Set puts a fault on the bytes from one end to the other, in that direction only.
+func (n *Network) Set(from, to string, f Fault) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faults[link{from, to}] = f
+	n.wake()
+}
+
+// SetBoth puts a fault on both directions between every end of one group and every end of the other.
+func (n *Network) SetBoth(group, other []string, f Fault) {
+	for _, a := range group {
+		for _, b := range other {
+			n.Set(a, b, f)
+			n.Set(b, a, f)
+		}
+	}
+}
+
+// Clear takes all faults away. Connections that were silenced stay silent.
+func (n *Network) Clear() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faults = map[link]Fault{}
+	n.wake()
+}
+
+// SilenceOpen makes the open connections from one end to the other silent for good. New ones work.
+func (n *Network) SilenceOpen(from, to string) int {
+	return n.each(from, to, func(p *pair) { p.silence() })
+}
+
+// ResetOpen closes the open connections from one end to the other.
+func (n *Network) ResetOpen(from, to string) int {
+	return n.each(from, to, func(p *pair) { p.close() })
+}
+
+func (n *Network) each(from, to string, f func(*pair)) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for p := range n.pairs {
+		if p.link == (link{from, to}) {
+			f(p)
+			count++
+		}
+	}
+	return count
+}
+
+// Listen passes connections on to the target, which is the end of the given name, and returns where it listens.
+func (n *Network) Listen(ctx context.Context, name, target string) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	n.group.Go(func() { n.accept(ctx, listener, name, target) })
+	return listener.Addr().String(), nil
+}
+
+// Wait returns when all proxies have ended, after their contexts did.
+func (n *Network) Wait() {
+	n.group.Wait()
+}
+
+func (n *Network) accept(ctx context.Context, listener net.Listener, name, target string) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		p := newPair(n, link{from: n.nameOf(conn), to: name}, conn)
+		group.Go(func() { p.run(ctx, target) })
+	}
+}
+
+func (n *Network) nameOf(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.names[host]
+}
+
+func (n *Network) add(p *pair) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pairs[p] = true
+}
+
+func (n *Network) remove(p *pair) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.pairs, p)
+}
+
+// fault returns the fault in force and a channel that closes when faults change.
+func (n *Network) fault(l link) (Fault, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.faults[l], n.changed
+}
+
+func (n *Network) jitter(f Fault) time.Duration {
+	if f.Spread <= 0 {
+		return f.Delay
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return f.Delay + time.Duration(n.random.Int64N(int64(f.Spread)))
+}
+
+func (n *Network) wake() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -91,6 +91,11 @@
 	}
 }
 
+// Address returns where the server takes requests.
+func (s *Server) Address() string {
+	return s.config.Address
+}
+
 // Ledger returns the server's ledger.
 func (s *Server) Ledger() *Ledger {
 	return s.ledger
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
@@ -50,5 +51,14 @@
 }
 
 func poolConfig(s *settings.Settings) peer.PoolConfig {
-	return peer.PoolConfig{MaxPerPeer: s.Peer.MaxConnections, MaxIdle: peerMaxIdle, DialTimeout: peerDialTimeout}
+	return peer.PoolConfig{
+		MaxPerPeer:  s.Peer.MaxConnections,
+		MaxIdle:     peerMaxIdle,
+		DialTimeout: peerDialTimeout,
+		LocalIP:     s.Peer.IP(),
+	}
+}
+
+func platformConfig(s *settings.Settings) platform.Config {
+	return platform.Config{URL: s.Platform.URL, Timeout: s.Platform.Timeout, LocalIP: s.Peer.IP()}
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -61,7 +61,7 @@
 		Node:          s.Node.Name,
 		Zone:          s.Node.Zone,
 		Region:        s.Node.Region,
-		PeerAddress:   s.Peer.Address,
+		PeerAddress:   s.Peer.AdvertisedAddress(),
 		CallerAddress: s.Caller.Address,
 	}})
 	n.gate = backend.NewGate(gateConfig(s))
@@ -77,7 +77,7 @@
 	})
 	n.controller = zone.NewController(zone.Config{
 		Board:       n.loop,
-		Platform:    platform.NewClient(platform.Config{URL: s.Platform.URL, Timeout: s.Platform.Timeout}),
+		Platform:    platform.NewClient(platformConfig(s)),
 		Peers:       zone.NewClient(n.pool, s.Node.Name, s.Node.Zone, controlTimeout),
 		Log:         config.Log,
 		Timing:      zone.DefaultTiming,
--- /dev/null
+++ b/internal/proof/harness/harness.go
@@ -0,0 +1,73 @@
+// Package harness starts fleets for the proofs, which are the tests in the packages beside it.
+//
+// # Usage
+//
+//	func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
+//
+//	f := harness.Start(t, fleet.Config{Deployment: fleet.Chain()})
+//	harness.Eventually(t, 10*time.Second, func() bool { return f.Store.Counts().Writes > 0 })
+package harness
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+)
+
+// binary is the product's program, built once for all tests of a package.
+var binary string
+
+const (
+	// startTimeout bounds the start of a fleet.
+	startTimeout = 60 * time.Second
+	// pollEvery is the time between looks at a condition.
+	pollEvery = 20 * time.Millisecond
+)
+
+// Main builds the program, runs the tests of the package and returns the exit code.
+func Main(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "comfreyhoist")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	if binary, err = fleet.Build(context.Background(), directory); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+// Start starts a fleet, waits until every node knows every other, and stops it with the test.
+func Start(t *testing.T, config fleet.Config) *fleet.Fleet {
+	t.Helper()
+	config.Binary = binary
+	if config.Output == nil {
+		config.Output = t.Output()
+	}
+	f, err := fleet.Start(t.Context(), config)
+	t.Cleanup(f.Stop)
+	if err != nil {
+		t.Fatalf("fleet did not start: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
+	defer cancel()
+	if err := f.WaitReady(ctx); err != nil {
+		t.Fatalf("fleet is not ready: %v", err)
+	}
+	return f
+}
+
+// Eventually waits until the condition holds and fails the test where it does not within the time.
+func Eventually(t *testing.T, within time.Duration, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("the condition did not hold within %s", within)
+		}
+		time.Sleep(pollEvery)
+	}
+}
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -17,6 +17,8 @@
 	// MaxIdle is how long an unused connection is trusted.
 	MaxIdle     time.Duration
 	DialTimeout time.Duration
+	// LocalIP is the IP to connect from; nil for any.
+	LocalIP net.IP
 }
 
 // Pool keeps drpc connections to other nodes. A connection carries one RPC at a time.
@@ -157,7 +159,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	dialer := net.Dialer{Timeout: p.config.DialTimeout}
+	dialer := net.Dialer{Timeout: p.config.DialTimeout, LocalAddr: &net.TCPAddr{IP: p.config.LocalIP}}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "dial %s: %v", address, err)
