Administration API: documents by compare-and-swap, with history, tokens and the operators' commands

Cause: documents could only be written by hand to the platform, and nothing settled races, lost answers or a restored platform. Each node serves GET, PUT, list and history of documents on its own operator address. An edit is validated as a whole, permitted by the token's team, and written by compare-and-swap; a lost answer is settled by reading back the operation id. The history stands in the document's own value, so that edit and audit are one write; it is left out of what spreads. A document's version is its revision, then the time of the edit: two edits have one revision only after the platform lost the first, and the later one then stands. A leader, or the node that edits, writes the newer document back where the platform is behind. Ruled out: a history key of its own (a crash between two writes would lose the audit), and writing again when the read-back does not show the operation (the first write may still arrive); such an edit is answered 'unsettled' with its operation id.

--- /dev/null
+++ b/cmd/comfreyhoist/document.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/operator"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+)
+
+// target holds the flags of the commands that call a node's administration API.
+type target struct {
+	address string
+	token   string
+	timeout time.Duration
+	json    bool
+}
+
+// operatorTimeout bounds one call of the administration API.
+const operatorTimeout = 10 * time.Second
+
+func (t *target) register(flags *flag.FlagSet) {
+	flags.StringVar(&t.address, "address", "127.0.0.1:7004", "IP and port of a node's administration API")
+	flags.StringVar(&t.token, "token", "", "bearer token; better set as COMFREYHOIST_TOKEN, which other users can't see")
+	flags.DurationVar(&t.timeout, "timeout", operatorTimeout, "time for one call")
+	flags.BoolVar(&t.json, "json", false, "print JSON instead of a table")
+}
+
+func (t *target) client() *operator.Client {
+	return operator.NewClient(operator.ClientConfig{Address: t.address, Token: t.token, Timeout: t.timeout})
+}
+
+// clientCommand returns a command that calls a node's administration API.
+func clientCommand(name, usage, help string, flags *flag.FlagSet, t *target, run func(context.Context, []string) error) *ffcli.Command {
+	t.register(flags)
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: usage,
+		ShortHelp:  help,
+		FlagSet:    flags,
+		Options:    settings.Options(),
+		Exec:       run,
+	}
+}
+
+func documentCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:        "document",
+		ShortUsage:  "comfreyhoist document get|put|list|history [flags] [service] [file]",
+		ShortHelp:   "read and write the teams' documents",
+		Subcommands: []*ffcli.Command{getCommand(), putCommand(), listCommand(), historyCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func getCommand() *ffcli.Command {
+	var t target
+	flags := flag.NewFlagSet("comfreyhoist document get", flag.ContinueOnError)
+	usage := "comfreyhoist document get -address 10.1.0.7:7004 bookings"
+	return clientCommand("get", usage, "print a document; its tag goes to standard error", flags, &t, func(ctx context.Context, arguments []string) error {
+		if len(arguments) != 1 {
+			return flag.ErrHelp
+		}
+		stored, err := t.client().Get(ctx, arguments[0])
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if t.json {
+			return printJSON(stored)
+		}
+		fmt.Print(stored.Source)
+		fmt.Fprintln(os.Stderr, "tag:", stored.Tag())
+		return nil
+	})
+}
+
+func putCommand() *ffcli.Command {
+	var t target
+	flags := flag.NewFlagSet("comfreyhoist document put", flag.ContinueOnError)
+	expected := flags.String("expected", "", "tag of the document to be replaced; empty for a new one")
+	operation := flags.String("operation", "", "id of the edit; the same id may be sent again and is carried out once")
+	usage := "comfreyhoist document put -expected 3-1f0c2a9e bookings bookings.ini"
+	return clientCommand("put", usage, "write a document", flags, &t, func(ctx context.Context, arguments []string) error {
+		if len(arguments) != 2 {
+			return flag.ErrHelp
+		}
+		source, err := os.ReadFile(arguments[1])
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		stored, err := t.client().Put(ctx, arguments[0], source, *expected, *operation)
+		if err != nil {
+			return putFailure(err)
+		}
+		if t.json {
+			return printJSON(stored)
+		}
+		fmt.Println("accepted:", stored.Tag())
+		return nil
+	})
+}
+
+// putFailure adds how an edit with an open end is sent again.
+func putFailure(err error) error {
+	var refusal *operator.Error
+	if errors.As(err, &refusal) && refusal.Code == operator.CodeUnsettled {
+		return fmt.Errorf("%w\nsend it again with -operation %s", refusal, refusal.Operation)
+	}
+	return trace.Wrap(err)
+}
+
+func listCommand() *ffcli.Command {
+	var t target
+	flags := flag.NewFlagSet("comfreyhoist document list", flag.ContinueOnError)
+	usage := "comfreyhoist document list -address 10.1.0.7:7004"
+	return clientCommand("list", usage, "list the documents in force on a node", flags, &t, func(ctx context.Context, _ []string) error {
+		summaries, err := t.client().List(ctx)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if t.json {
+			return printJSON(summaries)
+		}
+		table := newTable("SERVICE", "TEAM", "REVISION", "EDITOR", "ACCEPTED")
+		for _, s := range summaries {
+			table.row(s.Service, s.Team, s.Revision, s.Editor, s.Accepted.Format(time.RFC3339))
+		}
+		return table.flush()
+	})
+}
+
+func historyCommand() *ffcli.Command {
+	var t target
+	flags := flag.NewFlagSet("comfreyhoist document history", flag.ContinueOnError)
+	usage := "comfreyhoist document history bookings"
+	return clientCommand("history", usage, "list the edits of a document, the newest first", flags, &t, func(ctx context.Context, arguments []string) error {
+		if len(arguments) != 1 {
+			return flag.ErrHelp
+		}
+		edits, err := t.client().History(ctx, arguments[0])
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if t.json {
+			return printJSON(edits)
+		}
+		return printEdits(edits)
+	})
+}
+
+func printEdits(edits []zone.StoredDocument) error {
+	table := newTable("TAG", "EDITOR", "ACCEPTED", "OPERATION", "BYTES")
+	for _, e := range edits {
+		table.row(e.Tag(), e.Editor, e.Time.Format(time.RFC3339), e.Operation, len(e.Source))
+	}
+	return table.flush()
+}
+
+func printJSON(value any) error {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return trace.Wrap(encoder.Encode(value))
+}
+
+// table prints rows in columns.
+type table struct {
+	writer *tabwriter.Writer
+}
+
+// columnGap is the least number of spaces between columns.
+const columnGap = 2
+
+func newTable(headings ...any) table {
+	t := table{writer: tabwriter.NewWriter(os.Stdout, 0, 0, columnGap, ' ', 0)}
+	t.row(headings...)
+	return t
+}
+
+func (t table) row(cells ...any) {
+	for _, cell := range cells {
+		_, _ = fmt.Fprintf(t.writer, "%v\t", cell)
+	}
+	_, _ = fmt.Fprintln(t.writer)
+}
+
+func (t table) flush() error {
+	return trace.Wrap(t.writer.Flush())
+}
--- /dev/null
+++ b/cmd/comfreyhoist/drain.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func drainCommand() *ffcli.Command {
+	var t target
+	flags := flag.NewFlagSet("comfreyhoist drain", flag.ContinueOnError)
+	usage := "comfreyhoist drain -address 10.1.0.7:7004"
+	help := "begin the planned stop of a node: it takes no new work, finishes what it has and ends"
+	return clientCommand("drain", usage, help, flags, &t, func(ctx context.Context, _ []string) error {
+		if err := t.client().Drain(ctx); err != nil {
+			return trace.Wrap(err)
+		}
+		fmt.Println("the node drains")
+		return nil
+	})
+}
--- a/cmd/comfreyhoist/main.go
+++ b/cmd/comfreyhoist/main.go
@@ -24,7 +24,7 @@
 	root := &ffcli.Command{
 		Name:        "comfreyhoist",
 		ShortUsage:  "comfreyhoist <command> [flags]",
-		Subcommands: []*ffcli.Command{nodeCommand()},
+		Subcommands: []*ffcli.Command{nodeCommand(), documentCommand(), drainCommand(), dumpCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -65,8 +65,13 @@
 // DocumentInForce is one document and its revision.
 type DocumentInForce struct {
 	Revision uint64
-	Document *document.Document
-	InForce  time.Time
+	// Operation and Editor name the edit and who made it; Accepted is when it was written to the platform.
+	Operation string
+	Editor    string
+	Accepted  time.Time
+	Document  *document.Document
+	// InForce is since when this node goes by the revision.
+	InForce time.Time
 }
 
 // Leader is the leader of the node's availability zone. Written by the zone controller.
--- a/internal/control/document/parse.go
+++ b/internal/control/document/parse.go
@@ -33,22 +33,32 @@
 
 // Parse reads a document. The error, where there is one, is a trace.BadParameter that joins all Faults.
 func Parse(source []byte) (*Document, error) {
+	d, faults := Check(source)
+	if len(faults) == 0 {
+		return d, nil
+	}
+	var failures []error
+	for _, f := range faults {
+		failures = append(failures, f)
+	}
+	return nil, trace.Wrap(&trace.BadParameterError{Message: errors.Join(failures...).Error()})
+}
+
+// Check reads a document and returns all its faults.
+func Check(source []byte) (*Document, []Fault) {
 	file, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false, IgnoreInlineComment: true}, source)
 	if err != nil {
-		return nil, trace.BadParameter("document is not INI: %v", err)
+		return nil, []Fault{{Reason: "document is not INI: " + err.Error()}}
 	}
 	r := &reader{lines: indexLines(source)}
 	d := r.document(file)
-	if len(r.faults) > 0 {
-		return nil, trace.Wrap(&trace.BadParameterError{Message: errors.Join(r.faults...).Error()})
-	}
-	return d, nil
+	return d, r.faults
 }
 
 // reader collects the faults while it reads one document.
 type reader struct {
 	lines  lineIndex
-	faults []error
+	faults []Fault
 }
 
 func (r *reader) fault(section, key, format string, arguments ...any) {
--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -38,6 +38,7 @@
 	DocumentAccepted   Number = 1401
 	DocumentRefused    Number = 1402
 	DocumentInForce    Number = 1403
+	DocumentReinstated Number = 1404
 	KeysHandedOver     Number = 1501
 	HomesChanged       Number = 1502
 )
@@ -76,6 +77,7 @@
 	DocumentAccepted:   {Name: "document_accepted", Level: zerolog.InfoLevel, Since: "0.1", Text: "A team's document was written to the platform."},
 	DocumentRefused:    {Name: "document_refused", Level: zerolog.WarnLevel, Since: "0.1", Text: "A document has faults or lost a race and was not written.", Action: "The answer names each fault; mend the document and send it again."},
 	DocumentInForce:    {Name: "document_in_force", Level: zerolog.InfoLevel, Since: "0.1", Text: "A document's revision is in force on this node."},
+	DocumentReinstated: {Name: "document_reinstated", Level: zerolog.WarnLevel, Since: "0.2", Text: "The platform had an older document than the nodes, and the newer one was written back.", Action: "Find out why the platform went back to older content."},
 	KeysHandedOver:     {Name: "keys_handed_over", Level: zerolog.InfoLevel, Since: "0.1", Text: "A leaving node's remembered keys went to its successor."},
 	HomesChanged:       {Name: "homes_changed", Level: zerolog.InfoLevel, Since: "0.1", Text: "Another set of nodes remembers the keys from a given time on."},
 }
--- /dev/null
+++ b/internal/control/operator/errors.go
@@ -0,0 +1,90 @@
+package operator
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
+)
+
+// Code says why the administration API refused a request.
+type Code string
+
+// The codes.
+const (
+	CodeUnauthorized         Code = "unauthorized"
+	CodeForbidden            Code = "forbidden"
+	CodeNotFound             Code = "not_found"
+	CodeInvalidDocument      Code = "invalid_document"
+	CodeTooLarge             Code = "too_large"
+	CodePreconditionRequired Code = "precondition_required"
+	CodeRevisionConflict     Code = "revision_conflict"
+	CodeOperationReused      Code = "operation_reused"
+	CodePlatformUnreachable  Code = "platform_unreachable"
+	CodeUnsettled            Code = "unsettled"
+	CodeInternal             Code = "internal"
+)
+
+// statuses has the HTTP status of each code.
+var statuses = map[Code]int{
+	CodeUnauthorized:         http.StatusUnauthorized,
+	CodeForbidden:            http.StatusForbidden,
+	CodeNotFound:             http.StatusNotFound,
+	CodeInvalidDocument:      http.StatusBadRequest,
+	CodeTooLarge:             http.StatusRequestEntityTooLarge,
+	CodePreconditionRequired: http.StatusPreconditionRequired,
+	CodeRevisionConflict:     http.StatusPreconditionFailed,
+	CodeOperationReused:      http.StatusConflict,
+	CodePlatformUnreachable:  http.StatusServiceUnavailable,
+	CodeUnsettled:            http.StatusServiceUnavailable,
+	CodeInternal:             http.StatusInternalServerError,
+}
+
+// retryAfter is when a request that met an unreachable platform is worth sending again.
+const retryAfter = 2 * time.Second
+
+// Error is the answer to a request that was refused.
+type Error struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Faults are the faults of an invalid document.
+	Faults []Fault `json:"faults,omitempty"`
+	// Expected and Current are the tags of a lost race: what If-Match named, and what stands.
+	Expected string `json:"expected,omitempty"`
+	Current  string `json:"current,omitempty"`
+	// Operation is the id under which an unsettled write may still have taken effect.
+	Operation string `json:"operation,omitempty"`
+}
+
+// Error returns the refusal on one line.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s: %s", e.Code, e.Message)
+	if e.Code == CodeRevisionConflict {
+		text += fmt.Sprintf(" (expected %s, current %s)", e.Expected, e.Current)
+	}
+	for _, f := range e.Faults {
+		text += fmt.Sprintf("\nline %d: [%s] %s: %s", f.Line, f.Section, f.Key, f.Reason)
+	}
+	return text
+}
+
+func refuse(code Code, format string, arguments ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, arguments...)}
+}
+
+// Fault is one fault of a document. Line counts from 1; 0 stands for the whole file.
+type Fault struct {
+	Line    int    `json:"line"`
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Reason  string `json:"reason"`
+}
+
+func faultsOf(found []document.Fault) []Fault {
+	var faults []Fault
+	for _, f := range found {
+		faults = append(faults, Fault(f))
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/control/operator/operator_test.go
@@ -0,0 +1,280 @@
+package operator_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/operator"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/store"
+)
+
+const (
+	bookingsToken = "token-of-the-bookings-team"
+	accessToken   = "token-of-the-access-team"
+	everyToken    = "token-of-the-operators"
+)
+
+// heldRecords stands for the records of one node.
+type heldRecords struct {
+	mu      sync.Mutex
+	records *membership.Records
+}
+
+func (h *heldRecords) Held(_ context.Context, key string) (membership.Record, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.records.Get(key)
+}
+
+func (h *heldRecords) Offer(_ context.Context, records ...membership.Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.records.Merge(records...)
+}
+
+// side is one node's administration API on a store.
+type side struct {
+	address string
+	records *heldRecords
+}
+
+func (s side) client(token string) *operator.Client {
+	return operator.NewClient(operator.ClientConfig{Address: s.address, Token: token, Timeout: 10 * time.Second})
+}
+
+func newStore(t *testing.T) (*store.Store, string) {
+	s := store.New()
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	return s, server.URL
+}
+
+func newSide(t *testing.T, storeURL string, log io.Writer) side {
+	records := &heldRecords{records: membership.NewRecords()}
+	client := platform.NewClient(platform.Config{URL: storeURL, Timeout: time.Second})
+	router := httprouter.New()
+	operator.Register(router, operator.Config{
+		Board: board.NewLoop(board.Board{}),
+		Editor: operator.NewEditor(operator.EditorConfig{
+			Platform: client,
+			Records:  records,
+			Log:      events.NewLog(log, zerolog.DebugLevel, "node"),
+		}),
+		Tokens: operator.NewTokens(map[string]string{"bookings-team": bookingsToken, "access-team": accessToken, "*": everyToken}),
+	})
+	server := httptest.NewServer(router)
+	t.Cleanup(server.Close)
+	return side{address: strings.TrimPrefix(server.URL, "http://"), records: records}
+}
+
+func source(team, deadline string) []byte {
+	return []byte("[service]\nname = bookings\nteam = " + team + "\n\n[kind book]\nmethod = POST\npath = /bookings\nrank = 2\nidempotent = false\ndeadline = " + deadline + "\n")
+}
+
+func codeOf(err error) operator.Code {
+	var refusal *operator.Error
+	if errors.As(err, &refusal) {
+		return refusal.Code
+	}
+	return ""
+}
+
+func TestRefusals(t *testing.T) {
+	_, url := newStore(t)
+	s := newSide(t, url, io.Discard)
+	stands, err := s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "1s"), "", "first")
+	is.New(t).NoErr(err)
+	for name, c := range map[string]struct {
+		token    string
+		service  string
+		source   []byte
+		expected string
+		code     operator.Code
+	}{
+		"no token":              {service: "bookings", code: operator.CodeUnauthorized},
+		"unknown token":         {token: everyToken + "x", service: "bookings", code: operator.CodeUnauthorized},
+		"another team's":        {token: accessToken, service: "bookings", source: source("access-team", "1s"), expected: stands.Tag(), code: operator.CodeForbidden},
+		"given to another team": {token: accessToken, service: "bookings", source: source("bookings-team", "1s"), expected: stands.Tag(), code: operator.CodeForbidden},
+		"other service":         {token: bookingsToken, service: "access", source: source("bookings-team", "1s"), code: operator.CodeInvalidDocument},
+		"no precondition":       {token: bookingsToken, service: "bookings", source: source("bookings-team", "1s"), code: operator.CodePreconditionRequired},
+		"old tag":               {token: bookingsToken, service: "bookings", source: source("bookings-team", "1s"), expected: "0-00000000", code: operator.CodeRevisionConflict},
+		"too large":             {token: everyToken, service: "bookings", source: make([]byte, zone.MaxSourceBytes+1), expected: stands.Tag(), code: operator.CodeTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := s.client(c.token).Put(t.Context(), c.service, c.source, c.expected, "")
+			is.Equal(codeOf(err), c.code)
+			now, err := s.client(everyToken).Get(t.Context(), "bookings")
+			is.NoErr(err)
+			is.Equal(now.Tag(), stands.Tag()) // nothing was changed
+		})
+	}
+}
+
+func TestAllFaultsAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, url := newStore(t)
+	faulty := "[service]\nname = bookings\nteam = bookings-team\nattempts = many\n\n[kind book]\npath = bookings\nrank = 11\nidempotent = maybe\n"
+	_, err := newSide(t, url, io.Discard).client(bookingsToken).Put(t.Context(), "bookings", []byte(faulty), "", "")
+	var refusal *operator.Error
+	is.True(errors.As(err, &refusal))
+	found := map[string]int{}
+	for _, f := range refusal.Faults {
+		found[f.Section+"."+f.Key] = f.Line
+	}
+	is.Equal(found, map[string]int{"service.attempts": 4, "kind book.path": 7, "kind book.rank": 8, "kind book.idempotent": 9})
+}
+
+func TestOperatorsRace(t *testing.T) {
+	is := is.New(t)
+	platformStore, url := newStore(t)
+	first := newSide(t, url, io.Discard)
+	stands, err := first.client(everyToken).Put(t.Context(), "bookings", source("bookings-team", "1s"), "", "")
+	is.NoErr(err)
+	platformStore.SetFaults(store.Faults{Delay: 20 * time.Millisecond}) // all have read before one writes
+	const racers = 8
+	var won, lost [racers]bool
+	var group conc.WaitGroup
+	for i := range racers {
+		s := newSide(t, url, io.Discard)
+		group.Go(func() {
+			_, err := s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "2s"), stands.Tag(), "")
+			var refusal *operator.Error
+			won[i] = err == nil
+			lost[i] = errors.As(err, &refusal) && refusal.Expected == stands.Tag() && strings.HasPrefix(refusal.Current, "2-")
+		})
+	}
+	group.Wait()
+	winners := 0
+	for i := range racers {
+		is.True(won[i] != lost[i]) // a loser is told both revisions
+		if won[i] {
+			winners++
+		}
+	}
+	is.Equal(winners, 1)
+	edits, err := first.client(everyToken).History(t.Context(), "bookings")
+	is.NoErr(err)
+	is.Equal(len(edits), 2)
+}
+
+func TestAnswerLostAfterWrite(t *testing.T) {
+	is := is.New(t)
+	platformStore, url := newStore(t)
+	s := newSide(t, url, io.Discard)
+	platformStore.SetFaults(store.Faults{LoseAnswers: true})
+	stored, err := s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "1s"), "", "edit-1")
+	is.NoErr(err) // reading back found the operation
+	is.Equal(stored.Revision, uint64(1))
+	platformStore.SetFaults(store.Faults{})
+	again, err := s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "1s"), "", "edit-1")
+	is.NoErr(err)
+	is.Equal(again.Tag(), stored.Tag()) // carried out once
+	_, err = s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "2s"), stored.Tag(), "edit-1")
+	is.Equal(codeOf(err), operator.CodeOperationReused)
+}
+
+func TestLostWriteIsNotCalledAccepted(t *testing.T) {
+	is := is.New(t)
+	platformStore, url := newStore(t)
+	s := newSide(t, url, io.Discard)
+	platformStore.SetFaults(store.Faults{LoseWrites: true})
+	_, err := s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "1s"), "", "edit-1")
+	is.Equal(codeOf(err), operator.CodeUnsettled)
+	platformStore.SetFaults(store.Faults{})
+	stored, err := s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "1s"), "", "edit-1")
+	is.NoErr(err)
+	is.Equal(stored.Revision, uint64(1))
+}
+
+func TestPlatformDown(t *testing.T) {
+	is := is.New(t)
+	platformStore, url := newStore(t)
+	s := newSide(t, url, io.Discard)
+	stored, err := s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "1s"), "", "")
+	is.NoErr(err)
+	platformStore.SetFaults(store.Faults{Down: true})
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+s.address+"/v1/documents/bookings", strings.NewReader(string(source("bookings-team", "2s"))))
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+bookingsToken)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get("Retry-After"), "2")
+	held, err := s.client(bookingsToken).Get(t.Context(), "bookings")
+	is.NoErr(err) // reading goes on with what the node holds
+	is.Equal(held.Tag(), stored.Tag())
+}
+
+func TestRestoredPlatformGetsTheNewerDocumentBack(t *testing.T) {
+	is := is.New(t)
+	platformStore, url := newStore(t)
+	s := newSide(t, url, io.Discard)
+	first, err := s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "1s"), "", "")
+	is.NoErr(err)
+	older := platformStore.Save()
+	second, err := s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "2s"), first.Tag(), "")
+	is.NoErr(err)
+	platformStore.Restore(older)
+	_, err = s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "3s"), first.Tag(), "")
+	is.Equal(codeOf(err), operator.CodeRevisionConflict) // an edit of the restored content loses
+	now, err := s.client(bookingsToken).Get(t.Context(), "bookings")
+	is.NoErr(err)
+	is.Equal(now.Tag(), second.Tag())
+
+	// Another node, which has not seen the second edit, takes an edit of the restored content under its revision.
+	platformStore.Restore(older)
+	blank := newSide(t, url, io.Discard)
+	other, err := blank.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "4s"), first.Tag(), "")
+	is.NoErr(err)
+	is.Equal(other.Revision, second.Revision)
+	settled, err := s.client(bookingsToken).Get(t.Context(), "bookings")
+	is.NoErr(err)
+	is.Equal(settled.Tag(), other.Tag()) // the later of the two stands
+}
+
+func TestTokensAreNotLogged(t *testing.T) {
+	is := is.New(t)
+	_, url := newStore(t)
+	var log strings.Builder
+	s := newSide(t, url, &log)
+	_, err := s.client(bookingsToken).Put(t.Context(), "bookings", source("bookings-team", "1s"), "", "")
+	is.NoErr(err)
+	is.True(strings.Contains(log.String(), "document_accepted"))
+	is.True(!strings.Contains(log.String(), bookingsToken))
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	var stored zone.StoredDocument
+	for i := range 1000 {
+		next := zone.StoredDocument{Revision: uint64(i + 1), Source: strings.Repeat("x", zone.MaxSourceBytes/8)}
+		stored = next.After(stored)
+	}
+	size := 0
+	for _, edit := range stored.History {
+		size += len(edit.Source)
+		is.Equal(len(edit.History), 0)
+	}
+	is.True(len(stored.History) > 1)
+	is.True(size < 1<<19) // with its escapes the value stays within the platform's megabyte
+	is.Equal(stored.History[0].Revision, stored.Revision-1)
+}
--- /dev/null
+++ b/internal/control/operator/server.go
@@ -0,0 +1,230 @@
+// Package operator speaks to the operators: the administration API of a node, and the client of the command line.
+//
+// Each team edits the document of its own service with its own bearer token; the token of team "*" may edit every
+// document and stop the node. A document is accepted when it has been written to the platform by compare-and-swap;
+// from then on it spreads to all nodes and is never taken back.
+//
+// # Usage
+//
+//	router := httprouter.New()
+//	operator.Register(router, operator.Config{Editor: operator.NewEditor(...), Tokens: operator.NewTokens(byTeam), ...})
+//
+//	client := operator.NewClient(operator.ClientConfig{Address: "10.1.0.7:7004", Token: token})
+//	stored, err := client.Get(ctx, "bookings")
+//
+// Errors are of type *Error, on both sides.
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+)
+
+// Headers and paths of the API.
+const (
+	// OperationHeader carries the id of an edit, so that it can be sent again safely.
+	OperationHeader = "Comfreyhoist-Operation"
+	// SourceHeader says where a document was read: the platform, or the node while the platform does not answer.
+	SourceHeader = "Comfreyhoist-Source"
+	documentPath = "/v1/documents"
+	drainPath    = "/v1/drain"
+	dumpPath     = "/v1/dump"
+)
+
+// maxOperationBytes bounds the id of an operation.
+const maxOperationBytes = 128
+
+// Config sets the API up.
+type Config struct {
+	Board  *board.Loop
+	Editor *Editor
+	Tokens *Tokens
+	// Drain begins the planned stop of the node.
+	Drain func()
+	// Dump writes the state of the node.
+	Dump http.HandlerFunc
+}
+
+// Register adds the routes of the API to the router.
+func Register(router *httprouter.Router, config Config) {
+	s := &server{config: config}
+	router.GET(documentPath, s.authorized(s.list))
+	router.GET(documentPath+"/:service", s.authorized(s.get))
+	router.PUT(documentPath+"/:service", s.authorized(s.put))
+	router.GET(documentPath+"/:service/history", s.authorized(s.history))
+	router.POST(drainPath, s.authorized(s.drain))
+	router.GET(dumpPath, s.authorized(s.dump))
+}
+
+type server struct {
+	config Config
+}
+
+// request is one authorized request.
+type request struct {
+	*http.Request
+
+	team    string
+	service string
+}
+
+// authorized lets requests with a known token through and writes the errors of f.
+func (s *server) authorized(f func(http.ResponseWriter, request) error) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		team, known := s.config.Tokens.Team(bearer(r))
+		if !known {
+			writeError(w, refuse(CodeUnauthorized, "the bearer token is missing or unknown"))
+			return
+		}
+		if err := f(w, request{Request: r, team: team, service: p.ByName("service")}); err != nil {
+			writeError(w, err)
+		}
+	}
+}
+
+// Summary is one document in a list.
+type Summary struct {
+	Service  string    `json:"service"`
+	Team     string    `json:"team"`
+	Revision uint64    `json:"revision"`
+	Editor   string    `json:"editor"`
+	Accepted time.Time `json:"accepted"`
+}
+
+// list returns the documents in force on this node.
+func (s *server) list(w http.ResponseWriter, _ request) error {
+	summaries := []Summary{}
+	for service, d := range s.config.Board.Snapshot().Documents.ByService {
+		summaries = append(summaries, Summary{
+			Service:  service,
+			Team:     d.Document.Team,
+			Revision: d.Revision,
+			Editor:   d.Editor,
+			Accepted: d.Accepted,
+		})
+	}
+	slices.SortFunc(summaries, func(a, b Summary) int { return strings.Compare(a.Service, b.Service) })
+	return writeJSON(w, summaries)
+}
+
+func (s *server) get(w http.ResponseWriter, r request) error {
+	stored, reachable, err := s.config.Editor.Get(r.Context(), r.service)
+	if err != nil {
+		return err
+	}
+	source := "platform"
+	if !reachable {
+		source = "node"
+	}
+	w.Header().Set(SourceHeader, source)
+	return writeDocument(w, stored)
+}
+
+func (s *server) put(w http.ResponseWriter, r request) error {
+	source, err := io.ReadAll(http.MaxBytesReader(w, r.Body, zone.MaxSourceBytes))
+	if err != nil {
+		return refuse(CodeTooLarge, "the document can't be read or is larger than %d bytes", zone.MaxSourceBytes)
+	}
+	operation := r.Header.Get(OperationHeader)
+	if len(operation) > maxOperationBytes {
+		return refuse(CodeInvalidDocument, "%s is longer than %d bytes", OperationHeader, maxOperationBytes)
+	}
+	if operation == "" {
+		operation = uuid.NewString()
+	}
+	w.Header().Set(OperationHeader, operation)
+	stored, err := s.config.Editor.Put(r.Context(), Edit{
+		Service:   r.service,
+		Source:    source,
+		Team:      r.team,
+		Expected:  strings.Trim(r.Header.Get("If-Match"), `"`),
+		Operation: operation,
+		Time:      time.Now().UTC(),
+	})
+	if err != nil {
+		return err
+	}
+	return writeDocument(w, stored)
+}
+
+// history returns the edits of a document, the newest first.
+func (s *server) history(w http.ResponseWriter, r request) error {
+	stored, reachable, err := s.config.Editor.Get(r.Context(), r.service)
+	if err != nil {
+		return err
+	}
+	if !reachable {
+		return refuse(CodePlatformUnreachable, "the history is kept by the platform, which does not answer")
+	}
+	newest := stored
+	newest.History = nil
+	return writeJSON(w, append([]zone.StoredDocument{newest}, stored.History...))
+}
+
+func (s *server) drain(w http.ResponseWriter, r request) error {
+	if r.team != EveryTeam {
+		return refuse(CodeForbidden, "only the token of team %q may stop a node", EveryTeam)
+	}
+	w.WriteHeader(http.StatusAccepted)
+	s.config.Drain()
+	return nil
+}
+
+func (s *server) dump(w http.ResponseWriter, r request) error {
+	if r.team != EveryTeam {
+		return refuse(CodeForbidden, "only the token of team %q may read the state of a node", EveryTeam)
+	}
+	s.config.Dump(w, r.Request)
+	return nil
+}
+
+func writeDocument(w http.ResponseWriter, stored zone.StoredDocument) error {
+	w.Header().Set("ETag", strconv.Quote(stored.Tag()))
+	stored.History = nil
+	return writeJSON(w, stored)
+}
+
+func writeJSON(w http.ResponseWriter, value any) error {
+	encoded, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return refuse(CodeInternal, "%v", err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(encoded, '\n'))
+	return nil
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var refusal *Error
+	if !errors.As(err, &refusal) {
+		refusal = refuse(CodeInternal, "%v", err)
+	}
+	encoded, err := json.MarshalIndent(refusal, "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	status := statuses[refusal.Code]
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", fmt.Sprint(int(retryAfter.Seconds())))
+	}
+	if status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(encoded, '\n'))
+}
--- /dev/null
+++ b/internal/control/zone/document.go
@@ -0,0 +1,191 @@
+package zone
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+)
+
+const (
+	// maxHistoryEdits bounds how many earlier edits a stored document keeps.
+	maxHistoryEdits = 64
+	// maxHistoryBytes bounds the sources of the earlier edits, far below the platform's largest value.
+	maxHistoryBytes = 256 << 10
+	// MaxSourceBytes bounds the source of one document.
+	MaxSourceBytes = 64 << 10
+	// editHashBits of a version's sequence are taken from the operation id; the others are the time of the edit.
+	editHashBits = 12
+)
+
+// StoredDocument is the value of a document in the platform.
+type StoredDocument struct {
+	// Revision grows by one with each accepted edit.
+	Revision uint64 `json:"revision"`
+	Source   string `json:"source"`
+	// Operation identifies the edit, so that a lost answer can be settled.
+	Operation string    `json:"operation"`
+	Editor    string    `json:"editor"`
+	Time      time.Time `json:"time"`
+	// History holds the earlier edits, the newest first. It stays in the platform and is not spread to the nodes.
+	History []StoredDocument `json:"history,omitempty"`
+}
+
+// ParseStored reads the value of a document in the platform.
+func ParseStored(value []byte) (StoredDocument, error) {
+	var d StoredDocument
+	return d, trace.Wrap(json.Unmarshal(value, &d))
+}
+
+// Version orders the edits of one document. Two edits have one revision only where the platform lost the first and
+// took the second in its place; of these the later one is higher.
+func (d StoredDocument) Version() membership.Version {
+	hash := xxhash.Sum64String(d.Operation) & (1<<editHashBits - 1)
+	return membership.Version{Epoch: d.Revision, Sequence: uint64(d.Time.UnixMicro())<<editHashBits | hash}
+}
+
+// Tag names the edit, as an entity tag without its quotes.
+func (d StoredDocument) Tag() string {
+	return fmt.Sprintf("%d-%08x", d.Revision, uint32(xxhash.Sum64String(d.Operation)))
+}
+
+// Find returns the edit of the operation, be it the current one or an earlier one.
+func (d StoredDocument) Find(operation string) (StoredDocument, bool) {
+	if d.Operation == operation {
+		return d, true
+	}
+	for _, edit := range d.History {
+		if edit.Operation == operation {
+			return edit, true
+		}
+	}
+	return StoredDocument{}, false
+}
+
+// Record returns the document as it spreads to the nodes.
+func (d StoredDocument) Record(key string) (membership.Record, error) {
+	d.History = nil
+	value, err := json.Marshal(d)
+	return membership.Record{Key: key, Version: d.Version(), Value: value}, trace.Wrap(err)
+}
+
+// After returns the document with the earlier one at the head of its history.
+func (d StoredDocument) After(earlier StoredDocument) StoredDocument {
+	d.History = nil
+	if earlier.Revision == 0 {
+		return d
+	}
+	edits := earlier.History
+	earlier.History = nil
+	size := 0
+	for _, edit := range append([]StoredDocument{earlier}, edits...) {
+		size += len(edit.Source)
+		if len(d.History) == maxHistoryEdits || size > maxHistoryBytes {
+			break
+		}
+		d.History = append(d.History, edit)
+	}
+	return d
+}
+
+// Reinstate writes the document that the nodes hold over the entry of a platform that has fallen behind, as one
+// restored to older content has. Where both have one revision, the document gets the next. It returns the document
+// as it is now in the platform, or the held one unchanged where the entry is not behind.
+func Reinstate(ctx context.Context, client *platform.Client, key string, entry platform.Entry, held StoredDocument) (StoredDocument, platform.Entry, error) {
+	var stored StoredDocument
+	if entry.Revision != 0 {
+		var err error
+		if stored, err = ParseStored(entry.Value); err != nil {
+			return held, entry, trace.Wrap(err)
+		}
+	}
+	if held.Version().Compare(stored.Version()) <= 0 {
+		return held, entry, nil
+	}
+	if held.Revision == stored.Revision {
+		held.Revision++
+	}
+	next := held.After(stored)
+	value, err := json.Marshal(next)
+	if err != nil {
+		return held, entry, trace.Wrap(err)
+	}
+	written, err := client.CompareAndSwap(ctx, platform.Swap{Key: key, Value: value, Expected: entry.Revision})
+	return next, written, trace.Wrap(err)
+}
+
+func decodeDocument(e platform.Entry) []membership.Record {
+	stored, err := ParseStored(e.Value)
+	if err != nil {
+		return nil
+	}
+	r, err := stored.Record(e.Key)
+	if err != nil {
+		return nil
+	}
+	return []membership.Record{r}
+}
+
+// Held returns the record that the node holds under the key.
+func (c *Controller) Held(ctx context.Context, key string) (membership.Record, bool) {
+	var held membership.Record
+	found := false
+	c.config.Board.Do(ctx, func(*board.Board) { held, found = c.records.Get(key) })
+	return held, found
+}
+
+// reinstate writes each document held here that is newer than its entry, or has none, back to the platform. Entries
+// holds what a watch returned; whole says that it returned everything.
+func (c *Controller) reinstate(ctx context.Context, entries []platform.Entry, whole bool) error {
+	stored := map[string]platform.Entry{}
+	for _, e := range entries {
+		stored[e.Key] = e
+	}
+	var failures []error
+	for _, r := range c.heldDocuments(ctx) {
+		entry, changed := stored[r.Key]
+		if !changed && !whole {
+			continue
+		}
+		if entry.Deleted {
+			entry = platform.Entry{}
+		}
+		failures = append(failures, c.reinstateOne(ctx, r, entry))
+	}
+	return errors.Join(failures...)
+}
+
+func (c *Controller) reinstateOne(ctx context.Context, r membership.Record, entry platform.Entry) error {
+	held, err := ParseStored(r.Value)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	next, written, err := Reinstate(ctx, c.config.Platform, r.Key, entry, held)
+	if errors.Is(err, platform.ErrCompareFailed) {
+		return nil // Another leader or an operator was first; the watch brings what they wrote.
+	}
+	if err != nil || written.Revision == entry.Revision {
+		return trace.Wrap(err)
+	}
+	c.config.Log.Emit(events.DocumentReinstated, events.Fields{"key": r.Key, "revision": next.Revision})
+	record, err := next.Record(r.Key)
+	if err == nil {
+		c.Offer(ctx, record)
+	}
+	return trace.Wrap(err)
+}
+
+func (c *Controller) heldDocuments(ctx context.Context) []membership.Record {
+	var held []membership.Record
+	c.config.Board.Do(ctx, func(*board.Board) { held = c.records.Prefix(DocumentPrefix) })
+	return held
+}
--- a/internal/control/zone/leader.go
+++ b/internal/control/zone/leader.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"strings"
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
@@ -103,83 +102,3 @@
 		c.zoneEntry = entry
 	}
 }
-
-func (c *Controller) startWatching(ctx context.Context) {
-	ctx, c.watchCancel = context.WithCancel(ctx)
-	c.watching = true
-	c.group.Go(func() { c.watch(ctx) })
-}
-
-func (c *Controller) stopWatching() {
-	if c.watching {
-		c.watchCancel()
-		c.watching = false
-	}
-}
-
-// watchRetry is the pause after a watch that failed.
-const watchRetry = 500 * time.Millisecond
-
-// watch takes in all changes at the platform until the context ends.
-func (c *Controller) watch(ctx context.Context) {
-	var after uint64
-	for ctx.Err() == nil {
-		changes, err := c.config.Platform.Watch(ctx, "", after, c.config.Timing.WatchWait)
-		if err != nil {
-			sleep(ctx, watchRetry)
-			continue
-		}
-		after = changes.Revision
-		c.takeIn(ctx, changes.Entries)
-	}
-}
-
-func (c *Controller) takeIn(ctx context.Context, entries []platform.Entry) {
-	var records []membership.Record
-	for _, e := range entries {
-		records = append(records, c.decode(e)...)
-	}
-	c.config.Board.Do(ctx, func(b *board.Board) { c.merge(b, records...) })
-}
-
-// decode returns the records that an entry of the platform stands for.
-func (c *Controller) decode(e platform.Entry) []membership.Record {
-	if e.Deleted {
-		return nil
-	}
-	for prefix, section := range c.sections {
-		if strings.HasPrefix(e.Key, prefix) && section.Decode != nil {
-			return section.Decode(e)
-		}
-	}
-	return nil
-}
-
-func decodeZone(e platform.Entry) []membership.Record {
-	var v zoneValue
-	if json.Unmarshal(e.Value, &v) != nil {
-		return nil
-	}
-	return v.Records
-}
-
-func decodeDocument(e platform.Entry) []membership.Record {
-	r, err := DocumentRecord(e.Key, e.Value)
-	if err != nil {
-		return nil
-	}
-	return []membership.Record{r}
-}
-
-func decodeLeader(e platform.Entry) []membership.Record {
-	return []membership.Record{{Key: e.Key, Version: membership.Version{Epoch: e.Revision}, Value: e.Value}}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/control/zone/publish.go
+++ b/internal/control/zone/publish.go
@@ -1,38 +1,15 @@
 package zone
 
 import (
-	"encoding/json"
 	"strings"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 )
 
-// StoredDocument is the value of a document in the platform.
-type StoredDocument struct {
-	// Revision grows by one with each accepted edit.
-	Revision uint64 `json:"revision"`
-	Source   string `json:"source"`
-	// Operation identifies the edit, so that a lost answer can be settled.
-	Operation string    `json:"operation"`
-	Editor    string    `json:"editor"`
-	Time      time.Time `json:"time"`
-}
-
-// DocumentRecord returns the record of a stored document.
-func DocumentRecord(key string, value []byte) (membership.Record, error) {
-	var stored StoredDocument
-	if err := json.Unmarshal(value, &stored); err != nil {
-		return membership.Record{}, trace.Wrap(err)
-	}
-	return membership.Record{Key: key, Version: membership.Version{Epoch: stored.Revision}, Value: value}, nil
-}
-
 // publish renews the sections of the board that the changed records concern.
 func (c *Controller) publish(b *board.Board, changed []membership.Record) {
 	for prefix, section := range c.sections {
@@ -78,8 +55,8 @@
 }
 
 func (c *Controller) publishDocument(b *board.Board, r membership.Record) {
-	var stored StoredDocument
-	if json.Unmarshal(r.Value, &stored) != nil {
+	stored, err := ParseStored(r.Value)
+	if err != nil {
 		return
 	}
 	parsed, err := document.Parse([]byte(stored.Source))
@@ -91,7 +68,14 @@
 	for service, d := range b.Documents.ByService {
 		documents.ByService[service] = d
 	}
-	documents.ByService[parsed.Service] = board.DocumentInForce{Revision: stored.Revision, Document: parsed, InForce: time.Now()}
+	documents.ByService[parsed.Service] = board.DocumentInForce{
+		Revision:  stored.Revision,
+		Operation: stored.Operation,
+		Editor:    stored.Editor,
+		Accepted:  stored.Time,
+		Document:  parsed,
+		InForce:   time.Now(),
+	}
 	b.Documents = documents
 	c.config.Log.Emit(events.DocumentInForce, events.Fields{"service": parsed.Service, "revision": stored.Revision})
 }
--- a/internal/lab/store/http.go
+++ b/internal/lab/store/http.go
@@ -42,11 +42,12 @@
 		if s.fail(w, func(c *Counts) { c.Writes++ }) {
 			return
 		}
+		faults := s.Faults()
+		if faults.LoseWrites {
+			panic(http.ErrAbortHandler)
+		}
 		status, body := f(r)
-		s.mu.Lock()
-		lose := s.faults.LoseAnswers
-		s.mu.Unlock()
-		if lose {
+		if faults.LoseAnswers {
 			panic(http.ErrAbortHandler)
 		}
 		reply(w, status, body)
@@ -95,7 +96,8 @@
 	end := time.Now().Add(wait)
 	for {
 		changes, next := s.since(query.Get("prefix"), after)
-		if len(changes.Entries) > 0 || !time.Now().Before(end) {
+		restored := changes.Revision < after
+		if len(changes.Entries) > 0 || restored || !time.Now().Before(end) {
 			return http.StatusOK, changes
 		}
 		select {
--- a/internal/lab/store/store.go
+++ b/internal/lab/store/store.go
@@ -1,5 +1,5 @@
 // Package store is a stand-in for the platform's key-value service: compare-and-swap, leases and watches, with the
-// service's faults: outages, slow answers, and answers lost after the write took effect.
+// service's faults: outages, slow answers, reads that lag, restored older content, and answers lost after the write took effect.
 //
 // # Usage
 //
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +26,10 @@
 	Delay time.Duration `json:"delay"`
 	// LoseAnswers carries out writes and then breaks the connection.
 	LoseAnswers bool `json:"lose_answers"`
+	// LoseWrites breaks the connection before a write is carried out.
+	LoseWrites bool `json:"lose_writes"`
+	// Lag makes reads, lists and watches show the content of so long ago.
+	Lag time.Duration `json:"lag"`
 }
 
 // Counts are the calls that the stand-in took.
@@ -44,6 +49,15 @@
 	changed  chan struct{}
 	faults   Faults
 	counts   Counts
+	past     []Content
+}
+
+// Content is all keys of a store at one moment.
+type Content struct {
+	at       time.Time
+	entries  map[string]stored
+	deleted  map[string]uint64
+	revision uint64
 }
 
 type stored struct {
@@ -68,6 +82,13 @@
 	s.faults = f
 }
 
+// Faults returns what goes wrong now.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // Counts returns the calls taken so far.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
@@ -75,11 +96,45 @@
 	return s.counts
 }
 
+// Save returns the content as it is.
+func (s *Store) Save() Content {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.content(time.Now())
+}
+
+// Restore puts older content back, as a platform does that was restored from a copy. Leases live on.
+func (s *Store) Restore(c Content) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries, s.deleted, s.revision = maps.Clone(c.entries), maps.Clone(c.deleted), c.revision
+	s.wake()
+}
+
+func (s *Store) content(now time.Time) Content {
+	return Content{at: now, entries: maps.Clone(s.entries), deleted: maps.Clone(s.deleted), revision: s.revision}
+}
+
+// visible returns the content that reads show: the newest, or with the lag fault an older one.
+func (s *Store) visible(now time.Time) Content {
+	newest := Content{entries: s.entries, deleted: s.deleted, revision: s.revision}
+	if s.faults.Lag <= 0 {
+		return newest
+	}
+	shown := Content{}
+	for _, c := range s.past {
+		if now.Sub(c.at) >= s.faults.Lag {
+			shown = c
+		}
+	}
+	return shown
+}
+
 func (s *Store) get(key string) (platform.Entry, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapse(time.Now())
-	found, ok := s.entries[key]
+	found, ok := s.visible(time.Now()).entries[key]
 	return found.entry, ok
 }
 
@@ -106,13 +161,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapse(time.Now())
-	changes := platform.Changes{Revision: s.revision}
-	for key, found := range s.entries {
+	shown := s.visible(time.Now())
+	changes := platform.Changes{Revision: shown.revision}
+	for key, found := range shown.entries {
 		if strings.HasPrefix(key, prefix) && found.entry.Revision > after {
 			changes.Entries = append(changes.Entries, found.entry)
 		}
 	}
-	for key, revision := range s.deleted {
+	for key, revision := range shown.deleted {
 		if strings.HasPrefix(key, prefix) && revision > after {
 			changes.Entries = append(changes.Entries, platform.Entry{Key: key, Revision: revision, Deleted: true})
 		}
@@ -162,7 +218,13 @@
 	s.wake()
 }
 
+// pastLength is how many older contents are kept for the lag fault.
+const pastLength = 256
+
+// wake tells the waiting watches of a change, and keeps the content.
 func (s *Store) wake() {
+	s.past = append(s.past, s.content(time.Now()))
+	s.past = s.past[max(0, len(s.past)-pastLength):]
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -49,8 +49,10 @@
 	receiver   *flow.Receiver
 	sender     *flow.Sender
 	controller *zone.Controller
+	platform   *platform.Client
 	chains     *call.Chains
 	listeners  listeners
+	stop       context.CancelFunc
 }
 
 // New builds a node without starting it.
@@ -75,9 +77,10 @@
 		Budget:   retryBudget,
 		Ejection: ejection,
 	})
+	n.platform = platform.NewClient(platformConfig(s))
 	n.controller = zone.NewController(zone.Config{
 		Board:       n.loop,
-		Platform:    platform.NewClient(platformConfig(s)),
+		Platform:    n.platform,
 		Peers:       zone.NewClient(n.pool, s.Node.Name, s.Node.Zone, controlTimeout),
 		Log:         config.Log,
 		Timing:      zone.DefaultTiming,
@@ -93,6 +96,8 @@
 		config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return trace.Wrap(err)
 	}
+	ctx, n.stop = context.WithCancel(ctx)
+	defer n.stop()
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group conc.WaitGroup
@@ -113,12 +118,17 @@
 	caller  net.Listener
 	peer    net.Listener
 	backend net.Listener
+	// operator is nil where the settings name no address for it.
+	operator net.Listener
 }
 
 func (l *listeners) close() {
 	_ = l.caller.Close()
 	_ = l.peer.Close()
 	_ = l.backend.Close()
+	if l.operator != nil {
+		_ = l.operator.Close()
+	}
 }
 
 func (n *Node) listen() error {
@@ -130,7 +140,11 @@
 		{&n.listeners.caller, s.Caller.Address},
 		{&n.listeners.peer, s.Peer.Address},
 		{&n.listeners.backend, s.Backend.Address},
+		{&n.listeners.operator, s.Operator.Address},
 	} {
+		if open.address == "" {
+			continue
+		}
 		l, err := net.Listen("tcp", open.address)
 		if err != nil {
 			return trace.Wrap(err)
@@ -147,6 +161,9 @@
 	group.Go(func() { n.servePeers(ctx) })
 	group.Go(func() { n.serveHTTP(ctx, n.listeners.caller, n.callerRouter()) })
 	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
+	if n.listeners.operator != nil {
+		group.Go(func() { n.serveHTTP(ctx, n.listeners.operator, n.operatorRouter()) })
+	}
 }
 
 func (n *Node) callerRouter() *httprouter.Router {
