--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -37,6 +37,8 @@
 	Stop time.Duration
 	// Resends is how often a caller sends a failed request again.
 	Resends int
+	// Added marks the load that a trigger adds to the ordinary load of the same name.
+	Added bool
 	// Timeout is the caller's patience and the deadline that it sends.
 	Timeout time.Duration
 }
@@ -53,8 +55,12 @@
 // Result is one request as its caller saw it.
 type Result struct {
 	Stream string `json:"stream"`
-	Rank   int    `json:"rank"`
-	ID     string `json:"id"`
+	// Added, Service and Path are those of the stream.
+	Added   bool   `json:"added,omitempty"`
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Rank    int    `json:"rank"`
+	ID      string `json:"id"`
 	// Sent and Took count from the start of the run.
 	Sent    time.Duration `json:"sent"`
 	Took    time.Duration `json:"took"`
@@ -116,14 +122,22 @@
 			return
 		}
 		target := g.config.Targets[random.IntN(len(g.config.Targets))]
-		id := fmt.Sprintf("%s-%d", s.Name, number)
+		id := fmt.Sprintf("%s-%d-%d", s.Name, s.Start.Milliseconds(), number)
 		group.Go(func() { g.request(ctx, s, target, id) })
 		next += time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))
 	}
 }
 
 func (g *generator) request(ctx context.Context, s Stream, target, id string) {
-	result := Result{Stream: s.Name, Rank: s.Rank, ID: id, Sent: time.Since(g.start)}
+	result := Result{
+		Stream:  s.Name,
+		Added:   s.Added,
+		Service: s.Service,
+		Path:    s.Path,
+		Rank:    s.Rank,
+		ID:      id,
+		Sent:    time.Since(g.start),
+	}
 	begin := time.Now()
 	for result.Sends <= s.Resends && ctx.Err() == nil {
 		result.Sends++
--- /dev/null
+++ b/internal/lab/scenario/ideal.go
@@ -0,0 +1,77 @@
+package scenario
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
+)
+
+// Ideal returns the rate in requests a second at which each stream could be served: the streams take what they need
+// of every service on their chains, most urgent first, until the slots are used up. Streams of one rank share by
+// their rates.
+func Ideal(d fleet.Deployment, streams []load.Stream) map[string]float64 {
+	left := capacities(d)
+	ordered := slices.Clone(streams)
+	slices.SortStableFunc(ordered, func(a, b load.Stream) int { return cmp.Compare(a.Rank, b.Rank) })
+	ideal := map[string]float64{}
+	for len(ordered) > 0 {
+		count := 1
+		for count < len(ordered) && ordered[count].Rank == ordered[0].Rank {
+			count++
+		}
+		serveRank(d, ordered[:count], left, ideal)
+		ordered = ordered[count:]
+	}
+	return ideal
+}
+
+// capacities returns the requests a second that each service can run.
+func capacities(d fleet.Deployment) map[string]float64 {
+	left := map[string]float64{}
+	for _, s := range d.Services {
+		left[s.Name] = float64(s.Instances*s.Slots) / s.Behaviour.ServiceTime.Seconds()
+	}
+	return left
+}
+
+// serveRank scales the streams of one rank by one factor so that they fit into what is left.
+func serveRank(d fleet.Deployment, streams []load.Stream, left, ideal map[string]float64) {
+	needed := map[string]float64{}
+	for _, s := range streams {
+		for service, calls := range Calls(d, s.Service, s.Path) {
+			needed[service] += calls * s.Rate
+		}
+	}
+	factor := 1.0
+	for service, need := range needed {
+		factor = min(factor, max(left[service], 0)/need)
+	}
+	for service, need := range needed {
+		left[service] -= factor * need
+	}
+	for _, s := range streams {
+		ideal[s.Name] += factor * s.Rate
+	}
+}
+
+// Calls returns how often a request for the path runs on each service of its chain.
+func Calls(d fleet.Deployment, service, path string) map[string]float64 {
+	calls := map[string]float64{service: 1}
+	for _, s := range d.Services {
+		if s.Name != service {
+			continue
+		}
+		for _, c := range s.Behaviour.Calls {
+			if !strings.HasPrefix(path, c.Prefix) {
+				continue
+			}
+			for name, count := range Calls(d, c.Service, c.Path) {
+				calls[name] += count
+			}
+		}
+	}
+	return calls
+}
--- /dev/null
+++ b/internal/lab/scenario/run.go
@@ -0,0 +1,114 @@
+package scenario
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
+)
+
+// Variant is what stands between callers and backend servers.
+type Variant struct {
+	Name string
+	// Binary is the product's program; empty for the naive baseline.
+	Binary string
+}
+
+// Config sets a run up.
+type Config struct {
+	Deployment Deployment
+	Scenario   Scenario
+	Variant    Variant
+	Seed       uint64
+	// Output takes the logs of the nodes.
+	Output io.Writer
+}
+
+// readyTimeout bounds the start of a fleet.
+const readyTimeout = 30 * time.Second
+
+// Run starts the deployment, takes it through the scenario and measures it.
+func Run(ctx context.Context, config Config) (Result, error) {
+	f, err := fleet.Start(ctx, fleet.Config{
+		Binary:     config.Variant.Binary,
+		Baseline:   config.Variant.Binary == "",
+		Deployment: config.Deployment.Fleet,
+		Output:     config.Output,
+		Seed:       config.Seed,
+	})
+	defer f.Stop()
+	if err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.WaitReady(ready); err != nil {
+		return Result{}, trace.Wrap(err)
+	}
+	results := drive(ctx, f, config)
+	return measure(config, results, ledgers(f)), nil
+}
+
+// drive sends the load while the triggers change the backend servers.
+func drive(ctx context.Context, f *fleet.Fleet, config Config) []load.Result {
+	var group conc.WaitGroup
+	defer group.Wait()
+	start := time.Now()
+	group.Go(func() { slowDown(ctx, f, config, start) })
+	return load.Run(ctx, load.Config{
+		Streams:  config.Scenario.streams(config.Deployment),
+		Targets:  f.Callers(),
+		Duration: config.Scenario.Duration(),
+		Seed:     config.Seed,
+	})
+}
+
+// slowDown changes the service time of the deep service while a trigger says so.
+func slowDown(ctx context.Context, f *fleet.Fleet, config Config, start time.Time) {
+	for i, on := range config.Scenario.spans() {
+		factor := config.Scenario.Triggers[i].SlowDeep
+		if factor <= 1 {
+			continue
+		}
+		sleepUntil(ctx, start.Add(on.start))
+		scaleServiceTime(f, config.Deployment.Deep, factor)
+		sleepUntil(ctx, start.Add(on.end))
+		scaleServiceTime(f, config.Deployment.Deep, 1/factor)
+	}
+}
+
+func scaleServiceTime(f *fleet.Fleet, service string, factor float64) {
+	for _, n := range f.Nodes {
+		if n.Service != service {
+			continue
+		}
+		b := n.Server.Behaviour()
+		b.ServiceTime = time.Duration(float64(b.ServiceTime) * factor)
+		n.Server.SetBehaviour(b)
+	}
+}
+
+// ledgers sums up how often each request was started on all backend servers.
+func ledgers(f *fleet.Fleet) map[string]int {
+	started := map[string]int{}
+	for _, n := range f.Nodes {
+		for _, r := range n.Server.Ledger().Runs() {
+			started[r.Request] += r.Started
+		}
+	}
+	return started
+}
+
+func sleepUntil(ctx context.Context, t time.Time) {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
