--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -25,7 +25,7 @@
 	root := &ffcli.Command{
 		Name:        "hoistlab",
 		ShortUsage:  "hoistlab <command> [flags]",
-		Subcommands: []*ffcli.Command{demoCommand(), overloadCommand()},
+		Subcommands: []*ffcli.Command{demoCommand(), overloadCommand(), latencyCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
@@ -65,20 +65,26 @@
 	if verbose {
 		output = os.Stderr
 	}
-	f, err := fleet.Start(ctx, fleet.Config{Binary: binary, Deployment: fleet.Chain(), Output: output})
+	f, err := startFleet(ctx, fleet.Config{Binary: binary, Deployment: fleet.Chain(), Output: output})
 	defer f.Stop()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	ready, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	if err := f.WaitReady(ready); err != nil {
-		return trace.Wrap(err)
-	}
 	results := load.Run(ctx, load.Config{Streams: demoStreams(duration), Targets: f.Callers(), Duration: duration})
 	return trace.Wrap(fleet.WriteTable(os.Stdout, fleet.Summarize(results)))
 }
 
+// startFleet starts a fleet and waits until it is ready. It must be stopped, also after an error.
+func startFleet(ctx context.Context, config fleet.Config) (*fleet.Fleet, error) {
+	f, err := fleet.Start(ctx, config)
+	if err != nil {
+		return f, trace.Wrap(err)
+	}
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	return f, trace.Wrap(f.WaitReady(ready))
+}
+
 func demoStreams(duration time.Duration) []load.Stream {
 	stream := load.Stream{Service: "crew-scheduling", Method: http.MethodGet, Timeout: time.Second}
 	urgent := stream
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -37,12 +37,24 @@
 	Stop time.Duration
 	// Resends is how often a caller sends a failed request again.
 	Resends int
+	// Direct sends straight to the backend servers at Targets, past the nodes.
+	Direct bool
+	// Targets go before those of the Config.
+	Targets []string
 	// Added marks the load that a trigger adds to the ordinary load of the same name.
 	Added bool
 	// Timeout is the caller's patience and the deadline that it sends.
 	Timeout time.Duration
 }
 
+// path returns the path of the requests' URL.
+func (s Stream) path() string {
+	if s.Direct {
+		return s.Path
+	}
+	return "/call/" + s.Service + s.Path
+}
+
 // Config sets a run up.
 type Config struct {
 	Streams []Stream
@@ -114,6 +126,10 @@
 	if s.Stop > 0 {
 		stop = min(stop, s.Stop)
 	}
+	targets := g.config.Targets
+	if len(s.Targets) > 0 {
+		targets = s.Targets
+	}
 	var group conc.WaitGroup
 	defer group.Wait()
 	next := s.Start
@@ -121,7 +137,7 @@
 		if !sleepUntil(ctx, g.start.Add(next)) {
 			return
 		}
-		target := g.config.Targets[random.IntN(len(g.config.Targets))]
+		target := targets[random.IntN(len(targets))]
 		id := fmt.Sprintf("%s-%d-%d", s.Name, s.Start.Milliseconds(), number)
 		group.Go(func() { g.request(ctx, s, target, id) })
 		next += time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))
@@ -156,7 +172,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
 	result.Status, result.Outcome, result.Reason = 0, "", ""
-	address := "http://" + target + "/call/" + s.Service + s.Path
+	address := "http://" + target + s.path()
 	request, err := http.NewRequestWithContext(ctx, s.Method, address, strings.NewReader(s.Body))
 	if err != nil {
 		return
