--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -12,6 +12,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +59,29 @@
 	ByService map[string][]membership.Member
 }
 
+// InZone counts the members of the zone.
+func (m Members) InZone(zone string) int {
+	count := 0
+	for _, member := range m.ByNode {
+		if member.Zone == zone {
+			count++
+		}
+	}
+	return count
+}
+
+// SortedInZone returns the members of the zone by name.
+func (m Members) SortedInZone(zone string) []membership.Member {
+	var members []membership.Member
+	for _, member := range m.ByNode {
+		if member.Zone == zone {
+			members = append(members, member)
+		}
+	}
+	slices.SortFunc(members, func(a, b membership.Member) int { return strings.Compare(a.Node, b.Node) })
+	return members
+}
+
 // Documents are the documents in force. Written by the zone controller.
 type Documents struct {
 	ByService map[string]DocumentInForce
@@ -76,9 +101,17 @@
 
 // Leader is the leader of the node's availability zone. Written by the zone controller.
 type Leader struct {
+	// Node is empty while nobody is known to lead.
 	Node        string
 	PeerAddress string
-	IsSelf      bool
+	// IsSelf says that this node leads under a lease, and so may write to the platform for its zone.
+	IsSelf bool
+	// Leased says that the leader holds a lease; without one it only spreads what the zone holds.
+	Leased bool
+	// Role is this node's own part.
+	Role membership.Role
+	// Term is that of this node's own lease.
+	Term uint64
 }
 
 // Platform tells how the platform answers. Written by the zone controller.
--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -35,6 +35,9 @@
 	LeaderLost         Number = 1304
 	MemberDown         Number = 1305
 	MemberUp           Number = 1306
+
+	SpreadingWithoutLease Number = 1307
+
 	DocumentAccepted   Number = 1401
 	DocumentRefused    Number = 1402
 	DocumentInForce    Number = 1403
@@ -55,31 +58,32 @@
 
 // Catalogue has an entry for every event.
 var Catalogue = map[Number]Entry{
-	NodeStarted:        {Name: "node_started", Level: zerolog.InfoLevel, Since: "0.1", Text: "The node listens on all of its addresses."},
-	NodeStopped:        {Name: "node_stopped", Level: zerolog.InfoLevel, Since: "0.1", Text: "The node has left and its process ends."},
-	NodeFailed:         {Name: "node_failed", Level: zerolog.ErrorLevel, Since: "0.1", Text: "The node can't go on.", Action: "Read the error; the process has ended and should be started again."},
-	DrainStarted:       {Name: "drain_started", Level: zerolog.InfoLevel, Since: "0.1", Text: "The node takes no new work and finishes what it has."},
-	DrainFinished:      {Name: "drain_finished", Level: zerolog.InfoLevel, Since: "0.1", Text: "No request is left in flight."},
-	BackendAnnounced:   {Name: "backend_announced", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server announced itself."},
-	BackendLeaving:     {Name: "backend_leaving", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server announced that it leaves."},
-	BackendFailed:      {Name: "backend_failed", Level: zerolog.WarnLevel, Since: "0.1", Text: "The backend server broke a connection in the middle of a request.", Action: "If it repeats, look for a crash of the backend server."},
-	RequestQuarantined: {Name: "request_quarantined", Level: zerolog.WarnLevel, Since: "0.1", Text: "A request that crashed backend servers is refused for a time.", Action: "Find the request by its fingerprint in the dump and mend the backend server."},
-	PeerUnreachable:    {Name: "peer_unreachable", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node failed."},
-	PeerSilent:         {Name: "peer_silent", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node went silent and was closed."},
-	PeerGarbage:        {Name: "peer_garbage", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to the peer address sent something that isn't drpc.", Action: "Find out who connects to the peer address."},
-	CallerRejected:     {Name: "caller_rejected", Level: zerolog.DebugLevel, Since: "0.1", Text: "A caller's request was malformed."},
-	PlatformLost:       {Name: "platform_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "The platform's store does not answer; the node goes on with what it has.", Action: "See the page on platform outages in docs/OPERATORS.md."},
-	PlatformBack:       {Name: "platform_back", Level: zerolog.InfoLevel, Since: "0.1", Text: "The platform's store answers again."},
-	LeaderElected:      {Name: "leader_elected", Level: zerolog.InfoLevel, Since: "0.1", Text: "This node leads its availability zone."},
-	LeaderLost:         {Name: "leader_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "This node no longer leads its availability zone."},
-	MemberDown:         {Name: "member_down", Level: zerolog.WarnLevel, Since: "0.1", Text: "A node missed its heartbeats and gets no new work."},
-	MemberUp:           {Name: "member_up", Level: zerolog.InfoLevel, Since: "0.1", Text: "A node joined or came back."},
-	DocumentAccepted:   {Name: "document_accepted", Level: zerolog.InfoLevel, Since: "0.1", Text: "A team's document was written to the platform."},
-	DocumentRefused:    {Name: "document_refused", Level: zerolog.WarnLevel, Since: "0.1", Text: "A document has faults or lost a race and was not written.", Action: "The answer names each fault; mend the document and send it again."},
-	DocumentInForce:    {Name: "document_in_force", Level: zerolog.InfoLevel, Since: "0.1", Text: "A document's revision is in force on this node."},
-	DocumentReinstated: {Name: "document_reinstated", Level: zerolog.WarnLevel, Since: "0.2", Text: "The platform had an older document than the nodes, and the newer one was written back.", Action: "Find out why the platform went back to older content."},
-	KeysHandedOver:     {Name: "keys_handed_over", Level: zerolog.InfoLevel, Since: "0.1", Text: "A leaving node's remembered keys went to its successor."},
-	HomesChanged:       {Name: "homes_changed", Level: zerolog.InfoLevel, Since: "0.1", Text: "Another set of nodes remembers the keys from a given time on."},
+	NodeStarted:           {Name: "node_started", Level: zerolog.InfoLevel, Since: "0.1", Text: "The node listens on all of its addresses."},
+	NodeStopped:           {Name: "node_stopped", Level: zerolog.InfoLevel, Since: "0.1", Text: "The node has left and its process ends."},
+	NodeFailed:            {Name: "node_failed", Level: zerolog.ErrorLevel, Since: "0.1", Text: "The node can't go on.", Action: "Read the error; the process has ended and should be started again."},
+	DrainStarted:          {Name: "drain_started", Level: zerolog.InfoLevel, Since: "0.1", Text: "The node takes no new work and finishes what it has."},
+	DrainFinished:         {Name: "drain_finished", Level: zerolog.InfoLevel, Since: "0.1", Text: "No request is left in flight."},
+	BackendAnnounced:      {Name: "backend_announced", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server announced itself."},
+	BackendLeaving:        {Name: "backend_leaving", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server announced that it leaves."},
+	BackendFailed:         {Name: "backend_failed", Level: zerolog.WarnLevel, Since: "0.1", Text: "The backend server broke a connection in the middle of a request.", Action: "If it repeats, look for a crash of the backend server."},
+	RequestQuarantined:    {Name: "request_quarantined", Level: zerolog.WarnLevel, Since: "0.1", Text: "A request that crashed backend servers is refused for a time.", Action: "Find the request by its fingerprint in the dump and mend the backend server."},
+	PeerUnreachable:       {Name: "peer_unreachable", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node failed."},
+	PeerSilent:            {Name: "peer_silent", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node went silent and was closed."},
+	PeerGarbage:           {Name: "peer_garbage", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to the peer address sent something that isn't drpc.", Action: "Find out who connects to the peer address."},
+	CallerRejected:        {Name: "caller_rejected", Level: zerolog.DebugLevel, Since: "0.1", Text: "A caller's request was malformed."},
+	PlatformLost:          {Name: "platform_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "The platform's store does not answer; the node goes on with what it has.", Action: "See the page on platform outages in docs/OPERATORS.md."},
+	PlatformBack:          {Name: "platform_back", Level: zerolog.InfoLevel, Since: "0.1", Text: "The platform's store answers again."},
+	LeaderElected:         {Name: "leader_elected", Level: zerolog.InfoLevel, Since: "0.1", Text: "This node leads its availability zone."},
+	LeaderLost:            {Name: "leader_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "This node no longer leads its availability zone."},
+	MemberDown:            {Name: "member_down", Level: zerolog.WarnLevel, Since: "0.1", Text: "A node missed its heartbeats and gets no new work."},
+	MemberUp:              {Name: "member_up", Level: zerolog.InfoLevel, Since: "0.1", Text: "A node joined or came back."},
+	SpreadingWithoutLease: {Name: "spreading_without_lease", Level: zerolog.WarnLevel, Since: "0.2", Text: "The platform does not answer, and this node spreads members and documents in its availability zone without a lease.", Action: "Bring the platform back; requests go on meanwhile."},
+	DocumentAccepted:      {Name: "document_accepted", Level: zerolog.InfoLevel, Since: "0.1", Text: "A team's document was written to the platform."},
+	DocumentRefused:       {Name: "document_refused", Level: zerolog.WarnLevel, Since: "0.1", Text: "A document has faults or lost a race and was not written.", Action: "The answer names each fault; mend the document and send it again."},
+	DocumentInForce:       {Name: "document_in_force", Level: zerolog.InfoLevel, Since: "0.1", Text: "A document's revision is in force on this node."},
+	DocumentReinstated:    {Name: "document_reinstated", Level: zerolog.WarnLevel, Since: "0.2", Text: "The platform had an older document than the nodes, and the newer one was written back.", Action: "Find out why the platform went back to older content."},
+	KeysHandedOver:        {Name: "keys_handed_over", Level: zerolog.InfoLevel, Since: "0.1", Text: "A leaving node's remembered keys went to its successor."},
+	HomesChanged:          {Name: "homes_changed", Level: zerolog.InfoLevel, Since: "0.1", Text: "Another set of nodes remembers the keys from a given time on."},
 }
 
 // Numbers returns the events in order.
--- a/internal/control/zone/client.go
+++ b/internal/control/zone/client.go
@@ -11,51 +11,110 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/zonepb"
 )
 
+// ClientConfig sets a Client up.
+type ClientConfig struct {
+	Pool *peer.Pool
+	Node string
+	Zone string
+	// BeatTimeout bounds one heartbeat, Timeout every other message.
+	BeatTimeout time.Duration
+	Timeout     time.Duration
+}
+
 // Client sends control messages to other nodes.
 type Client struct {
-	pool    *peer.Pool
-	node    string
-	zone    string
-	timeout time.Duration
+	config ClientConfig
+}
+
+// NewClient returns a client of the node.
+func NewClient(config ClientConfig) *Client {
+	return &Client{config: config}
 }
 
-// NewClient returns a client of the node. Each message must be answered within the timeout.
-func NewClient(pool *peer.Pool, node, zone string, timeout time.Duration) *Client {
-	return &Client{pool: pool, node: node, zone: zone, timeout: timeout}
+// Beat is one heartbeat.
+type Beat struct {
+	// Changed are records that the other node may lack.
+	Changed []membership.Record
+	// Log and Seen say which of the other node's changes are known.
+	Log  uint64
+	Seen uint64
+	// Leased says that the sender leads its zone under a lease; Address is then its own.
+	Leased  bool
+	Address string
+}
+
+// BeatAnswer is the answer to a heartbeat.
+type BeatAnswer struct {
+	membership.Answer
+
+	Digest uint64
+	Log    uint64
+	Next   uint64
+	Newer  []membership.Record
+	// More says that further changes wait.
+	More bool
 }
 
-// Beat sends a heartbeat and returns the digest of the other node's records.
-func (c *Client) Beat(ctx context.Context, address string, self membership.Record, digest uint64) (uint64, error) {
-	request := &zonepb.BeatRequest{Node: c.node, Zone: c.zone, Self: recordMessage(self), Digest: digest}
+// Beat sends a heartbeat.
+func (c *Client) Beat(ctx context.Context, address string, b Beat) (BeatAnswer, error) {
+	request := &zonepb.BeatRequest{
+		Node:    c.config.Node,
+		Zone:    c.config.Zone,
+		Changed: recordMessages(b.Changed),
+		Log:     b.Log,
+		Seen:    b.Seen,
+		Leased:  b.Leased,
+		Address: b.Address,
+	}
 	var reply *zonepb.BeatReply
-	err := c.use(ctx, address, func(ctx context.Context, z zonepb.DRPCZoneClient) (err error) {
+	err := c.use(ctx, address, c.config.BeatTimeout, func(ctx context.Context, z zonepb.DRPCZoneClient) (err error) {
 		reply, err = z.Beat(ctx, request)
 		return err
 	})
-	return reply.GetDigest(), err
+	return beatAnswer(reply), err
 }
 
-// Answer is what another node returned in an exchange.
-type Answer struct {
-	Newer  []membership.Record
-	Wanted []string
+func beatAnswer(m *zonepb.BeatReply) BeatAnswer {
+	return BeatAnswer{
+		Answer: membership.Answer{
+			Leads:  m.GetLeads(),
+			Leased: m.GetLeased(),
+			Leader: membership.Target{Node: m.GetLeader(), Address: m.GetLeaderAddress()},
+		},
+		Digest: m.GetDigest(),
+		Log:    m.GetLog(),
+		Next:   m.GetNext(),
+		Newer:  recordsFrom(m.GetNewer()),
+		More:   m.GetMore(),
+	}
+}
+
+// Compare sends the digests of all buckets. It returns the other node's, and its versions in the buckets that differ.
+func (c *Client) Compare(ctx context.Context, address string, digests []uint64) (versions map[string]membership.Version, theirs []uint64, err error) {
+	reply, err := c.exchange(ctx, address, &zonepb.ExchangeRequest{Node: c.config.Node, Digests: digests})
+	return versionsFrom(reply.GetHave()), reply.GetDigests(), err
+}
+
+// Exchange offers records and returns as many of the wanted ones as fit in a message.
+func (c *Client) Exchange(ctx context.Context, address string, wanted []string, offered []membership.Record) ([]membership.Record, error) {
+	request := &zonepb.ExchangeRequest{Node: c.config.Node, Wanted: wanted, Offered: recordMessages(offered)}
+	reply, err := c.exchange(ctx, address, request)
+	return recordsFrom(reply.GetNewer()), err
 }
 
-// Exchange sends the versions held here and the records offered, and returns what is newer there and wanted.
-func (c *Client) Exchange(ctx context.Context, address string, have map[string]membership.Version, offered []membership.Record) (Answer, error) {
-	request := &zonepb.ExchangeRequest{Node: c.node, Have: versionMessages(have), Offered: recordMessages(offered)}
+func (c *Client) exchange(ctx context.Context, address string, request *zonepb.ExchangeRequest) (*zonepb.ExchangeReply, error) {
 	var reply *zonepb.ExchangeReply
-	err := c.use(ctx, address, func(ctx context.Context, z zonepb.DRPCZoneClient) (err error) {
+	err := c.use(ctx, address, c.config.Timeout, func(ctx context.Context, z zonepb.DRPCZoneClient) (err error) {
 		reply, err = z.Exchange(ctx, request)
 		return err
 	})
-	return Answer{Newer: recordsFrom(reply.GetNewer()), Wanted: reply.GetWanted()}, err
+	return reply, err
 }
 
-func (c *Client) use(ctx context.Context, address string, f func(context.Context, zonepb.DRPCZoneClient) error) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+func (c *Client) use(ctx context.Context, address string, timeout time.Duration, f func(context.Context, zonepb.DRPCZoneClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.pool.Use(ctx, address, func(conn *drpcconn.Conn) error {
+	return c.config.Pool.Use(ctx, address, func(conn *drpcconn.Conn) error {
 		return f(ctx, zonepb.NewDRPCZoneClient(conn))
 	})
 }
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -1,24 +1,25 @@
-// Package zone speaks to the other nodes about control state: heartbeats to the leader of the availability zone,
-// and the exchange of records by which members and documents spread.
+// Package zone speaks to the other nodes about control state: heartbeats to the leader of the availability zone, by
+// which members and documents spread, and the comparison of digests that mends what was missed.
 //
 // One node of each availability zone leads it. It alone reads and writes the platform for the zone; the others get
-// everything from it, so that the platform's load grows with the zones and not with the nodes.
+// everything from it, so that the platform's load grows with the zones and not with the nodes. The leaders of
+// different zones send each other heartbeats too, so that changes cross zones while the platform is away. Without
+// the platform a zone keeps a leader, which spreads but has no lease and writes nothing.
 //
 // # Usage
 //
 //	c := zone.NewController(zone.Config{...})
 //	c.Run(ctx)
+//
+// Other parts of the node make records known by Offer, and take part with kinds of records of their own by
+// Config.Sections.
 package zone
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"maps"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
@@ -39,6 +40,8 @@
 	Peers    *Client
 	Log      *events.Log
 	Timing   Timing
+	// Seeds are addresses of nodes through which to join while the platform is away.
+	Seeds []string
 	// Sections are kinds of records that other controllers own, by the prefix of their keys.
 	Sections map[string]Section
 	// Incarnation is the time of the node's start; it orders the records of one node across restarts.
@@ -55,53 +58,89 @@
 
 // Timing holds the intervals of the control plane.
 type Timing struct {
-	// Beat is the time between heartbeats.
+	// Beat is the time between heartbeats in a small zone.
 	Beat time.Duration
+	// SilentAfter is the time without an answer after which a leader is no longer followed.
+	SilentAfter time.Duration
 	// DownAfter is the silence after which a member is down.
 	DownAfter time.Duration
 	// LeaseTTL is the term of the leader's lease.
 	LeaseTTL time.Duration
 	// WatchWait is how long one watch waits at the platform.
 	WatchWait time.Duration
+	// ZoneBeat is the time between heartbeats to the leader of each other zone.
+	ZoneBeat time.Duration
 }
 
 // DefaultTiming holds where nothing else is set.
 var DefaultTiming = Timing{
-	Beat:      250 * time.Millisecond,
-	DownAfter: 1500 * time.Millisecond,
-	LeaseTTL:  3 * time.Second,
-	WatchWait: 20 * time.Second,
+	Beat:        250 * time.Millisecond,
+	SilentAfter: 750 * time.Millisecond,
+	DownAfter:   1200 * time.Millisecond,
+	LeaseTTL:    1500 * time.Millisecond,
+	WatchWait:   20 * time.Second,
+	ZoneBeat:    time.Second,
 }
 
-// Controller keeps the node's records in step with the others'. The records, the detector and the lease belong to
-// the control goroutine: they are touched only in functions posted to the board's loop.
+const (
+	// askAgain is the time after which a node that gave no answer is asked again.
+	askAgain = 2 * time.Second
+	// candidates is how many nodes of a zone without a leader read the platform.
+	candidates = 3
+)
+
+// Counts are what the controller sent and took, for metrics.
+type Counts struct {
+	BeatsSent     uint64
+	BeatsReceived uint64
+	Repairs       uint64
+	PlatformCalls uint64
+}
+
+// Controller keeps the node's records in step with the others'. All fields below tasks belong to the control
+// goroutine: they are touched only in functions posted to the board's loop.
 type Controller struct {
-	config    Config
-	records   *membership.Records
-	detector  *membership.Detector
-	sections  map[string]Section
-	sequence  uint64
-	own       membership.Member
-	published uint64
+	config   Config
+	sections map[string]Section
+	kick     chan struct{}
+	tasks    *tasks
 
-	// The fields below belong to the goroutine of Run.
-	lease       platform.Lease
-	renewed     time.Time
-	zoneEntry   platform.Entry
-	lastBeat    time.Time
-	watching    bool
-	watchCancel context.CancelFunc
-	group       conc.WaitGroup
+	records  *membership.Records
+	detector *membership.Detector
+	election *membership.Election
+	role     membership.Role
+	// log names this process's order of changes to other nodes.
+	log         uint64
+	incarnation uint64
+	sequence    uint64
+	own         membership.Member
+	ownRenewed  time.Time
+	links       map[string]*link
+	lead        leadership
+	counts      Counts
 }
 
 // NewController returns a controller.
 func NewController(config Config) *Controller {
 	c := &Controller{
-		config:   config,
-		records:  membership.NewRecords(),
-		detector: membership.NewDetector(config.Timing.DownAfter),
-		sections: map[string]Section{},
+		config:      config,
+		sections:    map[string]Section{},
+		kick:        make(chan struct{}, 1),
+		tasks:       newTasks(),
+		records:     membership.NewRecords(),
+		detector:    membership.NewDetector(config.Timing.DownAfter),
+		role:        membership.Following,
+		log:         config.Incarnation,
+		incarnation: config.Incarnation,
+		links:       map[string]*link{},
+		lead:        newLeadership(),
 	}
+	c.election = membership.NewElection(membership.ElectionConfig{
+		Node:        config.Board.Snapshot().Self.Node,
+		SilentAfter: config.Timing.SilentAfter,
+		AskAgain:    askAgain,
+		Candidates:  candidates,
+	})
 	maps.Copy(c.sections, config.Sections)
 	c.sections[membership.MemberPrefix] = Section{Publish: c.publishMembers}
 	c.sections[zonePrefix] = Section{Decode: decodeZone}
@@ -112,49 +151,124 @@
 
 // Run works until the context ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(c.config.Timing.Beat)
-	defer ticker.Stop()
-	defer c.group.Wait()
-	for {
+	ctx, cancel := context.WithCancel(ctx)
+	defer c.tasks.wait()
+	defer cancel()
+	for ctx.Err() == nil {
 		c.tick(ctx)
-		select {
-		case <-ctx.Done():
-			c.stopWatching()
-			return
-		case <-ticker.C:
-		}
+		c.pause(ctx)
+	}
+}
+
+// pause waits for the next heartbeat, or for a change that is to spread at once.
+func (c *Controller) pause(ctx context.Context) {
+	b := c.config.Board.Snapshot()
+	timer := time.NewTimer(membership.BeatPeriod(c.config.Timing.Beat, b.Members.InZone(b.Self.Zone)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-c.kick:
+	case <-timer.C:
 	}
 }
 
 func (c *Controller) tick(ctx context.Context) {
-	c.refreshSelf(ctx)
-	leader := c.config.Board.Snapshot().Leader
-	if leader.IsSelf {
-		c.lead(ctx)
-		return
+	var plan membership.Plan
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		c.refreshSelf(b)
+		plan = c.plan(b)
+	})
+	for _, t := range plan.Ask {
+		c.tasks.start("beat "+t.Address, func() { c.beat(ctx, t) })
 	}
-	if leader.Node != "" && c.follow(ctx, leader) {
-		c.lastBeat = time.Now()
-		return
+	if plan.Read {
+		c.tasks.start("read leader", func() { c.readLeader(ctx) })
 	}
-	if time.Since(c.lastBeat) > c.config.Timing.DownAfter {
-		c.elect(ctx)
+	if plan.Role != membership.Leading && len(plan.Ask) == 0 {
+		c.askSeeds(ctx)
 	}
+	c.leadZone(ctx, plan.Role)
 }
 
-// refreshSelf renews the node's own record where the board shows that it changed.
-func (c *Controller) refreshSelf(ctx context.Context) {
-	c.config.Board.Do(ctx, func(b *board.Board) {
-		own := selfMember(b)
-		held, _ := c.records.Get(membership.MemberPrefix + own.Node)
-		mine := membership.Version{Epoch: c.config.Incarnation, Sequence: c.sequence}
-		if own == c.own && held.Version.Compare(mine) == 0 {
-			return
+// plan asks the election what to do, and shows the board what it says. It runs in the control goroutine.
+func (c *Controller) plan(b *board.Board) membership.Plan {
+	now := time.Now()
+	plan := c.election.Plan(now, c.peersInZone(b))
+	if b.Self.Draining && plan.Role != membership.Leading {
+		plan.Read = false
+	}
+	if plan.Role != c.role {
+		c.changeRole(b, plan.Role)
+	}
+	c.publishLeader(b, now)
+	return plan
+}
+
+// peersInZone returns the other members of the zone that may lead it.
+func (c *Controller) peersInZone(b *board.Board) []membership.Member {
+	var peers []membership.Member
+	for _, m := range b.Members.ByNode {
+		if m.Zone == b.Self.Zone && m.Node != b.Self.Node && m.State == membership.Up {
+			peers = append(peers, m)
 		}
-		c.own = own
-		c.sequence = max(c.sequence, held.Version.Sequence) + 1
-		c.merge(b, own.Record(membership.Version{Epoch: c.config.Incarnation, Sequence: c.sequence}))
-	})
+	}
+	return peers
+}
+
+func (c *Controller) changeRole(b *board.Board, role membership.Role) {
+	before := c.role
+	c.role = role
+	switch {
+	case role == membership.Leading:
+		c.config.Log.Emit(events.LeaderElected, events.Fields{"zone": b.Self.Zone, "term": c.election.Term()})
+	case before == membership.Leading:
+		c.config.Log.Emit(events.LeaderLost, events.Fields{"zone": b.Self.Zone, "term": c.election.Term()})
+	case role == membership.Spreading:
+		c.config.Log.Emit(events.SpreadingWithoutLease, events.Fields{"zone": b.Self.Zone})
+	}
+}
+
+// publishLeader renews the board's view of the leader.
+func (c *Controller) publishLeader(b *board.Board, now time.Time) {
+	leader := board.Leader{Role: c.role}
+	followed, leads, leased := c.election.Followed(now)
+	switch {
+	case c.role != membership.Following:
+		leader.Node, leader.PeerAddress = b.Self.Node, b.Self.PeerAddress
+		leader.IsSelf = c.role == membership.Leading
+		leader.Leased = leader.IsSelf
+		leader.Term = c.election.Term()
+	case leads:
+		leader.Node, leader.PeerAddress, leader.Leased = followed.Node, followed.Address, leased
+	}
+	if leader != b.Leader {
+		b.Leader = leader
+	}
+}
+
+// refreshSelf renews the node's own record where the board shows that it changed, and refutes a mark that the node is
+// down. A node that reaches its leader only through another renews it again and again, as a sign of life.
+func (c *Controller) refreshSelf(b *board.Board) {
+	own := selfMember(b)
+	held, _ := c.records.Get(membership.MemberPrefix + own.Node)
+	if held.Version.Epoch > c.incarnation {
+		c.incarnation = held.Version.Epoch + 1 // The clock went back since the node ran last.
+	}
+	now := time.Now()
+	followed, leads, _ := c.election.Followed(now)
+	relayed := followed.Node != "" && !leads
+	signOfLife := relayed && now.Sub(c.ownRenewed) > c.config.Timing.DownAfter/3
+	mine := membership.Version{Epoch: c.incarnation, Sequence: c.sequence}
+	if own == c.own && held.Version.Compare(mine) == 0 && !signOfLife {
+		return
+	}
+	if held.Version.Epoch == c.incarnation {
+		c.sequence = max(c.sequence, held.Version.Sequence)
+	}
+	c.own = own
+	c.ownRenewed = now
+	c.sequence = membership.OwnSequence(c.sequence)
+	c.offer(b, own.Record(membership.Version{Epoch: c.incarnation, Sequence: c.sequence}))
 }
 
 func selfMember(b *board.Board) membership.Member {
@@ -175,137 +289,32 @@
 	}
 }
 
-// follow sends a heartbeat to the leader and fetches what has changed.
-func (c *Controller) follow(ctx context.Context, leader board.Leader) bool {
-	digest, ok := c.beat(ctx, leader.PeerAddress)
-	if !ok {
-		return false
-	}
-	c.reconcile(ctx, leader.PeerAddress, digest)
-	return true
-}
-
-func (c *Controller) beat(ctx context.Context, address string) (uint64, bool) {
-	var self membership.Record
-	var digest uint64
-	c.config.Board.Do(ctx, func(b *board.Board) {
-		self, _ = c.records.Get(membership.MemberPrefix + b.Self.Node)
-		digest = c.records.Digest()
-	})
-	reply, err := c.config.Peers.Beat(ctx, address, self, digest)
-	if err != nil {
-		return 0, false
-	}
-	return reply, true
-}
-
-// reconcile exchanges records with the node at the address where the digests differ.
-func (c *Controller) reconcile(ctx context.Context, address string, digest uint64) {
-	var versions map[string]membership.Version
-	c.config.Board.Do(ctx, func(*board.Board) {
-		if c.records.Digest() != digest {
-			versions = c.records.Versions()
-		}
-	})
-	if versions == nil {
-		return
-	}
-	answer, err := c.config.Peers.Exchange(ctx, address, versions, nil)
-	if err != nil {
-		return
-	}
-	var offered []membership.Record
-	c.config.Board.Do(ctx, func(b *board.Board) {
-		c.merge(b, answer.Newer...)
-		for _, key := range answer.Wanted {
-			if r, ok := c.records.Get(key); ok {
-				offered = append(offered, r)
-			}
-		}
-	})
-	if len(offered) > 0 {
-		_, _ = c.config.Peers.Exchange(ctx, address, nil, offered)
-	}
-}
-
 // merge takes records in and renews the sections of the board that they concern. It runs in the control goroutine.
 func (c *Controller) merge(b *board.Board, received ...membership.Record) {
 	changed := c.records.Merge(received...)
-	if len(changed) == 0 {
-		return
+	if len(changed) > 0 {
+		c.publish(b, changed)
 	}
-	c.publish(b, changed)
-}
-
-// Offer takes in records that were made here, such as a document just written to the platform, and spreads them.
-func (c *Controller) Offer(ctx context.Context, records ...membership.Record) {
-	c.config.Board.Do(ctx, func(b *board.Board) { c.merge(b, records...) })
 }
 
-// elect reads who leads, or takes the lead where nobody does.
-func (c *Controller) elect(ctx context.Context) {
-	self := c.config.Board.Snapshot().Self
-	entry, err := c.config.Platform.Get(ctx, leaderPrefix+self.Zone)
-	if err == nil {
-		c.setLeader(ctx, entry)
-		return
+// offer takes in records that were made here, and marks them to be sent with the next heartbeat.
+func (c *Controller) offer(b *board.Board, records ...membership.Record) {
+	c.merge(b, records...)
+	for _, l := range c.links {
+		l.offer(records)
 	}
-	if !errors.Is(err, platform.ErrNotFound) {
-		c.platformState(ctx, false)
-		return
-	}
-	c.platformState(ctx, true)
-	c.takeLead(ctx, self)
-}
-
-func (c *Controller) takeLead(ctx context.Context, self board.Self) {
-	lease, err := c.config.Platform.GrantLease(ctx, c.config.Timing.LeaseTTL)
-	if err != nil {
-		return
-	}
-	value, err := json.Marshal(leaderValue{Node: self.Node, PeerAddress: self.PeerAddress})
-	if err != nil {
-		return
-	}
-	entry, err := c.config.Platform.CompareAndSwap(ctx, platform.Swap{Key: leaderPrefix + self.Zone, Value: value, Lease: lease.ID})
-	if err != nil {
-		return
-	}
-	c.lease = lease
-	c.renewed = time.Now()
-	c.zoneEntry = platform.Entry{}
-	c.published = 0
-	c.setLeader(ctx, entry)
-	c.config.Log.Emit(events.LeaderElected, events.Fields{"zone": self.Zone})
-}
-
-// leaderValue is what a leader writes under its lease.
-type leaderValue struct {
-	Node        string `json:"node"`
-	PeerAddress string `json:"peer_address"`
 }
 
-func (c *Controller) setLeader(ctx context.Context, entry platform.Entry) {
-	var v leaderValue
-	if json.Unmarshal(entry.Value, &v) != nil {
-		return
-	}
-	c.config.Board.Do(ctx, func(b *board.Board) {
-		isSelf := v.Node == b.Self.Node && c.lease.ID != ""
-		b.Leader = board.Leader{Node: v.Node, PeerAddress: v.PeerAddress, IsSelf: isSelf}
-	})
+// Offer takes in records that were made here, such as a document just written to the platform, and spreads them.
+func (c *Controller) Offer(ctx context.Context, records ...membership.Record) {
+	c.config.Board.Do(ctx, func(b *board.Board) { c.offer(b, records...) })
+	c.wake()
 }
 
-func (c *Controller) platformState(ctx context.Context, reachable bool) {
-	if c.config.Board.Snapshot().Platform.Reachable == reachable {
-		return
+// wake makes the next heartbeat due.
+func (c *Controller) wake() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
 	}
-	number := events.PlatformLost
-	if reachable {
-		number = events.PlatformBack
-	}
-	c.config.Log.Emit(number, nil)
-	c.config.Board.Post(ctx, func(b *board.Board) {
-		b.Platform = board.Platform{Reachable: reachable, Since: time.Now()}
-	})
 }
--- /dev/null
+++ b/internal/control/zone/elect.go
@@ -0,0 +1,152 @@
+package zone
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+)
+
+// leaderValue is what a leader writes under its lease.
+type leaderValue struct {
+	Node        string `json:"node"`
+	PeerAddress string `json:"peer_address"`
+	// Incarnation tells the node's processes apart.
+	Incarnation uint64 `json:"incarnation"`
+	// Term grows with each leader of the zone, also when the platform goes back to older content.
+	Term uint64 `json:"term"`
+}
+
+func parseLeader(value []byte) leaderValue {
+	var v leaderValue
+	_ = json.Unmarshal(value, &v) // A value that can't be read names nobody.
+	return v
+}
+
+func decodeLeader(e platform.Entry) []membership.Record {
+	v := parseLeader(e.Value)
+	return []membership.Record{{Key: e.Key, Version: membership.Version{Epoch: v.Term}, Value: e.Value}}
+}
+
+// readLeader reads who leads, and takes the lead where nobody does.
+func (c *Controller) readLeader(ctx context.Context) {
+	self := c.config.Board.Snapshot().Self
+	entry, err := c.config.Platform.Get(ctx, leaderPrefix+self.Zone)
+	c.answered(ctx, err)
+	named := parseLeader(entry.Value)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		c.takeLead(ctx, self, platform.Entry{})
+	case err != nil:
+		return
+	case named.Node == self.Node:
+		c.takeLead(ctx, self, entry) // An earlier process of this node, or a lease that this one lost track of.
+	default:
+		c.config.Board.Do(ctx, func(*board.Board) {
+			c.election.PlatformNames(membership.Target{Node: named.Node, Address: named.PeerAddress})
+		})
+	}
+}
+
+// takeLead writes the node into the place of the entry, under a lease of its own.
+func (c *Controller) takeLead(ctx context.Context, self board.Self, entry platform.Entry) {
+	stored, err := c.config.Platform.Get(ctx, zonePrefix+self.Zone)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return
+	}
+	asked := time.Now()
+	lease, err := c.config.Platform.GrantLease(ctx, c.config.Timing.LeaseTTL)
+	if err != nil {
+		return
+	}
+	value := leaderValue{Node: self.Node, PeerAddress: self.PeerAddress, Incarnation: c.log, Term: c.nextTerm(ctx, stored)}
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return
+	}
+	swap := platform.Swap{Key: entryKey(self), Value: encoded, Expected: entry.Revision, Lease: lease.ID}
+	written, err := c.config.Platform.CompareAndSwap(ctx, swap)
+	if err != nil {
+		return // Another was first, or the answer was lost; then the lease lapses or the next read finds this node.
+	}
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		c.election.Granted(membership.Lease{Term: value.Term, Until: asked.Add(c.config.Timing.LeaseTTL)})
+		c.lead.begin(lease, asked, encoded, stored.Revision)
+		c.presumePredecessor(b)
+		c.offer(b, decodeLeader(written)...)
+	})
+	c.wake()
+}
+
+func entryKey(self board.Self) string {
+	return leaderPrefix + self.Zone
+}
+
+// nextTerm returns a term above all that the zone has seen.
+func (c *Controller) nextTerm(ctx context.Context, stored platform.Entry) uint64 {
+	var v zoneValue
+	_ = json.Unmarshal(stored.Value, &v) // Without a value the zone begins anew.
+	term := v.Term
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		held, _ := c.records.Get(entryKey(b.Self))
+		term = max(term, held.Version.Epoch, c.election.Term())
+	})
+	return term + 1
+}
+
+// presumePredecessor calls the leader before this one down where it gave no answer while its lease lapsed.
+func (c *Controller) presumePredecessor(b *board.Board) {
+	c.detector.Reset()
+	held, found := c.records.Get(entryKey(b.Self))
+	predecessor := parseLeader(held.Value).Node
+	if found && predecessor != b.Self.Node && c.election.IsSilent(predecessor) {
+		c.detector.Presume(predecessor, time.Now())
+	}
+}
+
+// renewLease keeps the lease. What was asked for before a pause counts from then.
+func (c *Controller) renewLease(ctx context.Context) {
+	asked := time.Now()
+	var lease platform.Lease
+	c.config.Board.Do(ctx, func(*board.Board) { lease = c.lead.lease })
+	err := c.config.Platform.RenewLease(ctx, lease)
+	c.answered(ctx, err)
+	c.config.Board.Do(ctx, func(*board.Board) {
+		switch {
+		case lease.ID != c.lead.lease.ID:
+		case err == nil:
+			c.lead.renewed = asked
+			c.election.Renewed(asked.Add(c.config.Timing.LeaseTTL))
+		case errors.Is(err, platform.ErrNotFound):
+			c.election.Lost()
+		}
+	})
+}
+
+// answered notes whether the platform answered.
+func (c *Controller) answered(ctx context.Context, err error) {
+	reachable := err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrCompareFailed)
+	if ctx.Err() != nil {
+		return
+	}
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		c.counts.PlatformCalls++
+		if !reachable {
+			c.election.PlatformAway()
+		}
+		if b.Platform.Reachable == reachable && !b.Platform.Since.IsZero() {
+			return
+		}
+		number := events.PlatformLost
+		if reachable {
+			number = events.PlatformBack
+		}
+		c.config.Log.Emit(number, nil)
+		b.Platform = board.Platform{Reachable: reachable, Since: time.Now()}
+	})
+}
--- /dev/null
+++ b/internal/control/zone/follow.go
@@ -0,0 +1,196 @@
+package zone
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+)
+
+const (
+	// mismatchesToRepair is how many heartbeats in a row show another digest before buckets are compared.
+	mismatchesToRepair = 3
+	// repairEvery is the least time between two comparisons with one node.
+	repairEvery = 3 * time.Second
+	// linkIdle is the time after which what is known of another node's log is forgotten.
+	linkIdle = time.Minute
+)
+
+// link is what a node knows of another one that it sends heartbeats to.
+type link struct {
+	log  uint64
+	seen uint64
+	// pending are the keys of records that were made here and that the other node may lack.
+	pending    map[string]bool
+	mismatches int
+	repaired   time.Time
+	used       time.Time
+}
+
+func (l *link) offer(records []membership.Record) {
+	for _, r := range records {
+		l.pending[r.Key] = true
+	}
+}
+
+// link returns the link to the address and forgets those that were not used for long.
+func (c *Controller) link(address string, now time.Time) *link {
+	l, ok := c.links[address]
+	if !ok {
+		for other, held := range c.links {
+			if now.Sub(held.used) > linkIdle {
+				delete(c.links, other)
+			}
+		}
+		l = &link{pending: map[string]bool{membership.MemberPrefix + c.own.Node: true}}
+		c.links[address] = l
+	}
+	l.used = now
+	return l
+}
+
+// beat sends a heartbeat to a node of the same zone and tells the election of the answer.
+func (c *Controller) beat(ctx context.Context, t membership.Target) {
+	answer, err := c.synchronize(ctx, t.Address)
+	if ctx.Err() != nil {
+		return
+	}
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		now := time.Now()
+		if err != nil {
+			c.election.Failed(now, t)
+			return
+		}
+		c.election.Answered(now, t, answer.Answer)
+		c.publishLeader(b, now)
+	})
+}
+
+// synchronize exchanges heartbeats with the node at the address until both have the other's changes.
+func (c *Controller) synchronize(ctx context.Context, address string) (BeatAnswer, error) {
+	for {
+		request := c.beatRequest(ctx, address)
+		answer, err := c.config.Peers.Beat(ctx, address, request)
+		if err != nil {
+			return answer, err
+		}
+		if c.takeAnswer(ctx, address, request, answer) {
+			c.repair(ctx, address)
+		}
+		if !answer.More {
+			return answer, nil
+		}
+	}
+}
+
+func (c *Controller) beatRequest(ctx context.Context, address string) Beat {
+	var request Beat
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		c.counts.BeatsSent++
+		l := c.link(address, time.Now())
+		request.Log, request.Seen = l.log, l.seen
+		for key := range l.pending {
+			if r, ok := c.records.Get(key); ok {
+				request.Changed = append(request.Changed, r)
+			}
+		}
+		if c.role == membership.Leading {
+			request.Leased, request.Address = true, b.Self.PeerAddress
+		}
+	})
+	return request
+}
+
+// takeAnswer takes the changes in and reports whether buckets should be compared.
+func (c *Controller) takeAnswer(ctx context.Context, address string, request Beat, answer BeatAnswer) bool {
+	repair := false
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		now := time.Now()
+		l := c.link(address, now)
+		c.acknowledge(l, request.Changed)
+		c.merge(b, answer.Newer...)
+		if answer.More {
+			l.seen = answer.Next
+			return
+		}
+		if c.records.Digest() == answer.Digest {
+			l.mismatches = 0
+		} else {
+			l.mismatches++
+		}
+		unknownLog := l.log != answer.Log && l.mismatches > 0
+		l.log, l.seen = answer.Log, answer.Next
+		if unknownLog || (l.mismatches >= mismatchesToRepair && now.Sub(l.repaired) > repairEvery) {
+			repair = true
+			l.repaired = now
+			c.counts.Repairs++
+		}
+	})
+	return repair
+}
+
+// acknowledge drops the records that were sent from those to be sent, unless they have changed since.
+func (c *Controller) acknowledge(l *link, sent []membership.Record) {
+	for _, r := range sent {
+		held, _ := c.records.Get(r.Key)
+		if held.Version.Compare(r.Version) == 0 {
+			delete(l.pending, r.Key)
+		}
+	}
+}
+
+// repair compares buckets with the node at the address and moves the records in which the two differ.
+func (c *Controller) repair(ctx context.Context, address string) {
+	var digests []uint64
+	c.config.Board.Do(ctx, func(*board.Board) { digests = c.records.Digests() })
+	versions, theirs, err := c.config.Peers.Compare(ctx, address, digests)
+	if err != nil {
+		return
+	}
+	var wanted []string
+	var offered []membership.Record
+	c.config.Board.Do(ctx, func(*board.Board) {
+		wanted = c.records.Wanted(versions)
+		offered = c.records.Newer(theirs, versions)
+	})
+	for len(wanted)+len(offered) > 0 {
+		part, rest := split(offered)
+		newer, err := c.config.Peers.Exchange(ctx, address, wanted, part)
+		if err != nil || (len(newer) == 0 && len(part) == 0) {
+			return
+		}
+		offered = rest
+		c.config.Board.Do(ctx, func(b *board.Board) {
+			c.merge(b, newer...)
+			wanted = c.records.Wanted(pick(versions, wanted))
+		})
+	}
+}
+
+// split returns as many records as fit in a message, and the others.
+func split(records []membership.Record) (part, rest []membership.Record) {
+	room := maxRecordBytes
+	for i, r := range records {
+		room -= len(r.Value)
+		if i > 0 && room < 0 {
+			return records[:i], records[i:]
+		}
+	}
+	return records, nil
+}
+
+func pick(versions map[string]membership.Version, keys []string) map[string]membership.Version {
+	picked := make(map[string]membership.Version, len(keys))
+	for _, key := range keys {
+		picked[key] = versions[key]
+	}
+	return picked
+}
+
+// askSeeds joins through the configured addresses where no other node is known.
+func (c *Controller) askSeeds(ctx context.Context) {
+	for _, address := range c.config.Seeds {
+		c.tasks.start("beat "+address, func() { _, _ = c.synchronize(ctx, address) })
+	}
+}
--- a/internal/control/zone/leader.go
+++ b/internal/control/zone/leader.go
@@ -12,93 +12,259 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 )
 
-// lead does the duties of a leader once.
-func (c *Controller) lead(ctx context.Context) {
-	if !c.watching {
-		c.startWatching(ctx)
+// leadership is what a leader keeps for its duties. It belongs to the control goroutine.
+type leadership struct {
+	lease   platform.Lease
+	renewed time.Time
+	// value is what the leader wrote under the lease.
+	value []byte
+	// zoneRevision is that of the zone's entry, and published the digest of the members in it.
+	zoneRevision uint64
+	published    uint64
+	// stopWatch ends the watch of this term.
+	stopWatch context.CancelFunc
+	// lapsed holds the other zones without a leader at the platform, and since when.
+	lapsed map[string]time.Time
+	// targets has where each other zone was reached last, and tries how often it was not since.
+	targets map[string]membership.Target
+	tries   map[string]int
+	met     time.Time
+}
+
+func newLeadership() leadership {
+	return leadership{
+		lapsed:  map[string]time.Time{},
+		targets: map[string]membership.Target{},
+		tries:   map[string]int{},
 	}
-	c.renewLease(ctx)
-	c.markDown(ctx)
-	c.writeZone(ctx)
 }
 
-func (c *Controller) renewLease(ctx context.Context) {
-	if time.Since(c.renewed) < c.config.Timing.LeaseTTL/3 {
+// begin takes over under a new lease.
+func (l *leadership) begin(lease platform.Lease, asked time.Time, value []byte, zoneRevision uint64) {
+	l.end()
+	l.lease, l.renewed, l.value, l.zoneRevision, l.published = lease, asked, value, zoneRevision, 0
+	clear(l.lapsed)
+}
+
+func (l *leadership) end() {
+	if l.stopWatch != nil {
+		l.stopWatch()
+		l.stopWatch = nil
+	}
+}
+
+// leadZone does what the role asks for.
+func (c *Controller) leadZone(ctx context.Context, role membership.Role) {
+	if role == membership.Following {
+		c.config.Board.Do(ctx, func(*board.Board) { c.lead.end() })
 		return
 	}
-	err := c.config.Platform.RenewLease(ctx, c.lease)
-	switch {
-	case err == nil:
-		c.renewed = time.Now()
-		c.platformState(ctx, true)
-	case errors.Is(err, platform.ErrNotFound):
-		c.resign(ctx)
-	default:
-		c.platformState(ctx, false)
+	c.markDown(ctx)
+	c.meetZones(ctx)
+	if role == membership.Leading {
+		c.leadAtPlatform(ctx)
 	}
 }
 
-func (c *Controller) resign(ctx context.Context) {
-	c.lease = platform.Lease{}
-	c.stopWatching()
-	c.config.Log.Emit(events.LeaderLost, nil)
-	c.config.Board.Do(ctx, func(b *board.Board) { b.Leader = board.Leader{} })
+func (c *Controller) leadAtPlatform(ctx context.Context) {
+	c.startWatching(ctx)
+	var renewed time.Time
+	c.config.Board.Do(ctx, func(*board.Board) { renewed = c.lead.renewed })
+	if time.Since(renewed) >= c.config.Timing.LeaseTTL/3 {
+		c.tasks.start("renew lease", func() { c.renewLease(ctx) })
+	}
+	c.tasks.start("write zone", func() { c.writeZone(ctx) })
 }
 
-// markDown marks the members of the zone that missed their heartbeats.
+// markDown marks the members that are silent and answer no heartbeat either.
 func (c *Controller) markDown(ctx context.Context) {
-	now := time.Now()
+	var doubtful []membership.Target
 	c.config.Board.Do(ctx, func(b *board.Board) {
+		now := time.Now()
 		for _, m := range b.Members.ByNode {
-			if m.Zone != b.Self.Zone || m.Node == b.Self.Node || !c.detector.IsDown(m.Node, now) {
+			if !c.judges(b, m, now) {
 				continue
 			}
-			held, _ := c.records.Get(membership.MemberPrefix + m.Node)
-			m.State = membership.Down
-			c.config.Log.Emit(events.MemberDown, events.Fields{"member": m.Node})
-			c.merge(b, m.Record(membership.Version{Epoch: held.Version.Epoch, Sequence: held.Version.Sequence + 1}))
+			if c.detector.IsDown(m.Node, now) {
+				c.markMember(b, m)
+			} else if c.detector.IsSilent(m.Node, now) {
+				doubtful = append(doubtful, membership.Target{Node: m.Node, Address: m.PeerAddress})
+			}
+		}
+	})
+	for _, t := range doubtful {
+		c.tasks.start("probe "+t.Address, func() { c.probe(ctx, t) })
+	}
+}
+
+// judges reports whether it is this leader's part to say that the member is down.
+func (c *Controller) judges(b *board.Board, m membership.Member, now time.Time) bool {
+	if m.Node == b.Self.Node {
+		return false
+	}
+	return m.Zone == b.Self.Zone || (c.role == membership.Leading && c.judgesZone(b, m.Zone, now))
+}
+
+// judgesZone reports whether the other zone has lost its leader, and this one is the first of those that have one.
+func (c *Controller) judgesZone(b *board.Board, zone string, now time.Time) bool {
+	since, lapsed := c.lead.lapsed[zone]
+	if !lapsed || now.Sub(since) < c.config.Timing.DownAfter {
+		return false
+	}
+	for _, m := range b.Members.ByNode {
+		if _, lapsed := c.lead.lapsed[m.Zone]; !lapsed && m.Zone < b.Self.Zone {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Controller) markMember(b *board.Board, m membership.Member) {
+	held, _ := c.records.Get(membership.MemberPrefix + m.Node)
+	c.config.Log.Emit(events.MemberDown, events.Fields{"member": m.Node, "zone": m.Zone})
+	c.offer(b, m.MarkedDown(held.Version))
+}
+
+// probe sends a heartbeat to a silent member, which may be alive and follow somebody else.
+func (c *Controller) probe(ctx context.Context, t membership.Target) {
+	if _, err := c.synchronize(ctx, t.Address); err != nil {
+		return
+	}
+	c.config.Board.Do(ctx, func(*board.Board) { c.detector.Heard(t.Node, time.Now()) })
+}
+
+// meetZones sends a heartbeat to the leader of each other zone.
+func (c *Controller) meetZones(ctx context.Context) {
+	targets := map[string]membership.Target{}
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		if time.Since(c.lead.met) < c.config.Timing.ZoneBeat {
+			return
+		}
+		c.lead.met = time.Now()
+		for _, m := range b.Members.ByNode {
+			if m.Zone != b.Self.Zone {
+				targets[m.Zone] = c.zoneTarget(b, m.Zone)
+			}
+		}
+	})
+	for zone, t := range targets {
+		c.tasks.start("zone "+zone, func() { c.meetZone(ctx, zone, t) })
+	}
+}
+
+// zoneTarget returns where to reach the zone: where it was reached last, the leader that its record names, or after
+// failures one member after the other.
+func (c *Controller) zoneTarget(b *board.Board, zone string) membership.Target {
+	tries := c.lead.tries[zone]
+	if t, known := c.lead.targets[zone]; known && tries == 0 {
+		return t
+	}
+	if r, found := c.records.Get(leaderPrefix + zone); found && tries%2 == 0 {
+		v := parseLeader(r.Value)
+		return membership.Target{Node: v.Node, Address: v.PeerAddress}
+	}
+	members := b.Members.SortedInZone(zone)
+	m := members[tries/2%len(members)]
+	return membership.Target{Node: m.Node, Address: m.PeerAddress}
+}
+
+func (c *Controller) meetZone(ctx context.Context, zone string, t membership.Target) {
+	answer, err := c.synchronize(ctx, t.Address)
+	c.config.Board.Do(ctx, func(*board.Board) {
+		if err != nil {
+			c.lead.tries[zone]++
+			return
+		}
+		c.lead.tries[zone] = 0
+		c.lead.targets[zone] = t
+		if !answer.Leads && answer.Leader.Node != "" {
+			c.lead.targets[zone] = answer.Leader
 		}
 	})
 }
 
 // zoneValue is the batch of a zone's member records in the platform.
 type zoneValue struct {
+	// Term is that of the leader that wrote the batch.
+	Term    uint64              `json:"term"`
 	Records []membership.Record `json:"records"`
 }
 
-// writeZone writes the records of the zone's members in one batch where they changed.
+func decodeZone(e platform.Entry) []membership.Record {
+	var v zoneValue
+	if json.Unmarshal(e.Value, &v) != nil {
+		return nil
+	}
+	return v.Records
+}
+
+// writeZone writes the records of the zone's members in one batch where they changed. The expected revision is the
+// one that this leader saw last: a leader that was paused finds another there, and writes nothing.
 func (c *Controller) writeZone(ctx context.Context) {
 	var value zoneValue
 	var digest uint64
-	zone := ""
+	var swap platform.Swap
 	c.config.Board.Do(ctx, func(b *board.Board) {
-		zone = b.Self.Zone
-		digest = c.records.Digest()
-		if digest == c.published {
-			return
-		}
-		for _, r := range c.records.Prefix(membership.MemberPrefix) {
-			m, err := membership.ParseMember(r)
-			if err == nil && m.Zone == zone {
-				value.Records = append(value.Records, r)
-			}
+		value = zoneValue{Term: c.election.Term(), Records: c.zoneRecords(b.Self.Zone)}
+		digest = membership.DigestOf(value.Records)
+		swap = platform.Swap{Key: zonePrefix + b.Self.Zone, Expected: c.lead.zoneRevision}
+		if digest == c.lead.published || !c.election.Holds(time.Now()) {
+			value.Records = nil
 		}
 	})
 	if len(value.Records) == 0 {
 		return
 	}
-	encoded, err := json.Marshal(value)
+	var err error
+	if swap.Value, err = json.Marshal(value); err != nil {
+		return
+	}
+	entry, err := c.config.Platform.CompareAndSwap(ctx, swap)
+	c.answered(ctx, err)
 	if err != nil {
+		c.rereadZone(ctx, swap.Key, value.Term)
 		return
 	}
-	entry, err := c.config.Platform.CompareAndSwap(ctx, platform.Swap{Key: zonePrefix + zone, Value: encoded, Expected: c.zoneEntry.Revision})
-	if err == nil {
-		c.zoneEntry = entry
-		c.published = digest
+	c.config.Board.Do(ctx, func(*board.Board) {
+		c.lead.zoneRevision = entry.Revision
+		c.lead.published = digest
+	})
+}
+
+// rereadZone finds out why the zone's entry was not the expected one. Where a later leader wrote it, this one resigns.
+func (c *Controller) rereadZone(ctx context.Context, key string, term uint64) {
+	entry, err := c.config.Platform.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return
 	}
-	entry, err = c.config.Platform.Get(ctx, zonePrefix+zone)
-	if err == nil {
-		c.zoneEntry = entry
+	var stored zoneValue
+	_ = json.Unmarshal(entry.Value, &stored) // An absent or unreadable value has no term.
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		c.merge(b, stored.Records...)
+		c.lead.zoneRevision = entry.Revision
+		if stored.Term > term {
+			c.election.Lost()
+		}
+	})
+}
+
+// zoneRecords returns the records of the zone's members.
+func (c *Controller) zoneRecords(zone string) []membership.Record {
+	var records []membership.Record
+	for _, r := range c.records.Prefix(membership.MemberPrefix) {
+		m, err := membership.ParseMember(r)
+		if err == nil && m.Zone == zone {
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
--- a/internal/control/zone/publish.go
+++ b/internal/control/zone/publish.go
@@ -30,7 +30,13 @@
 	return found
 }
 
-func (c *Controller) publishMembers(b *board.Board, _ []membership.Record) {
+func (c *Controller) publishMembers(b *board.Board, changed []membership.Record) {
+	for _, r := range changed {
+		m, err := membership.ParseMember(r)
+		if err == nil && m.State != membership.Down {
+			c.detector.Heard(m.Node, time.Now()) // The member itself made the record.
+		}
+	}
 	members := board.Members{
 		ByNode:    map[string]membership.Member{},
 		ByService: map[string][]membership.Member{},
--- a/internal/control/zone/server.go
+++ b/internal/control/zone/server.go
@@ -5,9 +5,13 @@
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/zonepb"
 )
 
+// maxRecordBytes bounds the values of the records in one message, but for one record that alone is larger.
+const maxRecordBytes = 1 << 20
+
 // Server answers the control messages of other nodes.
 type Server struct {
 	zonepb.DRPCZoneUnimplementedServer
@@ -25,29 +29,73 @@
 	c := s.controller
 	reply := &zonepb.BeatReply{}
 	c.config.Board.Do(ctx, func(b *board.Board) {
-		c.detector.Heard(m.GetNode(), time.Now())
-		if m.GetSelf().GetKey() != "" {
-			c.merge(b, recordFrom(m.GetSelf()))
+		now := time.Now()
+		c.counts.BeatsReceived++
+		c.detector.Heard(m.GetNode(), now)
+		c.merge(b, recordsFrom(m.GetChanged())...)
+		if m.GetLeased() && m.GetZone() == b.Self.Zone {
+			c.election.Suggest(membership.Target{Node: m.GetNode(), Address: m.GetAddress()})
 		}
-		reply.Leader = b.Leader.Node
-		reply.LeaderAddress = b.Leader.PeerAddress
-		reply.Digest = c.records.Digest()
+		c.answerLeader(reply, now)
+		c.answerChanges(reply, m)
 	})
 	return reply, ctx.Err()
 }
 
-// Exchange compares versions and takes in what is offered.
+func (c *Controller) answerLeader(reply *zonepb.BeatReply, now time.Time) {
+	reply.Leads = c.role != membership.Following
+	reply.Leased = c.role == membership.Leading
+	followed, leads, leased := c.election.Followed(now)
+	if leads && !reply.Leads {
+		reply.Leader = followed.Node
+		reply.LeaderAddress = followed.Address
+		reply.Leased = leased
+	}
+}
+
+// answerChanges adds what the sender has not seen. One that has seen nothing of this log compares digests instead.
+func (c *Controller) answerChanges(reply *zonepb.BeatReply, m *zonepb.BeatRequest) {
+	reply.Log = c.log
+	reply.Digest = c.records.Digest()
+	reply.Next = c.records.Last()
+	if m.GetLog() != c.log {
+		return
+	}
+	newer, next := c.records.Since(m.GetSeen(), maxRecordBytes)
+	reply.Newer = recordMessages(newer)
+	reply.Next = next
+	reply.More = next < c.records.Last()
+}
+
+// Exchange compares digests, takes in what is offered and returns what is wanted.
 func (s *Server) Exchange(ctx context.Context, m *zonepb.ExchangeRequest) (*zonepb.ExchangeReply, error) {
 	c := s.controller
 	reply := &zonepb.ExchangeReply{}
 	c.config.Board.Do(ctx, func(b *board.Board) {
 		c.merge(b, recordsFrom(m.GetOffered())...)
-		if len(m.GetHave()) == 0 {
-			return
+		if len(m.GetDigests()) > 0 {
+			reply.Digests = c.records.Digests()
+			reply.Have = versionMessages(c.records.Versions(m.GetDigests()))
 		}
-		versions := versionsFrom(m.GetHave())
-		reply.Newer = recordMessages(c.records.Newer(versions))
-		reply.Wanted = c.records.Wanted(versions)
+		reply.Newer = recordMessages(c.fitting(m.GetWanted()))
 	})
 	return reply, ctx.Err()
 }
+
+// fitting returns the records under the keys, as many as fit in a message.
+func (c *Controller) fitting(keys []string) []membership.Record {
+	var records []membership.Record
+	room := maxRecordBytes
+	for _, key := range keys {
+		r, ok := c.records.Get(key)
+		if !ok {
+			continue
+		}
+		room -= len(r.Value)
+		if len(records) > 0 && room < 0 {
+			break
+		}
+		records = append(records, r)
+	}
+	return records
+}
--- a/internal/control/zone/watch.go
+++ b/internal/control/zone/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -18,17 +17,16 @@
 	relistEvery = 30 * time.Second
 )
 
+// startWatching watches the platform as long as this lease is held.
 func (c *Controller) startWatching(ctx context.Context) {
-	ctx, c.watchCancel = context.WithCancel(ctx)
-	c.watching = true
-	c.group.Go(func() { c.watch(ctx) })
-}
-
-func (c *Controller) stopWatching() {
-	if c.watching {
-		c.watchCancel()
-		c.watching = false
-	}
+	c.config.Board.Do(ctx, func(*board.Board) {
+		if c.lead.stopWatch != nil {
+			return
+		}
+		watching, stop := context.WithCancel(ctx)
+		c.lead.stopWatch = stop
+		c.tasks.start("watch "+c.lead.lease.ID, func() { c.watch(watching) })
+	})
 }
 
 // watch takes in all changes at the platform until the context ends.
@@ -41,6 +39,7 @@
 		}
 		whole := after == 0
 		changes, err := c.changes(ctx, after)
+		c.answered(ctx, err)
 		if err != nil {
 			sleep(ctx, watchRetry)
 			continue
@@ -56,6 +55,8 @@
 			sleep(ctx, watchRetry) // An empty store has no revision to wait on.
 		}
 		c.takeIn(ctx, changes.Entries)
+		c.takeLeaders(ctx, changes.Entries, whole)
+		c.keepLead(ctx, changes.Entries, whole)
 		if c.reinstate(ctx, changes.Entries, whole) != nil {
 			listed = time.Time{}
 			sleep(ctx, watchRetry)
@@ -79,6 +80,67 @@
 	c.config.Board.Do(ctx, func(b *board.Board) { c.merge(b, records...) })
 }
 
+// takeLeaders takes in which zones have a leader at the platform. Whole says that the entries are everything there.
+func (c *Controller) takeLeaders(ctx context.Context, entries []platform.Entry, whole bool) {
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		named := map[string]leaderValue{}
+		if whole {
+			for _, m := range b.Members.ByNode {
+				named[m.Zone] = leaderValue{}
+			}
+		}
+		for _, e := range entries {
+			zone, found := strings.CutPrefix(e.Key, leaderPrefix)
+			if found {
+				named[zone] = parseLeader(e.Value)
+			}
+		}
+		for zone, v := range named {
+			c.takeLeader(b, zone, v)
+		}
+	})
+}
+
+func (c *Controller) takeLeader(b *board.Board, zone string, v leaderValue) {
+	_, lapsed := c.lead.lapsed[zone]
+	switch {
+	case zone == b.Self.Zone:
+	case v.Node != "":
+		delete(c.lead.lapsed, zone)
+	case !lapsed:
+		c.lead.lapsed[zone] = time.Now()
+	}
+}
+
+// keepLead resigns where a later leader stands at the platform. Where the platform lost the entry of this one, as
+// after going back to older content, it is written again under the lease, which the platform checks.
+func (c *Controller) keepLead(ctx context.Context, entries []platform.Entry, whole bool) {
+	var swap platform.Swap
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		swap = platform.Swap{Key: entryKey(b.Self), Value: c.lead.value, Lease: c.lead.lease.ID}
+	})
+	named := leaderValue{}
+	found := whole
+	for _, e := range entries {
+		if e.Key != swap.Key {
+			continue
+		}
+		found = true
+		if !e.Deleted {
+			named, swap.Expected = parseLeader(e.Value), e.Revision
+		}
+	}
+	own := parseLeader(swap.Value)
+	switch {
+	case !found || named == own:
+	case named.Term > own.Term:
+		c.config.Board.Do(ctx, func(*board.Board) { c.election.Lost() })
+	default:
+		_, err := c.config.Platform.CompareAndSwap(ctx, swap)
+		c.answered(ctx, err) // A refusal means that the platform lagged or that the lease is over.
+	}
+}
+
 // decode returns the records that an entry of the platform stands for.
 func (c *Controller) decode(e platform.Entry) []membership.Record {
 	if e.Deleted {
@@ -91,24 +153,3 @@
 	}
 	return nil
 }
-
-func decodeZone(e platform.Entry) []membership.Record {
-	var v zoneValue
-	if json.Unmarshal(e.Value, &v) != nil {
-		return nil
-	}
-	return v.Records
-}
-
-func decodeLeader(e platform.Entry) []membership.Record {
-	return []membership.Record{{Key: e.Key, Version: membership.Version{Epoch: e.Revision}, Value: e.Value}}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -1,6 +1,9 @@
 package membership
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // MemberPrefix begins the key of each member's record.
 const MemberPrefix = "member/"
@@ -44,3 +47,24 @@
 	err := json.Unmarshal(r.Value, &m)
 	return m, err
 }
+
+// OwnSequence returns the sequence by which a member's own record follows the one held: an even number.
+func OwnSequence(held uint64) uint64 {
+	return (held | 1) + 1
+}
+
+// MarkedDown returns the record by which a leader marks the member down. Its sequence is odd, so that it never meets
+// the member's own record with the same version; the member's next record refutes it.
+func (m Member) MarkedDown(held Version) Record {
+	m.State = Down
+	return m.Record(Version{Epoch: held.Epoch, Sequence: held.Sequence | 1})
+}
+
+// beatsPerPeriod bounds the heartbeats that a leader takes in one period of a small zone.
+const beatsPerPeriod = 36
+
+// BeatPeriod returns the time between heartbeats in a zone of so many members. It grows with the zone, so that the
+// leader's work does not.
+func BeatPeriod(period time.Duration, members int) time.Duration {
+	return period * time.Duration(max(members, beatsPerPeriod)) / beatsPerPeriod
+}
--- a/internal/decide/membership/records.go
+++ b/internal/decide/membership/records.go
@@ -3,15 +3,19 @@
 //
 // # Usage
 //
-//	store := membership.NewRecords()
-//	changed := store.Merge(received)
-//	reply := store.Newer(versionsOfThePeer)
+//	records := membership.NewRecords()
+//	changed := records.Merge(received...)
+//	newer, next := records.Since(seen, maxBytes)
+//
+//	election := membership.NewElection(config)
+//	plan := election.Plan(now, members)
 //
 // The package does no I/O and reads no clock.
 package membership
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"strings"
 
@@ -43,23 +47,43 @@
 	h := xxhash.New()
 	_, _ = h.WriteString(r.Key)
 	var numbers [16]byte
-	for i := range 8 {
-		numbers[i] = byte(r.Version.Epoch >> (8 * i))
-		numbers[8+i] = byte(r.Version.Sequence >> (8 * i))
-	}
+	binary.LittleEndian.PutUint64(numbers[:8], r.Version.Epoch)
+	binary.LittleEndian.PutUint64(numbers[8:], r.Version.Sequence)
 	_, _ = h.Write(numbers[:])
 	return h.Sum64()
 }
 
-// Records holds the newest record under each key that a node has seen.
+// Buckets is the number of parts whose digests two nodes compare to find out where they differ.
+const Buckets = 64
+
+func bucketOf(key string) int {
+	return int(xxhash.Sum64String(key) % Buckets)
+}
+
+// Records holds the newest record under each key that a node has seen, and the order in which they came.
 type Records struct {
-	byKey  map[string]Record
-	digest uint64
+	byKey   map[string]numbered
+	digests [Buckets]uint64
+	// changes are in order; one is stale where the key has changed again.
+	changes []change
+	last    uint64
+}
+
+// numbered is a record with the number of the change that brought it.
+type numbered struct {
+	Record
+
+	number uint64
+}
+
+type change struct {
+	number uint64
+	key    string
 }
 
 // NewRecords returns an empty store.
 func NewRecords() *Records {
-	return &Records{byKey: map[string]Record{}}
+	return &Records{byKey: map[string]numbered{}}
 }
 
 // Merge takes the records that are newer than those held and returns them.
@@ -71,19 +95,38 @@
 			continue
 		}
 		if stands {
-			s.digest ^= held.hash()
+			s.digests[bucketOf(r.Key)] ^= held.hash()
 		}
-		s.digest ^= r.hash()
-		s.byKey[r.Key] = r
+		s.digests[bucketOf(r.Key)] ^= r.hash()
+		s.last++
+		s.byKey[r.Key] = numbered{Record: r, number: s.last}
+		s.changes = append(s.changes, change{number: s.last, key: r.Key})
 		changed = append(changed, r)
 	}
+	s.compact()
 	return changed
 }
 
+// leastChanges are kept without a look for stale ones.
+const leastChanges = 64
+
+// compact drops the stale changes once they outnumber the others.
+func (s *Records) compact() {
+	if len(s.changes) < leastChanges+2*len(s.byKey) {
+		return
+	}
+	s.changes = slices.DeleteFunc(s.changes, func(c change) bool { return s.byKey[c.key].number != c.number })
+}
+
 // Get returns the record under the key.
 func (s *Records) Get(key string) (Record, bool) {
 	r, ok := s.byKey[key]
-	return r, ok
+	return r.Record, ok
+}
+
+// Len returns the number of records.
+func (s *Records) Len() int {
+	return len(s.byKey)
 }
 
 // Prefix returns the records whose keys begin with the prefix, by key.
@@ -91,34 +134,80 @@
 	var found []Record
 	for key, r := range s.byKey {
 		if strings.HasPrefix(key, prefix) {
-			found = append(found, r)
+			found = append(found, r.Record)
 		}
 	}
 	slices.SortFunc(found, func(a, b Record) int { return cmp.Compare(a.Key, b.Key) })
 	return found
 }
 
+// Last returns the number of the newest change.
+func (s *Records) Last() uint64 {
+	return s.last
+}
+
+// Since returns the records that came after the change of the given number, in order, up to so many bytes of values
+// but at least one, and the number to go on from.
+func (s *Records) Since(after uint64, bytes int) (newer []Record, next uint64) {
+	start, _ := slices.BinarySearchFunc(s.changes, after+1, func(c change, n uint64) int { return cmp.Compare(c.number, n) })
+	for _, c := range s.changes[start:] {
+		r := s.byKey[c.key]
+		if r.number != c.number {
+			continue
+		}
+		bytes -= len(r.Value)
+		if len(newer) > 0 && bytes < 0 {
+			return newer, after
+		}
+		newer = append(newer, r.Record)
+		after = c.number
+	}
+	return newer, s.last
+}
+
 // Digest sums up all keys and versions: two stores with one digest hold the same.
 func (s *Records) Digest() uint64 {
-	return s.digest
+	var sum uint64
+	for _, d := range s.digests {
+		sum ^= d
+	}
+	return sum
+}
+
+// DigestOf sums up the keys and versions of the records.
+func DigestOf(records []Record) uint64 {
+	var sum uint64
+	for _, r := range records {
+		sum ^= r.hash()
+	}
+	return sum
 }
 
-// Versions returns the version of each record.
-func (s *Records) Versions() map[string]Version {
-	versions := make(map[string]Version, len(s.byKey))
+// Digests returns the digest of each bucket.
+func (s *Records) Digests() []uint64 {
+	return slices.Clone(s.digests[:])
+}
+
+// Versions returns the version of each record in the buckets whose digests are not the given ones.
+func (s *Records) Versions(digests []uint64) map[string]Version {
+	versions := map[string]Version{}
 	for key, r := range s.byKey {
-		versions[key] = r.Version
+		bucket := bucketOf(key)
+		if bucket >= len(digests) || digests[bucket] != s.digests[bucket] {
+			versions[key] = r.Version
+		}
 	}
 	return versions
 }
 
-// Newer returns the records that a peer with the versions lacks.
-func (s *Records) Newer(versions map[string]Version) []Record {
+// Newer returns the records, in the buckets whose digests are not the given ones, that a peer with the versions lacks.
+func (s *Records) Newer(digests []uint64, versions map[string]Version) []Record {
 	var newer []Record
-	for key, r := range s.byKey {
+	for key := range s.Versions(digests) {
+		r := s.byKey[key]
 		held, stands := versions[key]
 		if !stands || held.Compare(r.Version) < 0 {
-			newer = append(newer, r)
+			newer = append(newer, r.Record)
 		}
 	}
 	return newer
--- a/internal/lab/store/store.go
+++ b/internal/lab/store/store.go
@@ -103,11 +103,16 @@
 	return s.content(time.Now())
 }
 
-// Restore puts older content back, as a platform does that was restored from a copy. Leases live on.
+// Restore puts older content back, as a platform does that was restored from a copy. Leases live on, and keys under
+// leases that are over stay away.
 func (s *Store) Restore(c Content) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries, s.deleted, s.revision = maps.Clone(c.entries), maps.Clone(c.deleted), c.revision
+	maps.DeleteFunc(s.entries, func(_ string, found stored) bool {
+		_, alive := s.leases[found.lease]
+		return found.lease != "" && !alive
+	})
 	s.wake()
 }
 
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -16,6 +16,8 @@
 	gateTick = 10 * time.Millisecond
 	// controlTimeout bounds one control message.
 	controlTimeout = time.Second
+	// beatTimeout bounds one heartbeat.
+	beatTimeout = 500 * time.Millisecond
 	// drainSettle is how long a leaving node waits for others to learn of it.
 	drainSettle = time.Second
 	// drainTimeout bounds the wait for requests in flight.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -41,18 +41,20 @@
 
 // Node is one node.
 type Node struct {
-	config     Config
-	loop       *board.Loop
-	gate       *backend.Gate
-	client     *backend.Client
-	pool       *peer.Pool
-	receiver   *flow.Receiver
-	sender     *flow.Sender
-	controller *zone.Controller
-	platform   *platform.Client
-	chains     *call.Chains
-	listeners  listeners
-	stop       context.CancelFunc
+	config Config
+	loop   *board.Loop
+	gate   *backend.Gate
+	client *backend.Client
+	pool   *peer.Pool
+	// controlPool is apart, so that a flood of requests takes no connection from the control plane.
+	controlPool *peer.Pool
+	receiver    *flow.Receiver
+	sender      *flow.Sender
+	controller  *zone.Controller
+	platform    *platform.Client
+	chains      *call.Chains
+	listeners   listeners
+	stop        context.CancelFunc
 }
 
 // New builds a node without starting it.
@@ -69,6 +71,7 @@
 	n.gate = backend.NewGate(gateConfig(s))
 	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody}, n.chains)
 	n.pool = peer.NewPool(poolConfig(s))
+	n.controlPool = peer.NewPool(poolConfig(s))
 	n.receiver = flow.NewReceiver(flow.ReceiverConfig{Board: n.loop, Gate: n.gate, Backend: n.client})
 	n.sender = flow.NewSender(flow.SenderConfig{
 		Board:    n.loop,
@@ -79,9 +82,16 @@
 	})
 	n.platform = platform.NewClient(platformConfig(s))
 	n.controller = zone.NewController(zone.Config{
-		Board:       n.loop,
-		Platform:    n.platform,
-		Peers:       zone.NewClient(n.pool, s.Node.Name, s.Node.Zone, controlTimeout),
+		Board:    n.loop,
+		Platform: n.platform,
+		Peers: zone.NewClient(zone.ClientConfig{
+			Pool:        n.controlPool,
+			Node:        s.Node.Name,
+			Zone:        s.Node.Zone,
+			BeatTimeout: beatTimeout,
+			Timeout:     controlTimeout,
+		}),
+		Seeds:       s.Peer.SeedList(),
 		Log:         config.Log,
 		Timing:      zone.DefaultTiming,
 		Incarnation: uint64(time.Now().UnixNano()),
@@ -108,6 +118,7 @@
 	stop()
 	n.listeners.close()
 	n.pool.Close()
+	n.controlPool.Close()
 	group.Wait()
 	config.Log.Emit(events.NodeStopped, nil)
 	return nil
