Membership: a failed probe marks a silent member down, and the dead are sought and later forgotten

Cause: a member that was killed was marked only after the whole silence; a node that started again in a cut-off zone knew nobody; and records of members that are gone stayed for good. Tests of the elections by explicit times.

--- a/internal/control/zone/client.go
+++ b/internal/control/zone/client.go
@@ -38,7 +38,8 @@
 	// Log and Seen say which of the other node's changes are known.
 	Log  uint64
 	Seen uint64
-	// Leased says that the sender leads its zone under a lease; Address is then its own.
+	// Leads says that the sender leads its zone, and Leased that it does so under a lease; Address is then its own.
+	Leads   bool
 	Leased  bool
 	Address string
 }
@@ -63,6 +64,7 @@
 		Changed: recordMessages(b.Changed),
 		Log:     b.Log,
 		Seen:    b.Seen,
+		Leads:   b.Leads,
 		Leased:  b.Leased,
 		Address: b.Address,
 	}
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -18,6 +18,8 @@
 import (
 	"context"
 	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
@@ -87,6 +89,8 @@
 	askAgain = 2 * time.Second
 	// candidates is how many nodes of a zone without a leader read the platform.
 	candidates = 3
+	// forgetEvery is the time between looks for records to drop.
+	forgetEvery = time.Minute
 )
 
 // Counts are what the controller sent and took, for metrics.
@@ -117,6 +121,7 @@
 	ownRenewed  time.Time
 	links       map[string]*link
 	lead        leadership
+	forgot      time.Time
 	counts      Counts
 }
 
@@ -175,6 +180,7 @@
 func (c *Controller) tick(ctx context.Context) {
 	var plan membership.Plan
 	c.config.Board.Do(ctx, func(b *board.Board) {
+		c.forget(time.Now())
 		c.refreshSelf(b)
 		plan = c.plan(b)
 	})
@@ -291,12 +297,35 @@
 
 // merge takes records in and renews the sections of the board that they concern. It runs in the control goroutine.
 func (c *Controller) merge(b *board.Board, received ...membership.Record) {
+	now := time.Now()
+	received = slices.DeleteFunc(received, func(r membership.Record) bool { return isForgotten(r, now) })
 	changed := c.records.Merge(received...)
 	if len(changed) > 0 {
 		c.publish(b, changed)
 	}
 }
 
+func isForgotten(r membership.Record, now time.Time) bool {
+	if !strings.HasPrefix(r.Key, membership.MemberPrefix) {
+		return false
+	}
+	m, err := membership.ParseMember(r)
+	return err != nil || m.IsForgotten(now)
+}
+
+// forget drops the records of members that have been down for long. It runs in the control goroutine.
+func (c *Controller) forget(now time.Time) {
+	if now.Sub(c.forgot) < forgetEvery {
+		return
+	}
+	c.forgot = now
+	for _, r := range c.records.Prefix(membership.MemberPrefix) {
+		if isForgotten(r, now) {
+			c.records.Drop(r.Key)
+		}
+	}
+}
+
 // offer takes in records that were made here, and marks them to be sent with the next heartbeat.
 func (c *Controller) offer(b *board.Board, records ...membership.Record) {
 	c.merge(b, records...)
--- a/internal/control/zone/follow.go
+++ b/internal/control/zone/follow.go
@@ -95,8 +95,9 @@
 				request.Changed = append(request.Changed, r)
 			}
 		}
-		if c.role == membership.Leading {
-			request.Leased, request.Address = true, b.Self.PeerAddress
+		if c.role != membership.Following {
+			request.Leads, request.Address = true, b.Self.PeerAddress
+			request.Leased = c.role == membership.Leading
 		}
 	})
 	return request
--- a/internal/control/zone/leader.go
+++ b/internal/control/zone/leader.go
@@ -29,6 +29,8 @@
 	targets map[string]membership.Target
 	tries   map[string]int
 	met     time.Time
+	// sought is when the members that are down were looked for.
+	sought time.Time
 }
 
 func newLeadership() leadership {
@@ -60,6 +62,7 @@
 		return
 	}
 	c.markDown(ctx)
+	c.seekDown(ctx)
 	c.meetZones(ctx)
 	if role == membership.Leading {
 		c.leadAtPlatform(ctx)
@@ -122,15 +125,45 @@
 func (c *Controller) markMember(b *board.Board, m membership.Member) {
 	held, _ := c.records.Get(membership.MemberPrefix + m.Node)
 	c.config.Log.Emit(events.MemberDown, events.Fields{"member": m.Node, "zone": m.Zone})
-	c.offer(b, m.MarkedDown(held.Version))
+	c.offer(b, m.MarkedDown(held.Version, time.Now()))
 }
 
-// probe sends a heartbeat to a silent member, which may be alive and follow somebody else.
+// probe sends a heartbeat to a silent member, which may be alive and follow somebody else. One that does not answer
+// either is down.
 func (c *Controller) probe(ctx context.Context, t membership.Target) {
-	if _, err := c.synchronize(ctx, t.Address); err != nil {
+	_, err := c.synchronize(ctx, t.Address)
+	if ctx.Err() != nil {
 		return
 	}
-	c.config.Board.Do(ctx, func(*board.Board) { c.detector.Heard(t.Node, time.Now()) })
+	c.config.Board.Do(ctx, func(*board.Board) {
+		now := time.Now()
+		switch {
+		case err == nil:
+			c.detector.Heard(t.Node, now)
+		case c.detector.IsSilent(t.Node, now):
+			c.detector.Presume(t.Node, now)
+		}
+	})
+}
+
+// seekDown sends heartbeats to the zone's members that are down: one that started again while the platform is away
+// knows nobody.
+func (c *Controller) seekDown(ctx context.Context) {
+	var targets []membership.Target
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		if time.Since(c.lead.sought) < askAgain {
+			return
+		}
+		c.lead.sought = time.Now()
+		for _, r := range c.zoneRecords(b.Self.Zone) {
+			if m, err := membership.ParseMember(r); err == nil && m.State == membership.Down {
+				targets = append(targets, membership.Target{Node: m.Node, Address: m.PeerAddress})
+			}
+		}
+	})
+	for _, t := range targets {
+		c.tasks.start("probe "+t.Address, func() { _, _ = c.synchronize(ctx, t.Address) })
+	}
 }
 
 // meetZones sends a heartbeat to the leader of each other zone.
--- a/internal/control/zone/server.go
+++ b/internal/control/zone/server.go
@@ -33,8 +33,8 @@
 		c.counts.BeatsReceived++
 		c.detector.Heard(m.GetNode(), now)
 		c.merge(b, recordsFrom(m.GetChanged())...)
-		if m.GetLeased() && m.GetZone() == b.Self.Zone {
-			c.election.Suggest(membership.Target{Node: m.GetNode(), Address: m.GetAddress()})
+		if m.GetLeads() && m.GetZone() == b.Self.Zone {
+			c.election.Suggest(now, membership.Target{Node: m.GetNode(), Address: m.GetAddress()}, m.GetLeased())
 		}
 		c.answerLeader(reply, now)
 		c.answerChanges(reply, m)
--- a/internal/decide/membership/detector.go
+++ b/internal/decide/membership/detector.go
@@ -48,7 +48,7 @@
 	clear(d.heard)
 }
 
-// Presume calls a node down that other evidence speaks against, until it is heard.
+// Presume calls a node down that further evidence speaks against, until it is heard.
 func (d *Detector) Presume(node string, now time.Time) {
 	d.heard[node] = now.Add(-d.downAfter - 1)
 }
--- a/internal/decide/membership/election.go
+++ b/internal/decide/membership/election.go
@@ -232,9 +232,9 @@
 	return silent
 }
 
-// Suggest names a node that says it leads; it is asked next.
-func (e *Election) Suggest(t Target) {
-	if t.Node != e.config.Node {
+// Suggest names a node that says it leads. It is asked next where it has a lease, or where nobody else is followed.
+func (e *Election) Suggest(now time.Time, t Target, leased bool) {
+	if t.Node != e.config.Node && (leased || !e.follows(now)) {
 		e.hint = t
 		delete(e.silent, t.Node)
 	}
--- /dev/null
+++ b/internal/decide/membership/election_test.go
@@ -0,0 +1,275 @@
+package membership_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+)
+
+const (
+	beat        = 250 * time.Millisecond
+	ttl         = 1500 * time.Millisecond
+	silentAfter = 750 * time.Millisecond
+	askAgain    = 2 * time.Second
+)
+
+// zone drives the elections of one availability zone by explicit times, with a platform that grants one lease.
+type zone struct {
+	now      time.Time
+	names    []string
+	election map[string]*membership.Election
+	role     map[string]membership.Role
+	dead     map[string]bool
+	cut      map[[2]string]bool
+
+	platformDown bool
+	reads        int
+	term         uint64
+	holder       string
+	until        time.Time
+}
+
+func newZone(names ...string) *zone {
+	z := &zone{
+		now:      time.Unix(1_800_000_000, 0),
+		names:    names,
+		election: map[string]*membership.Election{},
+		role:     map[string]membership.Role{},
+		dead:     map[string]bool{},
+		cut:      map[[2]string]bool{},
+	}
+	for _, n := range names {
+		z.start(n)
+	}
+	return z
+}
+
+func (z *zone) start(name string) {
+	z.dead[name] = false
+	z.role[name] = membership.Following
+	z.election[name] = membership.NewElection(membership.ElectionConfig{
+		Node: name, SilentAfter: silentAfter, AskAgain: askAgain, Candidates: 3,
+	})
+}
+
+func (z *zone) run(d time.Duration) {
+	for end := z.now.Add(d); z.now.Before(end); z.now = z.now.Add(beat) {
+		for _, n := range z.names {
+			if !z.dead[n] {
+				z.step(n)
+			}
+		}
+	}
+}
+
+func (z *zone) step(name string) {
+	e := z.election[name]
+	plan := e.Plan(z.now, z.members())
+	z.role[name] = plan.Role
+	for _, t := range plan.Ask {
+		if z.dead[t.Node] || z.cut[[2]string{name, t.Node}] || z.cut[[2]string{t.Node, name}] {
+			e.Failed(z.now, t)
+			continue
+		}
+		e.Answered(z.now, t, z.answer(t.Node))
+	}
+	if plan.Role == membership.Leading {
+		z.renew(name)
+	}
+	if plan.Read {
+		z.read(name)
+	}
+}
+
+func (z *zone) answer(name string) membership.Answer {
+	a := membership.Answer{Leads: z.role[name] != membership.Following, Leased: z.role[name] == membership.Leading}
+	if followed, leads, leased := z.election[name].Followed(z.now); leads && !a.Leads {
+		a.Leader, a.Leased = followed, leased
+	}
+	return a
+}
+
+func (z *zone) renew(name string) {
+	if z.platformDown || z.holder != name {
+		z.election[name].PlatformAway()
+		return
+	}
+	z.until = z.now.Add(ttl)
+	z.election[name].Renewed(z.until)
+}
+
+func (z *zone) read(name string) {
+	z.reads++
+	switch {
+	case z.platformDown:
+		z.election[name].PlatformAway()
+	case z.now.Before(z.until) && z.holder != name:
+		z.election[name].PlatformNames(membership.Target{Node: z.holder, Address: z.holder})
+	default:
+		z.term++
+		z.holder, z.until = name, z.now.Add(ttl)
+		z.election[name].Granted(membership.Lease{Term: z.term, Until: z.until})
+	}
+}
+
+func (z *zone) members() []membership.Member {
+	var members []membership.Member
+	for _, n := range z.names {
+		members = append(members, membership.Member{Node: n, PeerAddress: n})
+	}
+	return members
+}
+
+// leaders returns the nodes of the role.
+func (z *zone) leaders(role membership.Role) []string {
+	var found []string
+	for _, n := range z.names {
+		if !z.dead[n] && z.role[n] == role {
+			found = append(found, n)
+		}
+	}
+	return found
+}
+
+// isolate cuts two groups of nodes from each other.
+func (z *zone) isolate(a, b []string) {
+	for _, x := range a {
+		for _, y := range b {
+			z.cut[[2]string{x, y}] = true
+			z.cut[[2]string{y, x}] = true
+		}
+	}
+}
+
+func TestElection(t *testing.T) {
+	for name, c := range map[string]struct {
+		// disturb happens after the zone has settled under a lease.
+		disturb   func(z *zone, leader string)
+		within    time.Duration
+		leading   int
+		spreading int
+	}{
+		"undisturbed":   {disturb: func(*zone, string) {}, within: time.Second, leading: 1},
+		"leader dies":   {disturb: func(z *zone, l string) { z.dead[l] = true }, within: 2 * time.Second, leading: 1},
+		"platform away": {disturb: func(z *zone, _ string) { z.platformDown = true }, within: 2 * time.Second, spreading: 1},
+		"both":          {disturb: func(z *zone, l string) { z.platformDown, z.dead[l] = true, true }, within: 2 * time.Second, spreading: 1},
+		"platform and three": {disturb: func(z *zone, _ string) {
+			z.platformDown, z.dead["a"], z.dead["b"], z.dead["c"] = true, true, true, true
+		}, within: 4 * time.Second, spreading: 1},
+		"split without platform": {disturb: func(z *zone, _ string) {
+			z.platformDown = true
+			z.isolate([]string{"a", "b"}, []string{"c", "d", "e", "f"})
+		}, within: 4 * time.Second, spreading: 2},
+		"leader restarts": {disturb: func(z *zone, l string) { z.start(l) }, within: 2 * time.Second, leading: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			z := newZone("a", "b", "c", "d", "e", "f")
+			z.run(5 * time.Second)
+			leaders := z.leaders(membership.Leading)
+			is.Equal(len(leaders), 1)
+			c.disturb(z, leaders[0])
+			z.run(c.within)
+			is.Equal(len(z.leaders(membership.Leading)), c.leading)
+			is.Equal(len(z.leaders(membership.Spreading)), c.spreading)
+
+			z.platformDown = false
+			clear(z.cut)
+			z.run(5 * time.Second)
+			is.Equal(len(z.leaders(membership.Leading)), 1) // one lease again after all is well
+			is.Equal(len(z.leaders(membership.Spreading)), 0)
+			z.reads = 0
+			z.run(time.Minute)
+			is.Equal(z.reads, 0) // a settled zone's followers leave the platform alone
+		})
+	}
+}
+
+func TestFollowerCutFromItsLeaderFollowsThroughAnother(t *testing.T) {
+	is := is.New(t)
+	z := newZone("a", "b", "c", "d", "e", "f")
+	z.run(5 * time.Second)
+	leader := z.leaders(membership.Leading)[0]
+	z.isolate([]string{leader}, []string{"f"})
+	z.run(5 * time.Second)
+	followed, leads, leased := z.election["f"].Followed(z.now)
+	is.True(followed.Node != "" && followed.Node != leader)
+	is.True(!leads && leased)
+	is.Equal(z.leaders(membership.Leading), []string{leader})
+	clear(z.cut)
+	z.run(5 * time.Second)
+	followed, leads, _ = z.election["f"].Followed(z.now)
+	is.Equal(followed.Node, leader)
+	is.True(leads)
+}
+
+func TestPausedLeaderDoesNotHoldItsLease(t *testing.T) {
+	is := is.New(t)
+	z := newZone("a", "b", "c")
+	z.run(5 * time.Second)
+	paused := z.leaders(membership.Leading)[0]
+	z.dead[paused] = true
+	z.run(3 * time.Second)
+	is.True(!z.election[paused].Holds(z.now))
+	z.dead[paused] = false
+	z.run(3 * time.Second)
+	is.Equal(len(z.leaders(membership.Leading)), 1)
+	is.True(!slices.Contains(z.leaders(membership.Leading), paused))
+}
+
+func record(key string, sequence uint64) membership.Record {
+	return membership.Record{Key: key, Version: membership.Version{Sequence: sequence}, Value: []byte(key)}
+}
+
+func TestRecordsSince(t *testing.T) {
+	is := is.New(t)
+	s := membership.NewRecords()
+	s.Merge(record("a", 1), record("b", 1), record("a", 2), record("a", 1))
+	newer, next := s.Since(0, 100)
+	is.Equal(newer, []membership.Record{record("b", 1), record("a", 2)}) // each record once, the newest
+	is.Equal(next, s.Last())
+	newer, next = s.Since(0, 1)
+	is.Equal(len(newer), 1) // as many as fit
+	newer, next = s.Since(next, 1)
+	is.Equal(newer, []membership.Record{record("a", 2)})
+	is.Equal(next, s.Last())
+	for i := range uint64(1000) {
+		s.Merge(record("a", i))
+	}
+	newer, _ = s.Since(0, 100)
+	is.Equal(newer, []membership.Record{record("b", 1), record("a", 999)}) // also after the log was compacted
+}
+
+func TestBucketsShowWhereTwoDiffer(t *testing.T) {
+	is := is.New(t)
+	a, b := membership.NewRecords(), membership.NewRecords()
+	for i := range uint64(1000) {
+		r := record(string(rune('a'+i)), 1)
+		a.Merge(r)
+		b.Merge(r)
+	}
+	a.Merge(record("only a", 1))
+	b.Merge(record("a", 2))
+	theirs := b.Versions(a.Digests())
+	is.True(len(theirs) < 100) // two buckets of the 64
+	b.Merge(a.Newer(b.Digests(), theirs)...)
+	is.Equal(a.Wanted(theirs), []string{"a"})
+	a.Merge(record("a", 2))
+	is.Equal(a.Digest(), b.Digest())
+}
+
+func TestMarksAndOwnRecordsNeverMeet(t *testing.T) {
+	is := is.New(t)
+	m := membership.Member{Node: "a", State: membership.Up}
+	own := m.Record(membership.Version{Epoch: 1, Sequence: membership.OwnSequence(0)})
+	mark := m.MarkedDown(own.Version, time.Unix(1, 0))
+	is.Equal(mark.Version.Compare(own.Version), 1)
+	again := membership.OwnSequence(mark.Version.Sequence)
+	is.True(again > mark.Version.Sequence) // the member refutes the mark
+	next := membership.OwnSequence(own.Version.Sequence)
+	is.True(next > mark.Version.Sequence) // and so does a change made at the same moment
+}
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -30,6 +30,8 @@
 	Slots       int    `json:"slots,omitempty"`
 	Connections int    `json:"connections,omitempty"`
 	State       State  `json:"state"`
+	// DownSince is when a leader marked the member down, in seconds of Unix time.
+	DownSince int64 `json:"down_since,omitempty"`
 }
 
 // Record returns the member as a record.
@@ -55,11 +57,20 @@
 
 // MarkedDown returns the record by which a leader marks the member down. Its sequence is odd, so that it never meets
 // the member's own record with the same version; the member's next record refutes it.
-func (m Member) MarkedDown(held Version) Record {
+func (m Member) MarkedDown(held Version, now time.Time) Record {
 	m.State = Down
+	m.DownSince = now.Unix()
 	return m.Record(Version{Epoch: held.Epoch, Sequence: held.Sequence | 1})
 }
 
+// forgetAfter is how long the record of a member that is down is kept, so that no older record of it comes back.
+const forgetAfter = time.Hour
+
+// IsForgotten reports whether the member has been down for so long that its record is dropped, by every node alike.
+func (m Member) IsForgotten(now time.Time) bool {
+	return m.State == Down && now.Sub(time.Unix(m.DownSince, 0)) > forgetAfter
+}
+
 // beatsPerPeriod bounds the heartbeats that a leader takes in one period of a small zone.
 const beatsPerPeriod = 36
 
--- a/internal/decide/membership/records.go
+++ b/internal/decide/membership/records.go
@@ -107,6 +107,15 @@
 	return changed
 }
 
+// Drop forgets the record under the key.
+func (s *Records) Drop(key string) {
+	held, stands := s.byKey[key]
+	if stands {
+		s.digests[bucketOf(key)] ^= held.hash()
+		delete(s.byKey, key)
+	}
+}
+
 // leastChanges are kept without a look for stale ones.
 const leastChanges = 64
 
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -41,6 +41,13 @@
 	return trace.Wrap(n.process.Start())
 }
 
+// Append adds flags for the next start.
+func (n *Node) Append(flags ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.command = append(n.command, flags...)
+}
+
 // Kill ends the process at once.
 func (n *Node) Kill() {
 	n.signal(syscall.SIGKILL)
