--- /dev/null
+++ b/internal/proof/control/document_test.go
@@ -0,0 +1,107 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/operator"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/store"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+func TestDocumentsAndMembers(t *testing.T) {
+	f := harness.Start(t, fleet.Config{Deployment: fleet.Chain()})
+
+	t.Run("in force everywhere within seconds", func(t *testing.T) {
+		for i, n := range f.Nodes {
+			stored := put(t, n, 100+i)
+			accepted := time.Now()
+			harness.Eventually(t, inForceWithin, func() bool { return agree(t, f.Nodes, stored.Operation) })
+			t.Logf("accepted by %s, in force on all nodes after %s", n.Name, time.Since(accepted))
+		}
+	})
+
+	t.Run("operators race through two nodes", func(t *testing.T) {
+		is := is.New(t)
+		stands, err := client(f.Nodes[0]).Get(t.Context(), service)
+		is.NoErr(err)
+		var stored [2]zone.StoredDocument
+		var failed [2]error
+		f.Store.SetFaults(store.Faults{Delay: 50 * time.Millisecond}) // both have read before one writes
+		var group conc.WaitGroup
+		for i := range failed {
+			group.Go(func() {
+				stored[i], failed[i] = client(f.Nodes[i]).Put(t.Context(), service, document(200+i), stands.Tag(), "")
+			})
+		}
+		group.Wait()
+		f.Store.SetFaults(store.Faults{})
+		winner := 0
+		if failed[0] != nil {
+			winner = 1
+		}
+		is.NoErr(failed[winner])
+		is.Equal(codeOf(failed[1-winner]), operator.CodeRevisionConflict)
+		harness.Eventually(t, inForceWithin, func() bool { return agree(t, f.Nodes, stored[winner].Operation) })
+	})
+
+	t.Run("answer lost after the write", func(t *testing.T) {
+		is := is.New(t)
+		stands, err := client(f.Nodes[1]).Get(t.Context(), service)
+		is.NoErr(err)
+		f.Store.SetFaults(store.Faults{LoseAnswers: true})
+		stored, err := client(f.Nodes[1]).Put(t.Context(), service, document(300), stands.Tag(), "lost-answer")
+		f.Store.SetFaults(store.Faults{})
+		is.NoErr(err)
+		is.Equal(stored.Revision, stands.Revision+1) // written once
+		harness.Eventually(t, inForceWithin, func() bool { return agree(t, f.Nodes, "lost-answer") })
+	})
+
+	t.Run("restored and lagging platform", func(t *testing.T) { testRestored(t, f) })
+
+	t.Run("dead member gets no new work", func(t *testing.T) {
+		zoneNodes, _ := inZone(f, "lisbon_2")
+		follower := without(zoneNodes, leader(t, zoneNodes))[0]
+		follower.Kill()
+		killed := time.Now()
+		harness.Eventually(t, noWorkAfter, func() bool { return !takesWork(t, without(f.Nodes, follower), follower) })
+		t.Logf("passed over in all zones after %s", time.Since(killed))
+	})
+}
+
+// testRestored puts the platform back to older content, and lets its reads lag, while a watch on all nodes looks for
+// one that takes the older document back.
+func testRestored(t *testing.T, f *fleet.Fleet) {
+	is := is.New(t)
+	older := f.Store.Save()
+	stored := put(t, f.Nodes[2], 400)
+	harness.Eventually(t, inForceWithin, func() bool { return agree(t, f.Nodes, stored.Operation) })
+	f.Store.Restore(older)
+	harness.Eventually(t, healWithin, func() bool {
+		is.True(agree(t, f.Nodes, stored.Operation)) // no node went back
+		return platformHas(t, f, stored.Operation)
+	})
+	f.Store.SetFaults(store.Faults{Lag: time.Second})
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		is.True(agree(t, f.Nodes, stored.Operation))
+	}
+	f.Store.SetFaults(store.Faults{})
+	is.True(platformHas(t, f, stored.Operation))
+	next := put(t, f.Nodes[3], 401)
+	is.True(next.Revision > stored.Revision)
+	harness.Eventually(t, inForceWithin, func() bool { return agree(t, f.Nodes, next.Operation) })
+}
+
+func platformHas(t *testing.T, f *fleet.Fleet, edit string) bool {
+	entry, err := platformClient(f).Get(t.Context(), zone.DocumentPrefix+service)
+	if err != nil {
+		return false
+	}
+	stored, err := zone.ParseStored(entry.Value)
+	return err == nil && stored.Operation == edit
+}
