Backend client: no hidden second send, own sheds only, old connections closed

Cause: the HTTP transport sends a request again by itself where a kept connection breaks before the answer, for GET and for any method that carries Idempotency-Key. A booking could so run twice on a backend server that broke the connection in the middle of it, and each hidden send escaped the attempt allowance. Ruled out: turning keep-alive off (a new connection costs about 1 ms each). A body without GetBody isn't replayable, so the transport leaves it.

TestBrokenConnectionSendsOnce: before, 2 receipts in all three cases; after, 1. TestChangedConnectionsCloseTheOld: before, more than 1 connection stayed open for 10 s; after, 1. TestCancellationReachesBackend passed before too.

--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -67,6 +67,9 @@
 		return
 	}
 	c.connections = connections
+	if c.http != nil {
+		c.http.CloseIdleConnections()
+	}
 	c.http = &http.Client{
 		Transport:     &http.Transport{MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, DisableCompression: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -78,7 +81,9 @@
 	Reply call.Reply
 	// Took is the time without the calls down the chain.
 	Took time.Duration
-	// Overloaded says that the backend server shed the request.
+	// Held is the whole time for which the request held its slot.
+	Held time.Duration
+	// Overloaded says that the backend server itself shed the request. A 503 after calls down the chain isn't its own.
 	Overloaded bool
 	// Broken says that the connection broke after the request was sent.
 	Broken bool
@@ -91,12 +96,12 @@
 	defer c.chains.End(token)
 	start := time.Now()
 	reply, err := c.exchange(ctx, address, r, token)
-	result := Result{Reply: reply, Took: time.Since(start) - chain.ChildTime()}
+	result := Result{Reply: reply, Took: time.Since(start) - chain.ChildTime(), Held: time.Since(start)}
 	if err != nil {
 		result.Reply = failedReply(ctx, r, err)
 		result.Broken = ctx.Err() == nil && err.sent
 	}
-	result.Overloaded = result.Reply.Status == http.StatusServiceUnavailable && err == nil
+	result.Overloaded = err == nil && result.Reply.Status == http.StatusServiceUnavailable && chain.ChildTime() == 0
 	result.Reply.AttemptsUsed = chain.AttemptsUsed()
 	return result
 }
@@ -116,12 +121,15 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent = true },
 	})
-	request, err := http.NewRequestWithContext(traced, r.Method, "http://"+address+r.Path, bytes.NewReader(r.Body))
+	request, err := http.NewRequestWithContext(traced, r.Method, "http://"+address+r.Path, http.NoBody)
 	if err != nil {
 		return call.Reply{}, &exchangeError{cause: err}
 	}
 	setHeaders(request, r, token)
-	response, err := c.client().Do(request)
+	setBody(request, r.Body)
+	client := c.client()
+	defer c.retire(client)
+	response, err := client.Do(request)
 	if err != nil {
 		return call.Reply{}, &exchangeError{sent: sent, cause: err}
 	}
@@ -142,6 +150,21 @@
 	return c.http
 }
 
+// retire closes the idle connections of a client that is no longer the one in use.
+func (c *Client) retire(used *http.Client) {
+	if c.client() != used {
+		used.CloseIdleConnections()
+	}
+}
+
+// setBody sets a body that can't be read twice. The transport would otherwise send a request with an idempotency key,
+// or a GET, once more by itself where a kept connection breaks, and the backend server could run it twice.
+func setBody(request *http.Request, body []byte) {
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	request.ContentLength = int64(len(body))
+	request.GetBody = nil
+}
+
 func setHeaders(request *http.Request, r *call.Request, token string) {
 	for name, values := range EndToEnd(r.Header) {
 		request.Header[name] = values
--- /dev/null
+++ b/internal/traffic/backend/client_test.go
@@ -0,0 +1,96 @@
+package backend_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+func newRequest(method, body, key string) *call.Request {
+	return &call.Request{Method: method, Path: "/x", Body: []byte(body), Key: key, Deadline: time.Now().Add(time.Minute)}
+}
+
+func newClient() *backend.Client {
+	return backend.NewClient(backend.ClientConfig{MaxBody: 1 << 10}, call.NewChains())
+}
+
+// A kept connection that breaks in the middle of a request must not make the transport send the request again.
+func TestBrokenConnectionSendsOnce(t *testing.T) {
+	tests := map[string]struct{ method, body, key string }{
+		"keyed post with body":    {http.MethodPost, "booking", "key-1"},
+		"keyed post without body": {http.MethodPost, "", "key-1"},
+		"get":                     {http.MethodGet, "", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var received atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Break") == "" {
+					return
+				}
+				received.Add(1)
+				panic(http.ErrAbortHandler)
+			}))
+			defer server.Close()
+			client, address := newClient(), strings.TrimPrefix(server.URL, "http://")
+			first := client.Run(t.Context(), address, newRequest(http.MethodGet, "", ""))
+			is.Equal(first.Reply.Outcome, call.Ran)
+			r := newRequest(test.method, test.body, test.key)
+			r.Header = http.Header{"Break": {"1"}}
+			second := client.Run(t.Context(), address, r)
+			is.Equal(second.Reply.Outcome, call.Unknown)
+			is.True(second.Broken)
+			is.Equal(received.Load(), int32(1)) // how often the backend server got the request
+		})
+	}
+}
+
+func TestCancellationReachesBackend(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var ended atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		cancel()
+		<-r.Context().Done()
+		ended.Store(true)
+	}))
+	defer server.Close()
+	result := newClient().Run(ctx, strings.TrimPrefix(server.URL, "http://"), newRequest(http.MethodGet, "", ""))
+	is.Equal(result.Reply.Reason, call.ReasonCanceled)
+	harness.Eventually(t, 10*time.Second, ended.Load)
+}
+
+func TestChangedConnectionsCloseTheOld(t *testing.T) {
+	is := is.New(t)
+	var open atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed:
+			open.Add(-1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client, address := newClient(), strings.TrimPrefix(server.URL, "http://")
+	for connections := range 5 {
+		client.SetConnections(connections + 1)
+		is.Equal(client.Run(t.Context(), address, newRequest(http.MethodGet, "", "")).Reply.Status, http.StatusOK)
+	}
+	harness.Eventually(t, 10*time.Second, func() bool { return open.Load() == 1 })
+}
