--- a/cmd/comfreyhoist/main.go
+++ b/cmd/comfreyhoist/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -11,51 +12,43 @@
 
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/rs/zerolog"
-
-	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
-	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
-	"github.com/comfreyhoist/comfreyhoist/internal/process/node"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	root := &ffcli.Command{
-		Name:        "comfreyhoist",
-		ShortUsage:  "comfreyhoist <command> [flags]",
-		Subcommands: []*ffcli.Command{nodeCommand()},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
-	}
-	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "comfreyhoist:", trace.UserMessage(err))
+	if err := rootCommand().ParseAndRun(ctx, os.Args[1:]); err != nil {
 		stop()
-		os.Exit(1)
+		os.Exit(report(err))
 	}
 }
 
-func nodeCommand() *ffcli.Command {
-	flags := flag.NewFlagSet("comfreyhoist node", flag.ContinueOnError)
-	s := settings.Register(flags)
-	flags.String("config", "", "INI file with settings")
+func rootCommand() *ffcli.Command {
 	return &ffcli.Command{
-		Name:       "node",
-		ShortUsage: "comfreyhoist node -config node.ini [flags]",
-		ShortHelp:  "run one node",
-		FlagSet:    flags,
-		Options:    settings.Options(),
-		Exec:       func(ctx context.Context, _ []string) error { return runNode(ctx, s) },
+		Name:       "comfreyhoist",
+		ShortUsage: "comfreyhoist <command> [flags]",
+		LongHelp:   "Each command has -h.\n\nExample:\n  comfreyhoist check -settings samples/node.ini samples/documents/*.ini",
+		FlagSet:    flag.NewFlagSet("comfreyhoist", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{
+			nodeCommand(),
+			checkCommand(),
+			eventsCommand(),
+			versionCommand(),
+		},
+		Exec: func(_ context.Context, arguments []string) error {
+			if len(arguments) > 0 {
+				return trace.BadParameter("unknown command %q", arguments[0])
+			}
+			return flag.ErrHelp
+		},
 	}
 }
 
-func runNode(ctx context.Context, s *settings.Settings) error {
-	if err := s.Check(); err != nil {
-		return trace.Wrap(err)
-	}
-	level, err := zerolog.ParseLevel(s.Log.Level)
-	if err != nil {
-		return trace.BadParameter("log.level: %v", err)
+// report prints the error, but for a request for help, which ffcli has answered already, and returns the exit code.
+func report(err error) int {
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
 	}
-	log := events.NewLog(os.Stderr, level, s.Node.Name)
-	return trace.Wrap(node.Run(ctx, node.Config{Settings: s, Log: log}))
+	fmt.Fprintln(os.Stderr, "comfreyhoist:", trace.UserMessage(err))
+	return 1
 }
--- /dev/null
+++ b/cmd/comfreyhoist/node.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rs/zerolog"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/node"
+)
+
+const nodeHelp = `Runs one node beside its backend server until SIGTERM or SIGINT, which drain it first.
+A flag overrides the environment, which overrides the INI file: -caller.address, then
+COMFREYHOIST_CALLER_ADDRESS, then address in the section [caller].
+
+Example:
+  comfreyhoist node -config samples/node.ini -log.level debug`
+
+func nodeCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("comfreyhoist node", flag.ContinueOnError)
+	s := settings.Register(flags)
+	flags.String("config", "", "INI file with settings")
+	return &ffcli.Command{
+		Name:       "node",
+		ShortUsage: "comfreyhoist node -config node.ini [flags]",
+		ShortHelp:  "run one node",
+		LongHelp:   nodeHelp,
+		FlagSet:    flags,
+		Options:    s.Options(flags),
+		Exec:       func(ctx context.Context, _ []string) error { return runNode(ctx, s) },
+	}
+}
+
+func runNode(ctx context.Context, s *settings.Settings) error {
+	if err := s.Check(); err != nil {
+		return trace.Wrap(err)
+	}
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		return trace.BadParameter("log.level: %v", err)
+	}
+	log := events.NewLog(os.Stderr, level, s.Node.Name)
+	return trace.Wrap(node.Run(ctx, node.Config{Settings: s, Log: log}))
+}
--- /dev/null
+++ b/internal/control/catalogue/catalogue.go
@@ -0,0 +1,113 @@
+// Package catalogue shows the catalogues of events and of reasons: as a table for a terminal, and as the pages
+// docs/EVENTS.md and docs/REASONS.md. The data stays beside the code that uses it, in the packages events and call.
+//
+// # Usage
+//
+//	err := catalogue.WriteEvents(os.Stdout)
+//	for name, page := range catalogue.Pages() { ... }
+//
+// The command "comfreyhoist events -markdown docs" writes the pages anew after either catalogue has changed.
+package catalogue
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/gravitational/trace"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+// The names of the pages.
+const (
+	EventsPage  = "EVENTS.md"
+	ReasonsPage = "REASONS.md"
+)
+
+// WriteEvents prints the events as a table.
+func WriteEvents(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range eventRows() {
+		if _, err := fmt.Fprintln(table, strings.Join(row, "\t")); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return trace.Wrap(table.Flush())
+}
+
+// Pages returns the pages by the names of their files.
+func Pages() map[string]string {
+	return map[string]string{
+		EventsPage:  page("Events", eventsIntroduction, eventRows()),
+		ReasonsPage: page("Reasons", reasonsIntroduction, reasonRows()),
+	}
+}
+
+const eventsIntroduction = "The logs are lines of JSON. Each carries the number and the name of its event, the node,\n" +
+	"the time, and the event's own fields. A number is never used again for another event. This page is\n" +
+	"written by `comfreyhoist events -markdown docs`."
+
+const reasonsIntroduction = "The header `Comfreyhoist-Reason` carries one of these where the answer isn't the backend\n" +
+	"server's own. Nobody up a chain of calls tries again after a final one. This page is written by\n" +
+	"`comfreyhoist events -markdown docs`; CALLERS.md says what to do about the outcomes."
+
+func eventRows() [][]string {
+	rows := [][]string{{"Number", "Level", "Name", "Since", "Text", "Action"}}
+	for _, n := range events.Numbers() {
+		e := events.Catalogue[n]
+		rows = append(rows, []string{strconv.Itoa(int(n)), e.Level.String(), e.Name, e.Since, e.Text, e.Action})
+	}
+	return rows
+}
+
+func reasonRows() [][]string {
+	rows := [][]string{{"Reason", "Status", "Final", "Text"}}
+	for _, reason := range reasons() {
+		e := reason.Entry()
+		rows = append(rows, []string{"`" + string(reason) + "`", strconv.Itoa(e.Status), yesNo(e.Final), e.Text})
+	}
+	return rows
+}
+
+// reasons returns the reasons that a caller can be told, by status and name.
+func reasons() []call.Reason {
+	var found []call.Reason
+	for reason := range call.Reasons {
+		if reason != call.ReasonNone {
+			found = append(found, reason)
+		}
+	}
+	slices.SortFunc(found, func(a, b call.Reason) int {
+		return cmp.Or(cmp.Compare(a.Entry().Status, b.Entry().Status), cmp.Compare(a, b))
+	})
+	return found
+}
+
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
+
+// page renders a table whose first row is its head.
+func page(title, introduction string, rows [][]string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# %s\n\n%s\n\n", title, introduction)
+	writeRow(&b, rows[0])
+	writeRow(&b, slices.Repeat([]string{"---"}, len(rows[0])))
+	for _, row := range rows[1:] {
+		writeRow(&b, row)
+	}
+	return b.String()
+}
+
+func writeRow(b *strings.Builder, cells []string) {
+	fmt.Fprintf(b, "| %s |\n", strings.Join(cells, " | "))
+}
--- /dev/null
+++ b/internal/control/catalogue/catalogue_test.go
@@ -0,0 +1,115 @@
+package catalogue_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/catalogue"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+const root = "../../.."
+
+// A failure is mended by: go run ./cmd/comfreyhoist events -markdown docs
+func TestPagesMatchTheData(t *testing.T) {
+	for name, page := range catalogue.Pages() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			stands, err := os.ReadFile(filepath.Join(root, "docs", name))
+			is.NoErr(err)
+			is.Equal(string(stands), page)
+		})
+	}
+}
+
+func TestEntriesAreWhole(t *testing.T) {
+	is := is.New(t)
+	names := map[string]bool{}
+	for n, e := range events.Catalogue {
+		is.True(n >= 1000 && n <= 9999)
+		is.True(e.Name != "" && e.Text != "" && e.Since != "")                // name, text and version
+		is.True(e.Level < zerolog.WarnLevel || e.Action != "")                // a warning says what to do
+		is.True(!names[e.Name])                                               // names are unique
+		is.True(!strings.ContainsAny(e.Name, "- ABCDEFGHIJKLMNOPQRSTUVWXYZ")) // snake case
+		names[e.Name] = true
+	}
+	for reason, e := range call.Reasons {
+		is.True(e.Text != "" && e.Status >= 200)
+		is.True(reason == call.ReasonNone || e.Status >= 400)
+	}
+}
+
+// TestEmittedEventsAreInTheCatalogue reads the source: each constant of type Number has an entry, and Emit is called
+// with such a constant only.
+func TestEmittedEventsAreInTheCatalogue(t *testing.T) {
+	is := is.New(t)
+	declared := declaredNumbers(t)
+	is.Equal(len(declared), len(events.Catalogue)) // one entry for each constant
+	for place, name := range emittedNumbers(t) {
+		if !declared[name] {
+			t.Errorf("%s: emits %s, which is not in the catalogue", place, name)
+		}
+	}
+}
+
+func declaredNumbers(t *testing.T) map[string]bool {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), root+"/internal/control/events/catalogue.go", nil, 0)
+	is.New(t).NoErr(err)
+	names := map[string]bool{}
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok {
+			return true
+		}
+		if typed, ok := spec.Type.(*ast.Ident); ok && typed.Name == "Number" {
+			names[spec.Names[0].Name] = true
+		}
+		return true
+	})
+	return names
+}
+
+// emittedNumbers returns the constants of the package events that the program uses, by place.
+func emittedNumbers(t *testing.T) map[string]string {
+	t.Helper()
+	found := map[string]string{}
+	files := token.NewFileSet()
+	err := filepath.WalkDir(root+"/internal", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(files, path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			emit, ok := n.(*ast.CallExpr)
+			if !ok || len(emit.Args) == 0 || !isEmit(emit.Fun) {
+				return true
+			}
+			if number, ok := emit.Args[0].(*ast.SelectorExpr); ok {
+				found[files.Position(emit.Pos()).String()] = number.Sel.Name
+			}
+			return true
+		})
+		return nil
+	})
+	is.New(t).NoErr(err)
+	return found
+}
+
+func isEmit(f ast.Expr) bool {
+	selector, ok := f.(*ast.SelectorExpr)
+	return ok && strings.HasPrefix(selector.Sel.Name, "Emit")
+}
--- /dev/null
+++ b/internal/control/document/check.go
@@ -0,0 +1,34 @@
+package document
+
+import "github.com/comfreyhoist/comfreyhoist/internal/control/inifile"
+
+// Source is the text of one document and the name of its file.
+type Source struct {
+	Name string
+	Text []byte
+}
+
+// CheckAll returns the faults of all documents, and those between them: a service is described by one document.
+func CheckAll(sources []Source) inifile.Faults {
+	var all inifile.Faults
+	owners := map[string]string{}
+	for _, s := range sources {
+		d, faults := ParseFile(s.Name, s.Text)
+		all = append(all, faults...)
+		if d == nil {
+			continue
+		}
+		if other, stands := owners[d.Service]; stands {
+			all = append(all, inifile.Fault{
+				File:    s.Name,
+				Line:    inifile.Load(s.Name, s.Text).Line(serviceSection, "name"),
+				Section: serviceSection,
+				Key:     "name",
+				Reason:  "the service " + d.Service + " is described by " + other + " too",
+			})
+			continue
+		}
+		owners[d.Service] = s.Name
+	}
+	return all
+}
--- a/internal/control/document/document.go
+++ b/internal/control/document/document.go
@@ -30,6 +30,8 @@
 	DefaultAttempts = 2
 	// MaxAttempts bounds the attempts of a document.
 	MaxAttempts = 5
+	// AnyMethod stands for every HTTP method.
+	AnyMethod = "*"
 )
 
 // Document is the accepted description of one service.
@@ -67,7 +69,7 @@
 }
 
 func (k Kind) matches(method, path string) bool {
-	if k.Method != "*" && k.Method != method {
+	if k.Method != AnyMethod && k.Method != method {
 		return false
 	}
 	prefix, open := strings.CutSuffix(k.Path, "*")
@@ -76,3 +78,15 @@
 	}
 	return path == k.Path
 }
+
+// covers reports whether k takes every request that other would take.
+func (k Kind) covers(other Kind) bool {
+	if k.Method != AnyMethod && k.Method != other.Method {
+		return false
+	}
+	prefix, open := strings.CutSuffix(k.Path, "*")
+	if open {
+		return strings.HasPrefix(strings.TrimSuffix(other.Path, "*"), prefix)
+	}
+	return k.Path == other.Path
+}
--- a/internal/control/document/parse.go
+++ b/internal/control/document/parse.go
@@ -1,129 +1,105 @@
 package document
 
 import (
-	"errors"
-	"fmt"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 	"gopkg.in/ini.v1"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/inifile"
 )
 
-// The sections and keys of a document.
+// The sections of a document.
 const (
 	serviceSection = "service"
 	kindPrefix     = "kind "
 )
 
-// Fault is one fault of a document.
-type Fault struct {
-	// Line counts from 1; 0 where the fault belongs to the whole file.
-	Line    int
-	Section string
-	Key     string
-	Reason  string
-}
-
-// Error returns the fault on one line.
-func (f Fault) Error() string {
-	return fmt.Sprintf("line %d: [%s] %s: %s", f.Line, f.Section, f.Key, f.Reason)
-}
-
-// Parse reads a document. The error, where there is one, is a trace.BadParameter that joins all Faults.
+// Parse reads a document. The error, where there is one, is a trace.BadParameter that names all faults.
 func Parse(source []byte) (*Document, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false, IgnoreInlineComment: true}, source)
-	if err != nil {
-		return nil, trace.BadParameter("document is not INI: %v", err)
-	}
-	r := &reader{lines: indexLines(source)}
-	d := r.document(file)
-	if len(r.faults) > 0 {
-		return nil, trace.Wrap(&trace.BadParameterError{Message: errors.Join(r.faults...).Error()})
+	d, faults := ParseFile("", source)
+	if len(faults) > 0 {
+		return nil, trace.Wrap(&trace.BadParameterError{Message: faults.Error()})
 	}
 	return d, nil
 }
 
-// reader collects the faults while it reads one document.
-type reader struct {
-	lines  lineIndex
-	faults []error
+// ParseFile reads a document and returns all of its faults, which carry the name of the file.
+func ParseFile(name string, source []byte) (*Document, inifile.Faults) {
+	r := &reader{file: inifile.Load(name, source)}
+	d := r.document()
+	if faults := r.file.Faults(); len(faults) > 0 {
+		return nil, faults
+	}
+	return d, nil
 }
 
-func (r *reader) fault(section, key, format string, arguments ...any) {
-	r.faults = append(r.faults, Fault{
-		Line:    r.lines.find(section, key),
-		Section: section,
-		Key:     key,
-		Reason:  fmt.Sprintf(format, arguments...),
-	})
+// reader reads one document.
+type reader struct {
+	file *inifile.File
 }
 
-func (r *reader) document(file *ini.File) *Document {
+func (r *reader) document() *Document {
 	d := &Document{Attempts: DefaultAttempts}
-	for _, s := range file.Sections() {
+	for _, s := range r.file.Sections() {
 		switch {
 		case s.Name() == ini.DefaultSection:
-			r.knownKeys(s)
+			r.file.KnownKeys(s)
 		case s.Name() == serviceSection:
 			r.service(s, d)
 		case strings.HasPrefix(s.Name(), kindPrefix):
 			d.Kinds = append(d.Kinds, r.kind(s))
 		default:
-			r.fault(s.Name(), "", "unknown section")
+			r.file.Fault(s.Name(), "", "unknown section")
 		}
 	}
-	r.duplicates()
 	if d.Service == "" {
-		r.fault(serviceSection, "name", "missing")
+		r.file.Fault(serviceSection, "name", "missing")
 	}
 	if len(d.Kinds) == 0 {
-		r.fault(serviceSection, "", "the document has no kinds")
+		r.file.Fault(serviceSection, "", "the document has no kinds")
 	}
+	r.hidden(d.Kinds)
 	return d
 }
 
-func (r *reader) duplicates() {
-	for _, place := range r.lines.repeated {
-		r.faults = append(r.faults, Fault{Line: place.line, Section: place.section, Key: place.key, Reason: "stands twice"})
-	}
-}
-
-func (r *reader) knownKeys(s *ini.Section, known ...string) {
-	for _, k := range s.Keys() {
-		if !contains(known, k.Name()) {
-			r.fault(s.Name(), k.Name(), "unknown key")
+// hidden notes the kinds that no request reaches, because one above takes all of theirs.
+func (r *reader) hidden(kinds []Kind) {
+	for i, k := range kinds {
+		for _, above := range kinds[:i] {
+			if above.covers(k) {
+				r.file.Fault(kindPrefix+k.Name, "path", "never matches: kind %s above takes all of its requests", above.Name)
+				break
+			}
 		}
 	}
 }
 
 func (r *reader) service(s *ini.Section, d *Document) {
-	r.knownKeys(s, "name", "team", "attempts")
-	d.Service = s.Key("name").String()
+	r.file.KnownKeys(s, "name", "team", "attempts")
+	d.Service = value(s, "name")
 	if d.Service != "" && !validName(d.Service) {
-		r.fault(s.Name(), "name", "%q is not lower-case letters, digits, - and _", d.Service)
+		r.file.Fault(s.Name(), "name", "%q is not lower-case letters, digits, - and _", d.Service)
 	}
-	d.Team = s.Key("team").String()
+	d.Team = value(s, "team")
 	if d.Team == "" {
-		r.fault(s.Name(), "team", "missing")
+		r.file.Fault(s.Name(), "team", "missing")
 	}
 	d.Attempts = r.integer(s, "attempts", DefaultAttempts, 0, MaxAttempts)
 }
 
 func (r *reader) kind(s *ini.Section) Kind {
-	r.knownKeys(s, "method", "path", "rank", "idempotent", "deadline", "share")
+	r.file.KnownKeys(s, "method", "path", "rank", "idempotent", "deadline", "share")
 	k := Kind{Name: strings.TrimSpace(strings.TrimPrefix(s.Name(), kindPrefix))}
 	if !validName(k.Name) {
-		r.fault(s.Name(), "", "%q is not lower-case letters, digits, - and _", k.Name)
-	}
-	k.Method = s.Key("method").MustString("*")
-	if k.Method != strings.ToUpper(k.Method) {
-		r.fault(s.Name(), "method", "%q is not upper-case", k.Method)
+		r.file.Fault(s.Name(), "", "%q is not lower-case letters, digits, - and _", k.Name)
 	}
-	k.Path = s.Key("path").String()
+	k.Method = r.method(s)
+	k.Path = value(s, "path")
 	if !strings.HasPrefix(k.Path, "/") || strings.Contains(strings.TrimSuffix(k.Path, "*"), "*") {
-		r.fault(s.Name(), "path", "%q does not begin with / or has * before its end", k.Path)
+		r.file.Fault(s.Name(), "path", "%q does not begin with / or has * before its end", k.Path)
 	}
 	k.Rank = r.integer(s, "rank", -1, MostUrgentRank, LeastUrgentRank)
 	k.Share = r.integer(s, "share", 1, 1, MaxShare)
@@ -132,45 +108,58 @@
 	return k
 }
 
+func (r *reader) method(s *ini.Section) string {
+	method := value(s, "method")
+	if method == "" {
+		return AnyMethod
+	}
+	for _, c := range strings.TrimPrefix(method, AnyMethod) {
+		if c < 'A' || c > 'Z' {
+			r.file.Fault(s.Name(), "method", "%q is not an HTTP method in upper case or *", method)
+			break
+		}
+	}
+	return method
+}
+
 func (r *reader) integer(s *ini.Section, key string, absent, low, high int) int {
-	text := s.Key(key).String()
+	text := value(s, key)
 	if text == "" && absent >= low {
 		return absent
 	}
-	value, err := strconv.Atoi(text)
-	if err != nil || value < low || value > high {
-		r.fault(s.Name(), key, "%q is not a whole number from %d to %d", text, low, high)
+	number, err := strconv.Atoi(text)
+	if err != nil || number < low || number > high {
+		r.file.Fault(s.Name(), key, "%q is not a whole number from %d to %d", text, low, high)
 	}
-	return value
+	return number
 }
 
 func (r *reader) boolean(s *ini.Section, key string) bool {
-	text := s.Key(key).String()
+	text := value(s, key)
 	if text != "true" && text != "false" {
-		r.fault(s.Name(), key, "%q is not true or false", text)
+		r.file.Fault(s.Name(), key, "%q is not true or false", text)
 	}
 	return text == "true"
 }
 
 func (r *reader) duration(s *ini.Section, key string, absent, low, high time.Duration) time.Duration {
-	text := s.Key(key).String()
+	text := value(s, key)
 	if text == "" {
 		return absent
 	}
-	value, err := time.ParseDuration(text)
-	if err != nil || value < low || value > high {
-		r.fault(s.Name(), key, "%q is not a duration from %s to %s, such as 800ms", text, low, high)
+	d, err := time.ParseDuration(text)
+	if err != nil || d < low || d > high {
+		r.file.Fault(s.Name(), key, "%q is not a duration from %s to %s, such as 800ms", text, low, high)
 	}
-	return value
+	return d
 }
 
-func contains(known []string, name string) bool {
-	for _, k := range known {
-		if k == name {
-			return true
-		}
+// value returns the key's own text, or "" where the key is absent.
+func value(s *ini.Section, key string) string {
+	if !s.HasKey(key) {
+		return ""
 	}
-	return false
+	return s.Key(key).Value()
 }
 
 func validName(name string) bool {
--- /dev/null
+++ b/internal/control/inifile/inifile.go
@@ -0,0 +1,135 @@
+// Package inifile reads INI text strictly and collects every fault of it with file, line, section and key. Settings
+// and team documents are both read by it.
+//
+// A line is a section, a key = value pair, a comment that begins with # or ;, or empty. Values aren't quoted, do not
+// go on in the next line, and are not substituted into each other.
+//
+// # Usage
+//
+//	f := inifile.Load("node.ini", source)
+//	for _, s := range f.Sections() {
+//		f.KnownKeys(s, "address")
+//	}
+//	faults := f.Faults()
+package inifile
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Fault is one fault of a file.
+type Fault struct {
+	// File is the name of the file; empty where the text came from elsewhere.
+	File string
+	// Line counts from 1; 0 where the fault belongs to no line.
+	Line    int
+	Section string
+	Key     string
+	Reason  string
+}
+
+// Error returns the fault on one line: file, line, section, key and reason, without those that are not known.
+func (f Fault) Error() string {
+	var b strings.Builder
+	switch {
+	case f.File != "" && f.Line > 0:
+		fmt.Fprintf(&b, "%s:%d: ", f.File, f.Line)
+	case f.File != "":
+		fmt.Fprintf(&b, "%s: ", f.File)
+	case f.Line > 0:
+		fmt.Fprintf(&b, "line %d: ", f.Line)
+	}
+	if f.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", f.Section)
+	}
+	if f.Key != "" {
+		fmt.Fprintf(&b, "%s: ", f.Key)
+	}
+	b.WriteString(f.Reason)
+	return b.String()
+}
+
+// Faults are all faults that were found. As an error they stand one on a line.
+type Faults []Fault
+
+// Error returns the faults, one on a line.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, fault := range f {
+		lines = append(lines, fault.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// File is one file with the faults found so far.
+type File struct {
+	name   string
+	ini    *ini.File
+	lines  lineIndex
+	faults Faults
+}
+
+// Load reads INI text. What is no INI, or stands twice, is a fault of the file and is passed over.
+func Load(name string, source []byte) *File {
+	lines, readable := indexLines(source)
+	f := &File{name: name, lines: lines}
+	for _, p := range lines.refused {
+		f.add(p)
+	}
+	options := ini.LoadOptions{IgnoreInlineComment: true, IgnoreContinuation: true, KeyValueDelimiters: delimiter}
+	parsed, err := ini.LoadSources(options, readable)
+	if err != nil {
+		f.add(place{reason: err.Error()})
+		parsed = ini.Empty()
+	}
+	f.ini = parsed
+	return f
+}
+
+// Name returns the name of the file.
+func (f *File) Name() string {
+	return f.name
+}
+
+// Sections returns the sections in the order of the file. The keys above the first section are in ini.DefaultSection.
+func (f *File) Sections() []*ini.Section {
+	return f.ini.Sections()
+}
+
+// Fault notes a fault of a key; of a whole section where the key is empty.
+func (f *File) Fault(section, key, format string, arguments ...any) {
+	if section == ini.DefaultSection {
+		section = ""
+	}
+	reason := fmt.Sprintf(format, arguments...)
+	f.add(place{section: section, key: key, line: f.lines.find(section, key), reason: reason})
+}
+
+// KnownKeys notes a fault for each key of the section that is not in the list.
+func (f *File) KnownKeys(s *ini.Section, known ...string) {
+	for _, k := range s.Keys() {
+		if !slices.Contains(known, k.Name()) {
+			f.Fault(s.Name(), k.Name(), "unknown key")
+		}
+	}
+}
+
+// Line returns the line of a key, of its section where the key is absent, or 0.
+func (f *File) Line(section, key string) int {
+	return f.lines.find(section, key)
+}
+
+// Faults returns the faults by line; nil where there are none.
+func (f *File) Faults() Faults {
+	slices.SortStableFunc(f.faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
+	return f.faults
+}
+
+func (f *File) add(p place) {
+	f.faults = append(f.faults, Fault{File: f.name, Line: p.line, Section: p.section, Key: p.key, Reason: p.reason})
+}
--- /dev/null
+++ b/internal/control/inifile/lines.go
@@ -0,0 +1,117 @@
+package inifile
+
+import (
+	"bytes"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+const (
+	delimiter     = "="
+	byteOrderMark = "\ufeff"
+)
+
+// place is where a section or key stands, and what is wrong there.
+type place struct {
+	section string
+	key     string
+	line    int
+	reason  string
+}
+
+// lineIndex finds the line of a section or key, which the INI library does not keep.
+type lineIndex struct {
+	places  map[[2]string]int
+	refused []place
+}
+
+// indexLines returns the index and the text without the lines that are refused.
+func indexLines(source []byte) (lineIndex, []byte) {
+	x := lineIndex{places: map[[2]string]int{}}
+	section := ""
+	var readable bytes.Buffer
+	for i, line := range strings.Split(strings.TrimPrefix(string(source), byteOrderMark), "\n") {
+		line = strings.TrimSpace(line)
+		p := parseLine(line, section)
+		p.line = i + 1
+		if p.key == "" && p.section != "" {
+			section = p.section
+		}
+		if x.add(p) {
+			readable.WriteString(line)
+		}
+		readable.WriteByte('\n')
+	}
+	return x, readable.Bytes()
+}
+
+// parseLine returns the section that the line begins, or the key that it sets in the section it stands in.
+func parseLine(line, section string) place {
+	switch {
+	case line == "" || line[0] == '#' || line[0] == ';':
+		return place{}
+	case line[0] == '[':
+		return parseHeading(line)
+	}
+	name, value, found := strings.Cut(line, delimiter)
+	name, value = strings.TrimSpace(name), strings.TrimSpace(value)
+	p := place{section: section, key: name}
+	switch {
+	case !found || name == "":
+		p.reason = "not a [section], a key = value or a comment"
+	case !plainName(name):
+		p.reason = "a key is made of letters, digits, -, _ and ."
+	case value != "" && strings.ContainsRune("\"'`", rune(value[0])):
+		p.reason = "values are not quoted"
+	}
+	return p
+}
+
+func parseHeading(line string) place {
+	name := strings.TrimSpace(strings.Trim(line, "[]"))
+	p := place{section: name}
+	switch {
+	case line != "["+name+"]" || name == "" || !plainName(strings.ReplaceAll(name, " ", "")):
+		p.reason = "a section is [name] on a line of its own"
+	case name == ini.DefaultSection:
+		p.reason = "unknown section"
+	}
+	return p
+}
+
+// plainName keeps out what the INI library reads as quotes, counters or nesting.
+func plainName(name string) bool {
+	for _, c := range name {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		digit := c >= '0' && c <= '9'
+		if !letter && !digit && !strings.ContainsRune("-_.", c) {
+			return false
+		}
+	}
+	return name != "-"
+}
+
+// add notes a place and reports whether its line may be read.
+func (x *lineIndex) add(p place) bool {
+	if p.reason == "" && (p.section != "" || p.key != "") {
+		id := [2]string{p.section, p.key}
+		if _, stands := x.places[id]; stands {
+			p.reason = "stands twice"
+		} else {
+			x.places[id] = p.line
+		}
+	}
+	if p.reason != "" {
+		x.refused = append(x.refused, p)
+	}
+	// A repeated heading is kept, or its keys would be read into the section before it.
+	return p.reason == "" || p.key == "" && p.reason == "stands twice"
+}
+
+func (x *lineIndex) find(section, key string) int {
+	if line, ok := x.places[[2]string{section, key}]; ok {
+		return line
+	}
+	return x.places[[2]string{section, ""}]
+}
--- a/internal/control/settings/parse.go
+++ b/internal/control/settings/parse.go
@@ -3,45 +3,148 @@
 import (
 	"flag"
 	"io"
+	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3"
-	"gopkg.in/ini.v1"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/inifile"
 )
 
 // Options are the options of ff that every command uses to read its flags.
-func Options() []ff.Option {
+func Options(flags *flag.FlagSet) []ff.Option {
+	return (&Settings{}).Options(flags)
+}
+
+// Options are the options of ff for the flags that s was registered with. They let s remember which line of the file
+// gave each value.
+func (s *Settings) Options(flags *flag.FlagSet) []ff.Option {
+	p := &fileParser{settings: s, flags: flags}
 	return []ff.Option{
-		ff.WithConfigFileFlag("config"),
-		ff.WithConfigFileParser(parseINI),
+		ff.WithConfigFileFlag(configFlag),
+		ff.WithConfigFileParser(p.parse),
 		ff.WithEnvVarPrefix(environmentVarsPrefix),
 	}
 }
 
-// Parse reads the flags from the arguments, the environment and the INI file that -config names.
-func Parse(flags *flag.FlagSet, arguments []string) error {
-	if flags.Lookup("config") == nil {
-		flags.String("config", "", "INI file with settings")
+// Parse reads the flags from the arguments, the environment and the INI file that -config names. Faults of the file
+// are a trace.BadParameter that wraps inifile.Faults.
+func (s *Settings) Parse(flags *flag.FlagSet, arguments []string) error {
+	if flags.Lookup(configFlag) == nil {
+		flags.String(configFlag, "", "INI file with settings")
 	}
-	return trace.Wrap(ff.Parse(flags, arguments, Options()...))
+	return trace.Wrap(ff.Parse(flags, arguments, s.Options(flags)...))
+}
+
+// CheckFile reads settings from INI text alone, without flags and environment, and returns all of its faults.
+func CheckFile(name string, source []byte) inifile.Faults {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	s := Register(flags)
+	p := &fileParser{settings: s, flags: flags}
+	file := inifile.Load(name, source)
+	unread := p.setAll(file, flags.Set)
+	for _, f := range s.faults() {
+		if !unread[f.Section+"."+f.Key] {
+			file.Fault(f.Section, f.Key, "%s", f.Reason)
+		}
+	}
+	return file.Faults()
+}
+
+// fileParser sets flags from an INI file.
+type fileParser struct {
+	settings *Settings
+	flags    *flag.FlagSet
 }
 
-// parseINI hands each key of each section on as section.key.
-func parseINI(r io.Reader, set func(name, value string) error) error {
+// parse hands each key of each section on as section.key.
+func (p *fileParser) parse(r io.Reader, set func(name, value string) error) error {
 	source, err := io.ReadAll(r)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, source)
-	if err != nil {
-		return trace.BadParameter("settings are not INI: %v", err)
+	file := inifile.Load(p.fileName(), source)
+	p.setAll(file, set)
+	if faults := file.Faults(); len(faults) > 0 {
+		return &trace.BadParameterError{Message: faults.Error()}
 	}
+	return nil
+}
+
+// setAll sets every key and returns the names of those whose values could not be read.
+func (p *fileParser) setAll(file *inifile.File, set func(name, value string) error) map[string]bool {
+	overridden := map[string]bool{}
+	p.flags.Visit(func(f *flag.Flag) { overridden[f.Name] = true })
+	unread := map[string]bool{}
 	for _, s := range file.Sections() {
 		for _, k := range s.Keys() {
-			if err := set(s.Name()+"."+k.Name(), k.String()); err != nil {
-				return trace.BadParameter("[%s] %s: %v", s.Name(), k.Name(), err)
+			name := s.Name() + "." + k.Name()
+			known := p.flags.Lookup(name)
+			if known == nil {
+				file.Fault(s.Name(), k.Name(), "unknown key")
+				continue
+			}
+			if err := set(name, k.Value()); err != nil {
+				file.Fault(s.Name(), k.Name(), "%q is not %s", k.Value(), wanted(known))
+				unread[name] = true
+			}
+			if !overridden[name] {
+				p.settings.remember(file, s.Name(), k.Name())
 			}
 		}
 	}
-	return nil
+	return unread
+}
+
+func (p *fileParser) fileName() string {
+	if f := p.flags.Lookup(configFlag); f != nil {
+		return f.Value.String()
+	}
+	return ""
+}
+
+// wanted says which values a flag takes.
+func wanted(f *flag.Flag) string {
+	getter, ok := f.Value.(flag.Getter)
+	if !ok {
+		return "a value of " + f.Name
+	}
+	switch getter.Get().(type) {
+	case time.Duration:
+		return "a duration, such as 250ms"
+	case int, int64:
+		return "a whole number"
+	case bool:
+		return "true or false"
+	default:
+		return "a value of " + f.Name
+	}
+}
+
+// origin is where the value of a setting stands.
+type origin struct {
+	file string
+	line int
+}
+
+func (s *Settings) remember(file *inifile.File, section, key string) {
+	if s.origins == nil {
+		s.origins = map[string]origin{}
+	}
+	s.origins[section+"."+key] = origin{file: file.Name(), line: file.Line(section, key)}
+}
+
+// locate adds file and line to the faults of values that came from a file.
+func (s *Settings) locate(faults inifile.Faults) inifile.Faults {
+	for i, f := range faults {
+		o := s.origins[f.Section+"."+f.Key]
+		faults[i].File, faults[i].Line = o.file, o.line
+	}
+	return faults
+}
+
+func splitName(name string) (section, key string) {
+	section, key, _ = strings.Cut(name, ".")
+	return section, key
 }
--- a/internal/control/settings/settings.go
+++ b/internal/control/settings/settings.go
@@ -5,7 +5,7 @@
 //
 //	flags := flag.NewFlagSet("node", flag.ContinueOnError)
 //	s := settings.Register(flags)
-//	err := settings.Parse(flags, arguments)
+//	err := s.Parse(flags, arguments)
 //	err = s.Check()
 //
 // A key "address" of the INI section [caller] is the flag -caller.address and the environment variable
@@ -13,13 +13,18 @@
 package settings
 
 import (
-	"errors"
 	"flag"
+	"fmt"
 	"net"
+	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/inifile"
 )
 
 // Settings are all settings of one node.
@@ -31,6 +36,9 @@
 	Operator Operator
 	Platform Platform
 	Log      Log
+
+	// origins are the places of the values that came from a file, by the name of the flag.
+	origins map[string]origin
 }
 
 // Node says who the node is.
@@ -99,10 +107,12 @@
 	maxPlatformWait       = 30 * time.Second
 	leastTokenBytes       = 16
 	maxQueueWait          = 10 * time.Second
+	maxBodyTimeout        = 2 * time.Minute
 	zoneListSeparator     = ","
 	tokenTeamSeparator    = ":"
 	everyTeam             = "*"
 	environmentVarsPrefix = "COMFREYHOIST"
+	configFlag            = "config"
 )
 
 // Register adds a flag for every setting and returns where their values will be.
@@ -130,8 +140,16 @@
 	return s
 }
 
-// Check returns all faults of the values at once.
+// Check returns all faults of the values at once, as a trace.BadParameter.
 func (s *Settings) Check() error {
+	faults := s.locate(s.faults())
+	if len(faults) == 0 {
+		return nil
+	}
+	return trace.Wrap(&trace.BadParameterError{Message: faults.Error()})
+}
+
+func (s *Settings) faults() inifile.Faults {
 	c := &checker{}
 	c.name("node.name", s.Node.Name)
 	c.name("node.zone", s.Node.Zone)
@@ -139,25 +157,27 @@
 	c.address("caller.address", s.Caller.Address)
 	c.address("peer.address", s.Peer.Address)
 	c.address("backend.address", s.Backend.Address)
-	if s.Peer.Advertised != "" {
-		c.address("peer.advertised", s.Peer.Advertised)
-	}
-	if s.Operator.Address != "" {
-		c.address("operator.address", s.Operator.Address)
+	c.optionalAddress("peer.advertised", s.Peer.Advertised)
+	c.optionalAddress("operator.address", s.Operator.Address)
+	for _, seed := range s.Peer.SeedList() {
+		c.address("peer.seeds", seed)
 	}
 	c.within("caller.max_body", s.Caller.MaxBody, 1, maxBodyCeiling)
 	c.within("peer.max_connections", int64(s.Peer.MaxConnections), 1, maxPeerConnsCeiling)
-	c.duration("caller.header_timeout", s.Caller.HeaderTimeout, s.Caller.BodyTimeout)
+	c.duration("caller.body_timeout", s.Caller.BodyTimeout, maxBodyTimeout)
+	c.duration("caller.header_timeout", s.Caller.HeaderTimeout, maxBodyTimeout)
+	if s.Caller.HeaderTimeout > s.Caller.BodyTimeout {
+		c.fault("caller.header_timeout", "is longer than caller.body_timeout, which counts the headers too")
+	}
 	c.duration("platform.timeout", s.Platform.Timeout, maxPlatformWait)
 	c.duration("backend.max_wait", s.Backend.MaxWait, maxQueueWait)
 	c.distinct(s)
-	if !strings.HasPrefix(s.Platform.URL, "http://") && !strings.HasPrefix(s.Platform.URL, "https://") {
-		c.fault("platform.url", "must begin with http:// or https://")
-	}
-	if _, err := s.Operator.TeamTokens(); err != nil {
-		c.fault("operator.tokens", err.Error())
+	c.url("platform.url", s.Platform.URL)
+	c.tokens(s.Operator)
+	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil || s.Log.Level == "" {
+		c.fault("log.level", "must be debug, info, warn or error")
 	}
-	return trace.Wrap(errors.Join(c.faults...))
+	return c.faults
 }
 
 // ZoneList returns the availability zones.
@@ -198,6 +218,9 @@
 		if len(token) < leastTokenBytes {
 			return nil, trace.BadParameter("the token of %q is shorter than %d bytes", team, leastTokenBytes)
 		}
+		if _, stands := tokens[team]; stands {
+			return nil, trace.BadParameter("the team %q stands twice", team)
+		}
 		tokens[team] = token
 	}
 	return tokens, nil
@@ -215,62 +238,97 @@
 
 // checker collects faults.
 type checker struct {
-	faults []error
+	faults inifile.Faults
 }
 
-func (c *checker) fault(key, reason string) {
-	c.faults = append(c.faults, trace.BadParameter("%s: %s", key, reason))
+func (c *checker) fault(name, reason string) {
+	section, key := splitName(name)
+	c.faults = append(c.faults, inifile.Fault{Section: section, Key: key, Reason: reason})
 }
 
-func (c *checker) name(key, value string) {
+func (c *checker) name(name, value string) {
 	if value == "" || strings.ContainsAny(value, " /,\t\n") {
-		c.fault(key, "must be a name without spaces, commas and slashes")
+		c.fault(name, "must be a name without spaces, commas and slashes")
 	}
 }
 
 func (c *checker) zones(n Node) {
+	seen := map[string]bool{}
 	for _, z := range n.ZoneList() {
-		if z == n.Zone {
-			return
+		if seen[z] {
+			c.fault("node.zones", z+" stands twice")
 		}
+		seen[z] = true
+	}
+	if !seen[n.Zone] {
+		c.fault("node.zones", "must hold node.zone")
 	}
-	c.fault("node.zones", "must hold node.zone")
 }
 
-func (c *checker) address(key, value string) {
-	host, _, err := net.SplitHostPort(value)
+func (c *checker) address(name, value string) {
+	host, port, err := net.SplitHostPort(value)
 	if err != nil {
-		c.fault(key, "must be an IP and a port, such as 127.0.0.1:7001")
+		c.fault(name, "must be an IP and a port, such as 127.0.0.1:7001")
 		return
 	}
 	if net.ParseIP(host) == nil {
-		c.fault(key, "the host must be an IP")
+		c.fault(name, "the host must be an IP")
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		c.fault(name, "the port must be a number from 1 to 65535")
 	}
 }
 
-func (c *checker) within(key string, value, low, high int64) {
+func (c *checker) optionalAddress(name, value string) {
+	if value != "" {
+		c.address(name, value)
+	}
+}
+
+func (c *checker) within(name string, value, low, high int64) {
 	if value < low || value > high {
-		c.fault(key, "out of range")
+		c.fault(name, fmt.Sprintf("must be from %d to %d", low, high))
 	}
 }
 
-func (c *checker) duration(key string, value, high time.Duration) {
+func (c *checker) duration(name string, value, high time.Duration) {
 	if value <= 0 || value > high {
-		c.fault(key, "must be more than 0 and at most "+high.String())
+		c.fault(name, "must be more than 0 and at most "+high.String())
+	}
+}
+
+func (c *checker) url(name, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		c.fault(name, "must be a URL that begins with http:// or https://")
+	}
+}
+
+func (c *checker) tokens(o Operator) {
+	tokens, err := o.TeamTokens()
+	if err != nil {
+		c.fault("operator.tokens", trace.UserMessage(err))
+		return
+	}
+	if o.Address != "" && len(tokens) == 0 {
+		c.fault("operator.tokens", "must be set where operator.address is, or nobody may use it")
 	}
 }
 
+// distinct notes the addresses that stand under two settings.
 func (c *checker) distinct(s *Settings) {
-	seen := map[string]string{}
-	for key, value := range map[string]string{
-		"caller.address":   s.Caller.Address,
-		"peer.address":     s.Peer.Address,
-		"backend.address":  s.Backend.Address,
-		"operator.address": s.Operator.Address,
-	} {
-		if other, stands := seen[value]; stands && value != "" {
-			c.fault(key, "is the same as "+other)
+	listeners := []struct{ name, address string }{
+		{"caller.address", s.Caller.Address},
+		{"peer.address", s.Peer.Address},
+		{"backend.address", s.Backend.Address},
+		{"operator.address", s.Operator.Address},
+	}
+	first := map[string]string{}
+	for _, l := range listeners {
+		if other, stands := first[l.address]; stands && l.address != "" {
+			c.fault(l.name, "is the same as "+other)
+			continue
 		}
-		seen[value] = key
+		first[l.address] = l.name
 	}
 }
--- /dev/null
+++ b/internal/control/settings/settings_test.go
@@ -0,0 +1,118 @@
+package settings_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
+)
+
+const sound = `[node]
+name = file
+zone = lisbon_1
+zones = lisbon_1
+[caller]
+address = 127.0.0.1:7000
+[peer]
+address = 127.0.0.1:7001
+[backend]
+address = 127.0.0.1:7002
+[platform]
+url = http://127.0.0.1:8500
+`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.ini")
+	is.New(t).NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestFlagOverridesEnvironmentOverridesFile(t *testing.T) {
+	for name, c := range map[string]struct {
+		flag, environment, file, want string
+	}{
+		"default":            {want: ""},
+		"file":               {file: "file", want: "file"},
+		"environment":        {environment: "environment", want: "environment"},
+		"environment, file":  {environment: "environment", file: "file", want: "environment"},
+		"flag, file":         {flag: "flag", file: "file", want: "flag"},
+		"flag, environment":  {flag: "flag", environment: "environment", want: "flag"},
+		"flag, both of them": {flag: "flag", environment: "environment", file: "file", want: "flag"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var arguments []string
+			if c.file != "" {
+				arguments = append(arguments, "-config", write(t, "[node]\nname = "+c.file+"\n"))
+			}
+			if c.flag != "" {
+				arguments = append(arguments, "-node.name", c.flag)
+			}
+			t.Setenv("COMFREYHOIST_NODE_NAME", c.environment)
+			flags := flag.NewFlagSet(name, flag.ContinueOnError)
+			s := settings.Register(flags)
+			is.NoErr(s.Parse(flags, arguments))
+			is.Equal(s.Node.Name, c.want)
+		})
+	}
+}
+
+func TestFaultsOfAFile(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want string
+	}{
+		"sound":             {sound, ""},
+		"unknown key":       {sound + "colour = red", "node.ini:13: [platform] colour: unknown key"},
+		"unknown section":   {sound + "[paint]\ncolour = red", "node.ini:14: [paint] colour: unknown key"},
+		"section twice":     {sound + "[node]", "node.ini:13: [node] stands twice"},
+		"key twice":         {sound + "url = http://127.0.0.1:1", "node.ini:13: [platform] url: stands twice"},
+		"no INI":            {sound + "what is this", "node.ini:13: [platform] what is this: not a [section], a key = value or a comment"},
+		"quoted":            {sound + "timeout = \"1s\"", "node.ini:13: [platform] timeout: values are not quoted"},
+		"bad unit":          {sound + "timeout = 1 second", "node.ini:13: [platform] timeout: \"1 second\" is not a duration, such as 250ms"},
+		"no unit":           {sound + "timeout = 1", "node.ini:13: [platform] timeout: \"1\" is not a duration, such as 250ms"},
+		"too long":          {sound + "timeout = 1h", "node.ini:13: [platform] timeout: must be more than 0 and at most 30s"},
+		"bad level":         {sound + "[log]\nlevel = loud", "node.ini:14: [log] level: must be debug, info, warn or error"},
+		"short token":       {sound + "[operator]\ntokens = a:b", "node.ini:14: [operator] tokens: the token of \"a\" is shorter than 16 bytes"},
+		"nobody may use it": {sound + "[operator]\naddress = 127.0.0.1:7003", "node.ini:13: [operator] tokens: must be set where operator.address is, or nobody may use it"},
+		"one address twice": {strings.Replace(sound, ":7002", ":7000", 1), "node.ini:10: [backend] address: is the same as caller.address"},
+		"zone not listed":   {strings.Replace(sound, "zones = lisbon_1", "zones = porto_1", 1), "node.ini:4: [node] zones: must hold node.zone"},
+		"name, no IP":       {strings.Replace(sound, "127.0.0.1:7002", "localhost:7002", 1), "node.ini:10: [backend] address: the host must be an IP"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(settings.CheckFile("node.ini", []byte(c.text)).Error(), c.want)
+		})
+	}
+}
+
+func TestAllFaultsAtOnceWithTheirPlaces(t *testing.T) {
+	is := is.New(t)
+	path := write(t, strings.ReplaceAll(sound, "127.0.0.1:700", "nowhere:700"))
+	flags := flag.NewFlagSet("node", flag.ContinueOnError)
+	s := settings.Register(flags)
+	is.NoErr(s.Parse(flags, []string{"-config", path, "-peer.address", "here"}))
+	text := s.Check().Error()
+	is.True(strings.Contains(text, path+":6: [caller] address: the host must be an IP"))
+	is.True(strings.Contains(text, "\n[peer] address: must be an IP and a port")) // the flag's fault names no line of the file
+	is.True(strings.Contains(text, path+":10: [backend] address: the host must be an IP"))
+}
+
+func FuzzCheckFile(f *testing.F) {
+	f.Add(sound)
+	f.Add("[a]\nb = c\n[a]\n= d\n'q' = \"x\n\\")
+	f.Fuzz(func(t *testing.T, text string) {
+		lines := strings.Count(text, "\n") + 1
+		for _, fault := range settings.CheckFile("node.ini", []byte(text)) {
+			if fault.Line < 0 || fault.Line > lines || fault.Reason == "" {
+				t.Fatalf("fault without place or reason: %+v", fault)
+			}
+		}
+	})
+}
