--- a/internal/control/settings/parse.go
+++ b/internal/control/settings/parse.go
@@ -12,9 +12,9 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/inifile"
 )
 
-// Options are the options of ff that every command uses to read its flags.
-func Options(flags *flag.FlagSet) []ff.Option {
-	return (&Settings{}).Options(flags)
+// Options are the options of ff for the commands that have no settings file: a flag overrides the environment.
+func Options() []ff.Option {
+	return []ff.Option{ff.WithEnvVarPrefix(environmentVarsPrefix)}
 }
 
 // Options are the options of ff for the flags that s was registered with. They let s remember which line of the file
