--- a/internal/control/document/parse.go
+++ b/internal/control/document/parse.go
@@ -19,13 +19,21 @@
 
 // Parse reads a document. The error, where there is one, is a trace.BadParameter that names all faults.
 func Parse(source []byte) (*Document, error) {
-	d, faults := ParseFile("", source)
+	d, faults := Check(source)
 	if len(faults) > 0 {
 		return nil, trace.Wrap(&trace.BadParameterError{Message: faults.Error()})
 	}
 	return d, nil
 }
 
+// Fault is one fault of a document.
+type Fault = inifile.Fault
+
+// Check reads a document and returns all of its faults.
+func Check(source []byte) (*Document, inifile.Faults) {
+	return ParseFile("", source)
+}
+
 // ParseFile reads a document and returns all of its faults, which carry the name of the file.
 func ParseFile(name string, source []byte) (*Document, inifile.Faults) {
 	r := &reader{file: inifile.Load(name, source)}
