--- a/internal/control/operator/errors.go
+++ b/internal/control/operator/errors.go
@@ -84,7 +84,7 @@
 func faultsOf(found []document.Fault) []Fault {
 	var faults []Fault
 	for _, f := range found {
-		faults = append(faults, Fault(f))
+		faults = append(faults, Fault{Line: f.Line, Section: f.Section, Key: f.Key, Reason: f.Reason})
 	}
 	return faults
 }
