Stand-ins and load as processes of their own, and a proof of the whole path through six processes

The proof starts the store, two nodes and two backend servers as separate processes, puts the documents with the command line and sends requests that enter at the other node.

--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -23,10 +23,17 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &ffcli.Command{
-		Name:        "hoistlab",
-		ShortUsage:  "hoistlab <command> [flags]",
-		Subcommands: []*ffcli.Command{demoCommand(), overloadCommand(), latencyCommand()},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Name:       "hoistlab",
+		ShortUsage: "hoistlab <command> [flags]",
+		Subcommands: []*ffcli.Command{
+			demoCommand(),
+			overloadCommand(),
+			latencyCommand(),
+			storeCommand(),
+			backendCommand(),
+			loadCommand(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "hoistlab:", trace.UserMessage(err))
--- /dev/null
+++ b/cmd/hoistlab/standins.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/store"
+)
+
+func storeCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("hoistlab store", flag.ContinueOnError)
+	address := flags.String("address", "127.0.0.1:7100", "IP and port to listen on")
+	return &ffcli.Command{
+		Name:       "store",
+		ShortUsage: "hoistlab store -address 127.0.0.1:7100",
+		ShortHelp:  "run the stand-in for the platform's key-value service",
+		FlagSet:    flags,
+		Exec:       func(ctx context.Context, _ []string) error { return runStore(ctx, *address) },
+	}
+}
+
+func runStore(ctx context.Context, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	server := &http.Server{Handler: store.New().Handler()}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); err != http.ErrServerClosed {
+		return trace.Wrap(err)
+	}
+	return nil
+}
+
+// Values of a stand-in backend server where no flag says otherwise.
+const (
+	defaultSlots       = 35
+	defaultConnections = 300
+	defaultServiceTime = 10 * time.Millisecond
+	defaultQueue       = 100
+)
+
+func backendCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("hoistlab backend", flag.ContinueOnError)
+	var c server.Config
+	flags.StringVar(&c.Service, "service", "", "service that the backend server belongs to")
+	flags.StringVar(&c.Address, "address", "127.0.0.1:7200", "IP and port to listen on")
+	flags.StringVar(&c.NodeBackend, "node_backend", "127.0.0.1:7003", "the local node's address for announcements")
+	flags.StringVar(&c.NodeCaller, "node_caller", "127.0.0.1:7001", "the local node's address for calls to other services")
+	flags.IntVar(&c.Slots, "slots", defaultSlots, "requests that run at once")
+	flags.IntVar(&c.Connections, "connections", defaultConnections, "connections that are given")
+	flags.IntVar(&c.Behaviour.Queue, "queue", defaultQueue, "requests that may wait for a slot")
+	flags.DurationVar(&c.Behaviour.ServiceTime, "service_time", defaultServiceTime, "mean time of a request")
+	calls := flags.String("calls", "", "service/path that each request calls with GET, separated by commas")
+	return &ffcli.Command{
+		Name:       "backend",
+		ShortUsage: "hoistlab backend -service bookings -calls access/windows/palace",
+		ShortHelp:  "run one stand-in backend server",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			c.Behaviour.Calls = parseCalls(*calls)
+			return server.New(c).Run(ctx)
+		},
+	}
+}
+
+// parseCalls reads service/path pairs.
+func parseCalls(list string) []server.Downstream {
+	var calls []server.Downstream
+	for _, item := range strings.Split(list, ",") {
+		service, path, found := strings.Cut(item, "/")
+		if found {
+			calls = append(calls, server.Downstream{Service: service, Method: http.MethodGet, Path: "/" + path})
+		}
+	}
+	return calls
+}
+
+func loadCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("hoistlab load", flag.ContinueOnError)
+	s := load.Stream{Name: "load"}
+	targets := flags.String("targets", "127.0.0.1:7001", "caller addresses of nodes, separated by commas")
+	duration := flags.Duration("duration", 5*time.Second, "length of the run")
+	flags.StringVar(&s.Service, "service", "", "service to call")
+	flags.StringVar(&s.Method, "method", http.MethodGet, "HTTP method")
+	flags.StringVar(&s.Path, "path", "/", "path to call")
+	flags.Float64Var(&s.Rate, "rate", 50, "requests a second")
+	flags.DurationVar(&s.Timeout, "timeout", time.Second, "patience of the callers")
+	flags.IntVar(&s.Resends, "resends", 0, "how often a failed request is sent again")
+	return &ffcli.Command{
+		Name:       "load",
+		ShortUsage: "hoistlab load -service bookings -path /urgent/today -rate 50",
+		ShortHelp:  "send requests to running nodes and print a table",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			results := load.Run(ctx, load.Config{
+				Streams:  []load.Stream{s},
+				Targets:  strings.Split(*targets, ","),
+				Duration: *duration,
+			})
+			return trace.Wrap(fleet.WriteTable(os.Stdout, fleet.Summarize(results)))
+		},
+	}
+}
--- /dev/null
+++ b/internal/proof/path/path_test.go
@@ -0,0 +1,118 @@
+package path
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+const token = "a-token-for-the-operator"
+
+// side is one node with its backend server, by their addresses.
+type side struct {
+	name     string
+	service  string
+	calls    string
+	caller   string
+	peer     string
+	backend  string
+	operator string
+	server   string
+}
+
+func TestRequestThroughSeparateProcesses(t *testing.T) {
+	is := is.New(t)
+	directory := t.TempDir()
+	build(t, directory)
+	store := address(t)
+	spawn(t, filepath.Join(directory, "hoistlab"), "store", "-address", store)
+	first := newSide(t, "first", "bookings", "access/urgent/windows")
+	second := newSide(t, "second", "access", "")
+	for _, s := range []side{first, second} {
+		spawn(t, filepath.Join(directory, "comfreyhoist"), "node",
+			"-node.name", s.name, "-node.zone", "lisbon_1", "-node.zones", "lisbon_1",
+			"-caller.address", s.caller, "-peer.address", s.peer, "-backend.address", s.backend,
+			"-operator.address", s.operator, "-operator.tokens", "*:"+token, "-platform.url", "http://"+store)
+		spawn(t, filepath.Join(directory, "hoistlab"), "backend", "-service", s.service, "-address", s.server,
+			"-node_backend", s.backend, "-node_caller", s.caller, "-calls", s.calls)
+	}
+	for _, s := range []side{first, second} {
+		document := filepath.Join(directory, s.service+".ini")
+		text := "[service]\nname = " + s.service + "\nteam = crews\n\n[kind urgent]\npath = /urgent/*\nrank = 0\nidempotent = true\n"
+		is.NoErr(os.WriteFile(document, []byte(text), 0o600))
+		harness.Eventually(t, 30*time.Second, func() bool {
+			put := exec.Command(filepath.Join(directory, "comfreyhoist"), "document", "put",
+				"-address", first.operator, "-token", token, s.service, document)
+			return put.Run() == nil
+		})
+	}
+	// The request enters at the second node and is run by the first one's backend server.
+	harness.Eventually(t, 30*time.Second, func() bool {
+		response, err := http.Get("http://" + second.caller + "/call/bookings/urgent/today")
+		return err == nil && response.Body.Close() == nil && response.StatusCode == http.StatusOK
+	})
+	load := exec.Command(filepath.Join(directory, "hoistlab"), "load", "-targets", second.caller,
+		"-service", "bookings", "-path", "/urgent/today", "-rate", "20", "-duration", "1s", "-timeout", "10s")
+	table, err := load.Output()
+	is.NoErr(err)
+	is.True(regexp.MustCompile(`(?m)^0 +load +(\d+) +\d+ +100\.0 `).Match(table)) // every request got a good answer
+}
+
+func build(t *testing.T, directory string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+	defer cancel()
+	command := exec.CommandContext(ctx, "go", "build", "-o", directory, "../../../cmd/...")
+	if output, err := command.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+}
+
+func newSide(t *testing.T, name, service, calls string) side {
+	return side{
+		name:     name,
+		service:  service,
+		calls:    calls,
+		caller:   address(t),
+		peer:     address(t),
+		backend:  address(t),
+		operator: address(t),
+		server:   address(t),
+	}
+}
+
+// address returns a loopback address whose port was free a moment ago.
+func address(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// spawn starts a process and ends it with the test.
+func spawn(t *testing.T, path string, arguments ...string) {
+	t.Helper()
+	command := exec.Command(path, arguments...)
+	command.Stdout, command.Stderr = t.Output(), t.Output()
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGTERM)
+		_ = command.Wait()
+	})
+}
