--- a/cmd/comfreyhoist/document.go
+++ b/cmd/comfreyhoist/document.go
@@ -47,6 +47,7 @@
 		Name:       name,
 		ShortUsage: usage,
 		ShortHelp:  help,
+		LongHelp:   "Example:\n  " + usage,
 		FlagSet:    flags,
 		Options:    settings.Options(),
 		Exec:       run,
@@ -58,6 +59,8 @@
 		Name:        "document",
 		ShortUsage:  "comfreyhoist document get|put|list|history [flags] [service] [file]",
 		ShortHelp:   "read and write the teams' documents",
+		LongHelp:    "Example:\n  comfreyhoist document list -address 10.1.0.7:7004",
+		FlagSet:     flag.NewFlagSet("comfreyhoist document", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{getCommand(), putCommand(), listCommand(), historyCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -230,7 +230,7 @@
 	case before == membership.Leading:
 		c.config.Log.Emit(events.LeaderLost, events.Fields{"zone": b.Self.Zone, "term": c.election.Term()})
 	case role == membership.Spreading:
-		c.config.Log.Emit(events.SpreadingWithoutLease, events.Fields{"zone": b.Self.Zone})
+		c.config.Log.Emit(events.LeaderUnleased, events.Fields{"zone": b.Self.Zone})
 	}
 }
 
