The restarted node of the cut-off zone is not its earlier leader

Cause: the proof stayed green without the search for the dead, because an earlier leader is asked again anyway.

--- a/internal/proof/control/outage_test.go
+++ b/internal/proof/control/outage_test.go
@@ -106,6 +106,8 @@
 	is := is.New(t)
 	f := harness.Start(t, fleet.Config{Deployment: fleet.Chain()})
 	inside, outside := inZone(f, "lisbon_1")
+	led := leader(t, inside)
+	restarted := without(inside, led)[0]
 	f.Network.SetBoth(names(inside), append(names(outside), fleet.PlatformEnd), proxy.Fault{Cut: true})
 
 	stored := put(t, outside[0], 700)
@@ -116,12 +118,11 @@
 	is.True(earlier != stored.Operation)
 
 	// A node that starts again inside knows nobody and cannot ask the platform.
-	restarted := inside[0]
 	restarted.Kill()
-	harness.Eventually(t, leadWithin, func() bool { return !takesWork(t, inside[1:], restarted) })
+	harness.Eventually(t, leadWithin, func() bool { return !takesWork(t, []*fleet.Node{led}, restarted) })
 	is.NoErr(restarted.Start())
 	harness.Eventually(t, healWithin, func() bool { return operation(t, restarted) == earlier })
-	is.Equal(operation(t, inside[1]), earlier)
+	is.Equal(operation(t, led), earlier)
 
 	f.Network.Clear()
 	harness.Eventually(t, healWithin, func() bool {
