--- /dev/null
+++ b/internal/proof/control/session_test.go
@@ -0,0 +1,111 @@
+package control_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/store"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+const (
+	teamToken  = "token-of-the-access-team"
+	otherToken = "token-of-the-bookings-team"
+)
+
+// session records the requests to one node and its answers.
+type session struct {
+	t    *testing.T
+	node *fleet.Node
+	text bytes.Buffer
+	tag  string
+}
+
+// send sends one request, with the tag in force where match is set, and records both sides.
+func (s *session) send(title, token, method, path string, match bool, body []byte) {
+	is := is.New(s.t)
+	request, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+s.node.Operator+path, bytes.NewReader(body))
+	is.NoErr(err)
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	if match {
+		request.Header.Set("If-Match", s.tag)
+	}
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	answer, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	if tag := response.Header.Get("ETag"); tag != "" {
+		s.tag = tag
+	}
+	fmt.Fprintf(&s.text, "# %s\n%s %s\n", title, method, path)
+	if match {
+		fmt.Fprintf(&s.text, "If-Match: %s\n", request.Header.Get("If-Match"))
+	}
+	fmt.Fprintf(&s.text, "%s\n%s\n", body, response.Status)
+	for _, name := range []string{"Etag", "Retry-After", "Www-Authenticate", "Comfreyhoist-Source"} {
+		if value := response.Header.Get(name); value != "" {
+			fmt.Fprintf(&s.text, "%s: %s\n", name, value)
+		}
+	}
+	fmt.Fprintf(&s.text, "\n%s\n", answer)
+}
+
+var (
+	times      = regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z?([+-]\d\d:\d\d)?`)
+	tagHashes  = regexp.MustCompile(`\b(\d+)-[0-9a-f]{8}\b`)
+	operations = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
+	addresses  = regexp.MustCompile(`127\.\d+\.\d+\.\d+:\d+`)
+)
+
+func normalized(text string) []byte {
+	text = operations.ReplaceAllString(text, "<operation>")
+	text = times.ReplaceAllString(text, "<time>")
+	text = tagHashes.ReplaceAllString(text, "$1-<hash>")
+	return []byte(addresses.ReplaceAllString(text, "<address>"))
+}
+
+func TestOperatorSession(t *testing.T) {
+	deployment := fleet.Chain()
+	deployment.Services = deployment.Services[1:]
+	deployment.Services[0].Instances = 1
+	tokens := "*:" + fleet.OperatorToken + ",access-team:" + teamToken + ",bookings-team:" + otherToken
+	f := harness.Start(t, fleet.Config{Deployment: deployment, Settings: []string{"-operator.tokens", tokens}})
+	s := &session{t: t, node: f.Nodes[0]}
+	const path = "/v1/documents/access"
+	faulty := strings.NewReplacer("rank = 2", "rank = 12", "idempotent = true", "idempotent = perhaps").Replace(string(document(900)))
+
+	s.send("list without a token", "", http.MethodGet, "/v1/documents", false, nil)
+	s.send("list", teamToken, http.MethodGet, "/v1/documents", false, nil)
+	s.send("get", teamToken, http.MethodGet, path, false, nil)
+	s.send("put a document with two faults", teamToken, http.MethodPut, path, true, []byte(faulty))
+	s.send("put without naming the revision", teamToken, http.MethodPut, path, false, document(900))
+	s.send("put as another team", otherToken, http.MethodPut, path, true, document(900))
+	stale := s.tag
+	s.send("put", teamToken, http.MethodPut, path, true, document(900))
+	fresh := s.tag
+	s.tag = stale
+	s.send("put over a revision that is gone", teamToken, http.MethodPut, path, true, document(901))
+	s.tag = fresh
+	s.send("history", teamToken, http.MethodGet, path+"/history", false, nil)
+	f.Store.SetFaults(store.Faults{Down: true})
+	s.send("get while the platform is down", teamToken, http.MethodGet, path, false, nil)
+	s.send("put while the platform is down", teamToken, http.MethodPut, path, true, document(902))
+	f.Store.SetFaults(store.Faults{})
+	s.send("a service without a document", teamToken, http.MethodGet, "/v1/documents/nothing", false, nil)
+	s.send("drain as a team", teamToken, http.MethodPost, "/v1/drain", false, nil)
+	s.send("drain", fleet.OperatorToken, http.MethodPost, "/v1/drain", false, nil)
+
+	goldie.New(t).Assert(t, "operator_session", normalized(s.text.String()))
+}
