Bad input of callers and strangers: a text that names the field, an event, and a node that goes on

Cause, found by tests with real nodes: - A refused request that carries a key was told not_run, though an earlier attempt under the key may have run; it is not_admitted now. - A path with dot segments got the rank of one kind and could be run as another by a backend server that resolves them; such paths are refused. The path was passed on unescaped; it keeps the caller's escaping now. - A header given twice counted with its first value; a caller's name had no bound. Both are refused by name. - A backend server's answer could carry this system's own headers to the caller, such as a reason; they are removed. - A stranger on the peer address could hold a connection for ever with half a frame (seen: still open after 30 s). peer.idle_timeout (45 s, above the 30 s for which other nodes trust an idle connection) closes it. - Each closing of a connection between nodes was logged as garbage; only what isn't drpc is now. Events that strangers can cause are written once a second at most, with the number left out. Lines of the HTTP server became events. - A caller that is cut off before a whole request head left no trace; it is event 1204 now.

Red first, in scratch trials: without the dot-segment check, with not_run for a refused key, without the report of a rejection, and without the idle timeout, the tests in internal/proof/shell fail. Green: go test -race ./internal/proof/shell.

The proxy gained two faults, Duplicate and Cross, and the stand-in backend server an echo, for the next tests.

--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -29,6 +29,8 @@
 	PeerSilent         Number = 1202
 	PeerGarbage        Number = 1203
 	CallerRejected     Number = 1204
+	HTTPFailed         Number = 1205
+	PeerIdle           Number = 1206
 	PlatformLost       Number = 1301
 	PlatformBack       Number = 1302
 	LeaderElected      Number = 1303
@@ -65,8 +67,10 @@
 	RequestQuarantined: {Name: "request_quarantined", Level: zerolog.WarnLevel, Since: "0.1", Text: "A request that crashed backend servers is refused for a time.", Action: "Find the request by its fingerprint in the dump and mend the backend server."},
 	PeerUnreachable:    {Name: "peer_unreachable", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node failed.", Action: "If it lasts, check the network between the two nodes and whether the other one runs."},
 	PeerSilent:         {Name: "peer_silent", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node went silent and was closed.", Action: "If it repeats, look for a device between the two nodes that loses track of connections."},
-	PeerGarbage:        {Name: "peer_garbage", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to the peer address sent something that isn't drpc.", Action: "Find out who connects to the peer address."},
+	PeerGarbage:        {Name: "peer_garbage", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to the peer address broke off or sent something that isn't drpc; at most one a second is logged, with the number left out.", Action: "Find out who connects to the peer address."},
 	CallerRejected:     {Name: "caller_rejected", Level: zerolog.InfoLevel, Since: "0.1", Text: "A caller's request was malformed; at most one a second is logged, with the number left out."},
+	HTTPFailed:         {Name: "http_failed", Level: zerolog.WarnLevel, Since: "0.1", Text: "The HTTP server reported an error of its own; at most one a second is logged, with the number left out.", Action: "A panic is a fault of this program: report it with the text. Other texts name a connection that broke."},
+	PeerIdle:           {Name: "peer_idle", Level: zerolog.DebugLevel, Since: "0.1", Text: "A connection to the peer address made no whole call in time and was closed; at most one a second is logged, with the number left out."},
 	PlatformLost:       {Name: "platform_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "The platform's store does not answer; the node goes on with what it has.", Action: "See the page on platform outages in docs/OPERATORS.md."},
 	PlatformBack:       {Name: "platform_back", Level: zerolog.InfoLevel, Since: "0.1", Text: "The platform's store answers again."},
 	LeaderElected:      {Name: "leader_elected", Level: zerolog.InfoLevel, Since: "0.1", Text: "This node leads its availability zone."},
--- a/internal/control/events/log.go
+++ b/internal/control/events/log.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -24,3 +26,50 @@
 	entry := Catalogue[n]
 	l.logger.WithLevel(entry.Level).Int("event", int(n)).Str("name", entry.Name).Fields(map[string]any(fields)).Msg(entry.Text)
 }
+
+// Limiter writes each event at most once in a while, for events that strangers can cause at any rate.
+type Limiter struct {
+	log   *Log
+	every time.Duration
+
+	mu   sync.Mutex
+	last map[Number]*limited
+}
+
+type limited struct {
+	at      time.Time
+	leftOut int
+}
+
+// NewLimiter returns a limiter that writes one event of each number in the given time.
+func NewLimiter(log *Log, every time.Duration) *Limiter {
+	return &Limiter{log: log, every: every, last: map[Number]*limited{}}
+}
+
+// Emit writes the event, or leaves it out and counts it. The next one that is written carries the count.
+func (l *Limiter) Emit(now time.Time, n Number, fields Fields) {
+	leftOut, ok := l.take(now, n)
+	if !ok {
+		return
+	}
+	marked := Fields{"left_out": leftOut}
+	for name, value := range fields {
+		marked[name] = value
+	}
+	l.log.Emit(n, marked)
+}
+
+func (l *Limiter) take(now time.Time, n Number) (leftOut int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before, seen := l.last[n]
+	if seen && now.Sub(before.at) < l.every {
+		before.leftOut++
+		return 0, false
+	}
+	if seen {
+		leftOut = before.leftOut
+	}
+	l.last[n] = &limited{at: now}
+	return leftOut, true
+}
--- a/internal/control/settings/settings.go
+++ b/internal/control/settings/settings.go
@@ -66,6 +66,8 @@
 	Advertised string
 	// MaxConnections bounds the connections to one other node.
 	MaxConnections int
+	// IdleTimeout is how long a connection of another node may wait before its next call.
+	IdleTimeout time.Duration
 	// Seeds are peer addresses to join through while the platform is away, separated by commas.
 	Seeds string
 }
@@ -100,6 +102,7 @@
 	defaultHeaderTimeout  = 5 * time.Second
 	defaultBodyTimeout    = 10 * time.Second
 	defaultPeerConns      = 64
+	defaultPeerIdle       = 45 * time.Second
 	defaultMaxWait        = 100 * time.Millisecond
 	defaultPlatformWait   = time.Second
 	maxBodyCeiling        = 3 << 20
@@ -107,6 +110,7 @@
 	maxPlatformWait       = 30 * time.Second
 	leastTokenBytes       = 16
 	maxQueueWait          = 10 * time.Second
+	maxPeerIdle           = 10 * time.Minute
 	maxBodyTimeout        = 2 * time.Minute
 	zoneListSeparator     = ","
 	tokenTeamSeparator    = ":"
@@ -129,6 +133,7 @@
 	flags.StringVar(&s.Peer.Address, "peer.address", "", "IP and port that other nodes use")
 	flags.StringVar(&s.Peer.Advertised, "peer.advertised", "", "IP and port that other nodes are told; empty for peer.address")
 	flags.IntVar(&s.Peer.MaxConnections, "peer.max_connections", defaultPeerConns, "most connections to one other node")
+	flags.DurationVar(&s.Peer.IdleTimeout, "peer.idle_timeout", defaultPeerIdle, "time without a call after which a connection from another node is closed")
 	flags.StringVar(&s.Peer.Seeds, "peer.seeds", "", "peer addresses to join through while the platform is away")
 	flags.StringVar(&s.Backend.Address, "backend.address", "", "IP and port for the local backend server's announcements and for health, metrics and the dump")
 	flags.DurationVar(&s.Backend.MaxWait, "backend.max_wait", defaultMaxWait, "longest wait for a slot")
@@ -169,6 +174,7 @@
 	if s.Caller.HeaderTimeout > s.Caller.BodyTimeout {
 		c.fault("caller.header_timeout", "is longer than caller.body_timeout, which counts the headers too")
 	}
+	c.duration("peer.idle_timeout", s.Peer.IdleTimeout, maxPeerIdle)
 	c.duration("platform.timeout", s.Platform.Timeout, maxPlatformWait)
 	c.duration("backend.max_wait", s.Backend.MaxWait, maxQueueWait)
 	c.distinct(s)
--- a/internal/lab/proxy/network.go
+++ b/internal/lab/proxy/network.go
@@ -14,6 +14,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,10 @@
 	TruncateAfter int64
 	// Corrupt flips a bit in every chunk.
 	Corrupt bool
+	// Duplicate passes every chunk on twice.
+	Duplicate bool
+	// Cross exchanges chunks between the connections that carry bytes at the same time.
+	Cross bool
 }
 
 type link struct {
@@ -50,6 +55,7 @@
 	faults  map[link]Fault
 	changed chan struct{}
 	pairs   map[*pair]bool
+	crossed map[link]chan []byte
 }
 
 // NewNetwork returns a network without faults. The seed drives its random delays.
@@ -60,6 +66,7 @@
 		faults:  map[link]Fault{},
 		changed: make(chan struct{}),
 		pairs:   map[*pair]bool{},
+		crossed: map[link]chan []byte{},
 	}
 }
 
@@ -186,6 +193,35 @@
 	return f.Delay + time.Duration(n.random.Int64N(int64(f.Spread)))
 }
 
+// crossWait is how long a chunk waits for another connection's.
+const crossWait = 20 * time.Millisecond
+
+// cross returns the chunk of another connection of the link, which gets this one, or this one where none comes.
+func (n *Network) cross(l link, chunk []byte) []byte {
+	own := slices.Clone(chunk)
+	exchange := n.exchange(l)
+	timer := time.NewTimer(crossWait)
+	defer timer.Stop()
+	select {
+	case other := <-exchange:
+		exchange <- own
+		return other
+	case exchange <- own:
+		return <-exchange
+	case <-timer.C:
+		return own
+	}
+}
+
+func (n *Network) exchange(l link) chan []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.crossed[l] == nil {
+		n.crossed[l] = make(chan []byte)
+	}
+	return n.crossed[l]
+}
+
 func (n *Network) wake() {
 	close(n.changed)
 	n.changed = make(chan struct{})
--- a/internal/lab/proxy/pair.go
+++ b/internal/lab/proxy/pair.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,6 +86,12 @@
 	if f.Corrupt {
 		chunk[len(chunk)/2] ^= 1
 	}
+	if f.Cross {
+		chunk = p.network.cross(l, chunk)
+	}
+	if f.Duplicate {
+		chunk = slices.Repeat(chunk, 2)
+	}
 	if left := f.TruncateAfter - *passed; f.TruncateAfter > 0 && int64(len(chunk)) > left {
 		_, _ = to.Write(chunk[:max(left, 0)])
 		return false
--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -73,6 +73,10 @@
 		return
 	}
 	s.ledger.end(run)
+	if b.Echo {
+		_, _ = w.Write(body)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s ran %s %s\n", s.config.Service, r.Method, r.URL.Path)
 }
 
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -50,6 +50,8 @@
 	CrashOn string `json:"crash_on"`
 	// RestartAfter is how long a crash lasts.
 	RestartAfter time.Duration `json:"restart_after"`
+	// Echo answers with the request's own body.
+	Echo bool `json:"echo"`
 	// Leaving is announced to the node.
 	Leaving bool `json:"leaving"`
 }
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -16,6 +16,8 @@
 	gateTick = 10 * time.Millisecond
 	// controlTimeout bounds one control message.
 	controlTimeout = time.Second
+	// limitedEvery is the time between two events of one number that strangers can cause.
+	limitedEvery = time.Second
 	// drainSettle is how long a leaving node waits for others to learn of it.
 	drainSettle = time.Second
 	// drainTimeout bounds the wait for requests in flight.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -51,12 +52,13 @@
 	controller *zone.Controller
 	chains     *call.Chains
 	listeners  listeners
+	limiter    *events.Limiter
 }
 
 // New builds a node without starting it.
 func New(config Config) *Node {
 	s := config.Settings
-	n := &Node{config: config, chains: call.NewChains()}
+	n := &Node{config: config, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, limitedEvery)}
 	n.loop = board.NewLoop(board.Board{Self: board.Self{
 		Node:          s.Node.Name,
 		Zone:          s.Node.Zone,
@@ -156,6 +158,8 @@
 		Sender:  n.sender,
 		Chains:  n.chains,
 		MaxBody: n.config.Settings.Caller.MaxBody,
+
+		Rejected: n.rejected,
 	})
 	return router
 }
@@ -214,7 +218,8 @@
 		return
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
-		Log: func(err error) { n.config.Log.Emit(events.PeerGarbage, events.Fields{"error": err.Error()}) },
+		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
+		Log:     n.peerFailed,
 	})
 	_ = server.Serve(ctx, n.listeners.peer)
 }
@@ -224,7 +229,9 @@
 		Handler:           router,
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
 		ReadTimeout:       n.config.Settings.Caller.BodyTimeout,
+		ErrorLog:          n.httpLog(),
 	}
+	caller.WatchConns(server, n.endedEarly)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	_ = server.Serve(l)
--- /dev/null
+++ b/internal/proof/shell/input_test.go
@@ -0,0 +1,149 @@
+package shell_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+// limitedEvery is longer than the time between two events of one number that strangers can cause.
+const limitedEvery = 1100 * time.Millisecond
+
+func TestBadInputOfCallers(t *testing.T) {
+	l := &logs{}
+	f := harness.Start(t, fleet.Config{
+		Deployment: deployment(1),
+		Output:     l,
+		Settings:   []string{"-caller.max_body", "1024", "-caller.header_timeout", "500ms", "-caller.body_timeout", "1s"},
+	})
+	pid := f.Nodes[0].PID()
+	for name, c := range map[string]struct {
+		path   string
+		header http.Header
+		body   string
+		status int
+		reason string
+		names  string
+	}{
+		"unknown service":        {"/call/unknown/x", nil, "", http.StatusNotFound, "unknown_service", "unknown"},
+		"unknown kind":           {"/call/bookings/nothing", nil, "", http.StatusNotFound, "unknown_kind", "/nothing"},
+		"dot segments":           {"/call/bookings/bookings/%2e%2e/x", nil, "", http.StatusBadRequest, "bad_request", "path"},
+		"escaped service":        {"/call/book%69ngs/bookings", nil, "", http.StatusBadRequest, "bad_request", "path"},
+		"oversized body":         {"/call/bookings/bookings", nil, strings.Repeat("x", 1025), http.StatusRequestEntityTooLarge, "body_too_large", "1024"},
+		"deadline is no number":  {"/call/bookings/bookings", http.Header{"Comfreyhoist-Deadline-Ms": {"soon"}}, "", http.StatusBadRequest, "bad_request", "Comfreyhoist-Deadline-Ms"},
+		"deadline is negative":   {"/call/bookings/bookings", http.Header{"Comfreyhoist-Deadline-Ms": {"-1"}}, "", http.StatusBadRequest, "bad_request", "Comfreyhoist-Deadline-Ms"},
+		"deadline stands twice":  {"/call/bookings/bookings", http.Header{"Comfreyhoist-Deadline-Ms": {"1", "2"}}, "", http.StatusBadRequest, "bad_request", "Comfreyhoist-Deadline-Ms"},
+		"key stands twice":       {"/call/bookings/bookings", http.Header{"Idempotency-Key": {"a", "b"}}, "", http.StatusBadRequest, "bad_key", "Idempotency-Key"},
+		"key is empty":           {"/call/bookings/bookings", http.Header{"Idempotency-Key": {""}}, "", http.StatusBadRequest, "bad_key", "Idempotency-Key"},
+		"caller's name is long":  {"/call/bookings/bookings", http.Header{"Comfreyhoist-Caller": {strings.Repeat("x", 129)}}, "", http.StatusBadRequest, "bad_request", "Comfreyhoist-Caller"},
+		"caller's name has gaps": {"/call/bookings/bookings", http.Header{"Comfreyhoist-Caller": {"a b"}}, "", http.StatusBadRequest, "bad_request", "Comfreyhoist-Caller"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.Nodes[0].Caller+c.path, strings.NewReader(c.body))
+			is.NoErr(err)
+			for key, values := range c.header {
+				request.Header[key] = values
+			}
+			response, err := http.DefaultClient.Do(request)
+			is.NoErr(err)
+			defer func() { _ = response.Body.Close() }()
+			text, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, c.status)
+			is.Equal(response.Header.Get("Comfreyhoist-Reason"), c.reason)
+			is.True(strings.Contains(string(text), c.names)) // the text names the field
+			want := "not_run"
+			if request.Header.Get("Idempotency-Key") != "" {
+				want = "not_admitted" // an earlier attempt under the key may have run
+			}
+			is.Equal(response.Header.Get("Comfreyhoist-Outcome"), want)
+		})
+	}
+	l.has(t, `"event":1204`, `"reason":"`)
+	t.Run("slow head", func(t *testing.T) {
+		time.Sleep(limitedEvery)
+		expectEnd(t, f.Nodes[0].Caller, "POST /call/bookings/bookings HTTP/1.1\r\nHost: a\r\nX-Slow: ")
+		l.has(t, `"event":1204`, "ended before a whole request head")
+	})
+	t.Run("slow body", func(t *testing.T) {
+		time.Sleep(limitedEvery)
+		answer := expectEnd(t, f.Nodes[0].Caller, "POST /call/bookings/bookings HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab")
+		is.New(t).True(strings.HasPrefix(answer, "HTTP/1.1 400 "))
+		l.has(t, `"event":1204`, "body could not be read")
+	})
+	t.Run("no HTTP", func(t *testing.T) {
+		answer := expectEnd(t, f.Nodes[0].Caller, "\x00\x01\x02 rubbish\r\n\r\n")
+		is.New(t).True(strings.HasPrefix(answer, "HTTP/1.1 400 "))
+	})
+	for _, n := range f.Nodes {
+		for _, r := range n.Server.Ledger().Runs() {
+			t.Errorf("ran: %+v", r)
+		}
+	}
+	stillServes(t, f, pid)
+}
+
+func TestGarbageOnThePeerAddress(t *testing.T) {
+	l := &logs{}
+	f := harness.Start(t, fleet.Config{
+		Deployment: deployment(1),
+		Output:     l,
+		Settings:   []string{"-peer.idle_timeout", "1s", "-log.level", "debug"},
+	})
+	entry := f.Nodes[0]
+	pid := entry.PID()
+	for name, bytes := range map[string]string{
+		"HTTP":        "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"zeros":       strings.Repeat("\x00", 1<<16),
+		"ones":        strings.Repeat("\xff", 1<<16),
+		"huge length": "\x05\x01\x01\xff\xff\xff\xff\x0f" + strings.Repeat("x", 1<<16),
+	} {
+		t.Run(name, func(t *testing.T) {
+			time.Sleep(limitedEvery)
+			expectEnd(t, entry.Peer, bytes)
+		})
+	}
+	l.has(t, `"event":1203`)
+	l.has(t, `"event":1206`)
+	stillServes(t, f, pid)
+}
+
+// expectEnd sends the bytes on a new connection, leaves it open, and returns what comes until the other side ends it.
+func expectEnd(t *testing.T, address, bytes string) string {
+	t.Helper()
+	is := is.New(t)
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	// The other side may end the connection before it has read everything.
+	_, _ = conn.Write([]byte(bytes))
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(30 * time.Second)))
+	answer, err := io.ReadAll(conn)
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		t.Fatalf("the node kept the connection open")
+	}
+	return string(answer)
+}
+
+// stillServes sends a good request through the process that took the bad ones.
+func stillServes(t *testing.T, f *fleet.Fleet, pid int) {
+	t.Helper()
+	is := is.New(t)
+	response, err := http.Post("http://"+f.Nodes[0].Caller+"/call/bookings/bookings", "text/plain", strings.NewReader("a ballroom"))
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(string(text), "a ballroom")
+	is.Equal(f.Nodes[0].PID(), pid)
+}
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -36,8 +35,12 @@
 	DeadlineHeader = "Comfreyhoist-Deadline-Ms"
 )
 
-// Path is the route of all calls.
-const Path = "/call/:service/*path"
+const (
+	// Path is the route of all calls.
+	Path = pathPrefix + ":service/*path"
+	// pathPrefix stands before the name of the service.
+	pathPrefix = "/call/"
+)
 
 // Sender sends a request on and returns its reply.
 type Sender interface {
@@ -51,6 +54,8 @@
 	Chains *call.Chains
 	// MaxBody is in bytes.
 	MaxBody int64
+	// Rejected is told of each request that was refused as malformed; nil for nobody.
+	Rejected func(r *http.Request, reason call.Reason, text string)
 }
 
 // Register adds the route for calls to the router.
@@ -74,9 +79,7 @@
 func (h *handler) serve(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	request, chain, refused := h.request(r, p)
 	if refused != nil {
-		reply := call.Refused(call.NotRun, refused.reason, 0)
-		reply.Body = []byte(refused.text + "\n")
-		h.write(w, nil, reply)
+		h.reject(w, r, refused)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
@@ -88,6 +91,20 @@
 	h.write(w, request, h.send(ctx, request, chain))
 }
 
+func (h *handler) reject(w http.ResponseWriter, r *http.Request, refused *rejection) {
+	if h.config.Rejected != nil {
+		h.config.Rejected(r, refused.reason, refused.text)
+	}
+	outcome := call.NotRun
+	if r.Header.Get(backend.KeyHeader) != "" {
+		// An earlier attempt under the key may have run.
+		outcome = call.NotAdmitted
+	}
+	reply := call.Refused(outcome, refused.reason, 0)
+	reply.Body = []byte(refused.text + "\n")
+	h.write(w, nil, reply)
+}
+
 // send charges the attempts to the chain that the call belongs to.
 func (h *handler) send(ctx context.Context, request *call.Request, chain *call.Chain) call.Reply {
 	if chain == nil {
@@ -103,10 +120,17 @@
 
 func (h *handler) request(r *http.Request, p httprouter.Params) (*call.Request, *call.Chain, *rejection) {
 	service := p.ByName("service")
+	path, refused := pathOf(r, p)
+	if refused != nil {
+		return nil, nil, refused
+	}
 	accepted, ok := h.config.Board.Snapshot().Documents.ByService[service]
 	if !ok {
 		return nil, nil, &rejection{call.ReasonUnknownService, "service " + strconv.Quote(service) + " has no document"}
 	}
+	if refused := checkHeaders(r.Header); refused != nil {
+		return nil, nil, refused
+	}
 	kind, ok := accepted.Document.Match(r.Method, p.ByName("path"))
 	if !ok {
 		return nil, nil, &rejection{call.ReasonUnknownKind, "no kind of " + service + " matches " + r.Method + " " + p.ByName("path")}
@@ -123,7 +147,7 @@
 		Service:      service,
 		Kind:         kind.Name,
 		Method:       r.Method,
-		Path:         pathOf(r, p),
+		Path:         path,
 		Header:       forwarded(r.Header),
 		Body:         body,
 		Idempotent:   kind.Idempotent,
@@ -149,23 +173,6 @@
 	}
 }
 
-func deadlineOf(r *http.Request, kind document.Kind) (time.Time, *rejection) {
-	deadline := time.Now().Add(kind.Deadline)
-	text := r.Header.Get(DeadlineHeader)
-	if text == "" {
-		return deadline, nil
-	}
-	milliseconds, err := strconv.ParseInt(text, 10, 32)
-	if err != nil || milliseconds < 0 {
-		return deadline, &rejection{call.ReasonBadRequest, DeadlineHeader + " is not a number of milliseconds"}
-	}
-	asked := time.Now().Add(time.Duration(milliseconds) * time.Millisecond)
-	if asked.Before(deadline) {
-		return asked, nil
-	}
-	return deadline, nil
-}
-
 func (h *handler) body(r *http.Request) ([]byte, *rejection) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, h.config.MaxBody))
 	var tooLarge *http.MaxBytesError
@@ -178,41 +185,18 @@
 	return body, nil
 }
 
-func pathOf(r *http.Request, p httprouter.Params) string {
-	path := p.ByName("path")
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
-	}
-	return path
-}
-
-// forwarded returns the headers that the backend server gets.
-func forwarded(h http.Header) http.Header {
-	kept := backend.EndToEnd(h)
-	for name := range kept {
-		if strings.HasPrefix(name, "Comfreyhoist-") {
-			kept.Del(name)
-		}
-	}
-	return kept
-}
-
-// callerOf names the caller: what it calls itself, else its IP.
-func callerOf(r *http.Request) string {
-	if name := r.Header.Get(CallerHeader); name != "" {
-		return name
-	}
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return host
-}
+// highestStatus is the highest status that HTTP has.
+const highestStatus = 999
 
 func (h *handler) write(w http.ResponseWriter, request *call.Request, reply call.Reply) {
+	if reply.Status < http.StatusOK || reply.Status > highestStatus {
+		reply = call.Refused(call.Unknown, call.ReasonCorrupt, 0)
+	}
 	header := w.Header()
 	for name, values := range reply.Header {
-		header[name] = values
+		if !strings.HasPrefix(name, ownPrefix) {
+			header[name] = values
+		}
 	}
 	header.Set(OutcomeHeader, reply.Outcome.String())
 	header.Set(AttemptsHeader, strconv.Itoa(reply.AttemptsUsed))
--- /dev/null
+++ b/internal/traffic/caller/headers.go
@@ -0,0 +1,110 @@
+package caller
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+const (
+	// ownPrefix begins the names of this system's own headers.
+	ownPrefix = "Comfreyhoist-"
+	// maxCallerName is in bytes.
+	maxCallerName = 128
+	// maxDeadlineMs bounds the number in DeadlineHeader; the kind's own deadline is far below it.
+	maxDeadlineMs = 24 * 60 * 60 * 1000
+)
+
+// callerHeaders are the headers that a caller may set, each at most once.
+var callerHeaders = []string{backend.KeyHeader, DeadlineHeader, CallerHeader, backend.ChainHeader}
+
+// checkHeaders refuses a request whose headers for this system are malformed. The text names the header.
+func checkHeaders(h http.Header) *rejection {
+	for _, name := range callerHeaders {
+		if len(h.Values(name)) > 1 {
+			return &rejection{reasonOfHeader(name), name + " stands more than once"}
+		}
+	}
+	if h.Values(backend.KeyHeader) != nil && h.Get(backend.KeyHeader) == "" {
+		return &rejection{call.ReasonBadKey, backend.KeyHeader + " is empty"}
+	}
+	if name := h.Get(CallerHeader); len(name) > maxCallerName || strings.ContainsFunc(name, isInvisible) {
+		return &rejection{call.ReasonBadRequest, CallerHeader + " is not at most " + strconv.Itoa(maxCallerName) + " visible ASCII characters"}
+	}
+	return nil
+}
+
+func reasonOfHeader(name string) call.Reason {
+	if name == backend.KeyHeader {
+		return call.ReasonBadKey
+	}
+	return call.ReasonBadRequest
+}
+
+func isInvisible(c rune) bool {
+	return c <= ' ' || c > '~'
+}
+
+// deadlineOf returns the deadline that the caller asked for, at most that of the kind.
+func deadlineOf(r *http.Request, kind document.Kind) (time.Time, *rejection) {
+	now := time.Now()
+	if len(r.Header.Values(DeadlineHeader)) == 0 {
+		return now.Add(kind.Deadline), nil
+	}
+	milliseconds, err := strconv.ParseInt(r.Header.Get(DeadlineHeader), 10, 64)
+	if err != nil || milliseconds < 0 || milliseconds > maxDeadlineMs {
+		text := DeadlineHeader + " is not a number of milliseconds from 0 to " + strconv.Itoa(maxDeadlineMs)
+		return now, &rejection{call.ReasonBadRequest, text}
+	}
+	asked := time.Duration(milliseconds) * time.Millisecond
+	return now.Add(min(asked, kind.Deadline)), nil
+}
+
+// callerOf names the caller: what it calls itself, else its IP.
+func callerOf(r *http.Request) string {
+	if name := r.Header.Get(CallerHeader); name != "" {
+		return name
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// forwarded returns the headers that the backend server gets, without this system's own.
+func forwarded(h http.Header) http.Header {
+	kept := backend.EndToEnd(h)
+	for name := range kept {
+		if strings.HasPrefix(name, ownPrefix) {
+			kept.Del(name)
+		}
+	}
+	return kept
+}
+
+// pathOf returns the path below the service and the query, escaped as the caller sent them. Dot segments are refused:
+// a backend server that resolves them would run another kind than the one whose rank the request got.
+func pathOf(r *http.Request, p httprouter.Params) (string, *rejection) {
+	for _, segment := range strings.Split(p.ByName("path"), "/") {
+		if segment == "." || segment == ".." {
+			return "", &rejection{call.ReasonBadRequest, "path has a segment " + segment}
+		}
+	}
+	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), pathPrefix), "/")
+	if service != p.ByName("service") {
+		return "", &rejection{call.ReasonBadRequest, "path has an escaped service name"}
+	}
+	if r.URL.RawQuery != "" {
+		return "/" + path + "?" + r.URL.RawQuery, nil
+	}
+	return "/" + path, nil
+}
