--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -185,13 +185,23 @@
 	return body, nil
 }
 
-// highestStatus is the highest status that HTTP has.
-const highestStatus = 999
+const (
+	// highestStatus is the highest status that HTTP has.
+	highestStatus = 999
+	// defaultRetryAfter is when to come back where nobody down the way said.
+	defaultRetryAfter = time.Second
+)
+
+// retryAfterMsHeader gives the time of Retry-After exactly, which has whole seconds only.
+const retryAfterMsHeader = "Comfreyhoist-Retry-After-Ms"
 
 func (h *handler) write(w http.ResponseWriter, request *call.Request, reply call.Reply) {
 	if reply.Status < http.StatusOK || reply.Status > highestStatus {
 		reply = call.Refused(call.Unknown, call.ReasonCorrupt, 0)
 	}
+	if reply.Outcome != call.Ran && reply.Status == http.StatusServiceUnavailable && reply.RetryAfter <= 0 {
+		reply.RetryAfter = defaultRetryAfter
+	}
 	header := w.Header()
 	for name, values := range reply.Header {
 		if !strings.HasPrefix(name, ownPrefix) {
@@ -208,7 +218,7 @@
 	}
 	if reply.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(wholeSeconds(reply.RetryAfter)))
-		header.Set("Comfreyhoist-Retry-After-Ms", strconv.FormatInt(reply.RetryAfter.Milliseconds(), 10))
+		header.Set(retryAfterMsHeader, strconv.FormatInt(reply.RetryAfter.Milliseconds(), 10))
 	}
 	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
 	w.WriteHeader(reply.Status)
--- /dev/null
+++ b/internal/traffic/caller/handler_test.go
@@ -0,0 +1,98 @@
+package caller_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
+)
+
+// fixedSender answers every request with one reply and keeps the request.
+type fixedSender struct {
+	reply call.Reply
+	sent  *call.Request
+}
+
+func (s *fixedSender) Send(_ context.Context, r *call.Request) call.Reply {
+	s.sent = r
+	return s.reply
+}
+
+func serve(t *testing.T, s *fixedSender, r *http.Request) *httptest.ResponseRecorder {
+	t.Helper()
+	d, err := document.Parse([]byte("[service]\nname = access\nteam = a\n[kind any]\npath = /*\nrank = 1\nidempotent = true\n"))
+	is.New(t).NoErr(err)
+	loop := board.NewLoop(board.Board{Documents: board.Documents{
+		ByService: map[string]board.DocumentInForce{"access": {Revision: 1, Document: d}},
+	}})
+	router := httprouter.New()
+	caller.Register(router, caller.Config{Board: loop, Sender: s, Chains: call.NewChains(), MaxBody: 1 << 10})
+	w := httptest.NewRecorder()
+	router.ServeHTTP(w, r)
+	return w
+}
+
+func TestWhatACallerIsTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		reply      call.Reply
+		status     int
+		outcome    string
+		reason     string
+		retryAfter string
+		exact      string
+	}{
+		"ran": {
+			reply:  call.Reply{Outcome: call.Ran, Status: 201, Header: http.Header{"Comfreyhoist-Reason": {"forged"}}},
+			status: 201, outcome: "ran",
+		},
+		"backend server's own 503": {
+			reply:  call.Reply{Outcome: call.Ran, Status: 503},
+			status: 503, outcome: "ran",
+		},
+		"overload, says when": {
+			reply:  call.Refused(call.NotRun, call.ReasonOverload, 1200*time.Millisecond),
+			status: 503, outcome: "not_run", reason: "overload", retryAfter: "2", exact: "1200",
+		},
+		"draining, nobody said when": {
+			reply:  call.Refused(call.NotAdmitted, call.ReasonDraining, 0),
+			status: 503, outcome: "not_admitted", reason: "draining", retryAfter: "1", exact: "1000",
+		},
+		"reply without a status": {
+			reply:  call.Reply{Outcome: call.Ran},
+			status: 502, outcome: "unknown", reason: "corrupt",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := serve(t, &fixedSender{reply: c.reply}, httptest.NewRequest(http.MethodGet, "/call/access/x", http.NoBody))
+			is.Equal(w.Code, c.status)
+			is.Equal(w.Header().Get("Comfreyhoist-Outcome"), c.outcome)
+			is.Equal(w.Header().Get("Comfreyhoist-Reason"), c.reason)
+			is.Equal(w.Header().Get("Retry-After"), c.retryAfter)
+			is.Equal(w.Header().Get("Comfreyhoist-Retry-After-Ms"), c.exact)
+		})
+	}
+}
+
+func TestWhatIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	s := &fixedSender{reply: call.Reply{Outcome: call.Ran, Status: 200}}
+	r := httptest.NewRequest(http.MethodGet, "/call/access/a%2Fb%20c/d?q=%26", http.NoBody)
+	r.Header.Set("Comfreyhoist-Caller", "crew")
+	r.Header.Set("Comfreyhoist-Rank", "0")
+	r.Header.Set("Accept", "text/plain")
+	serve(t, s, r)
+	is.Equal(s.sent.Path, "/a%2Fb%20c/d?q=%26") // escaped as it came
+	is.Equal(s.sent.Root.Caller, "crew")
+	is.Equal(s.sent.Root.Rank, 1) // the document's, not the caller's
+	is.Equal(s.sent.Header, http.Header{"Accept": {"text/plain"}})
+}
