hoistlab capacity: what control costs a node, at several fleet sizes

Ruled out: counting bytes in the nodes (they would count payload, not what passes on the wire), and one line over all nodes (leaders and followers differ).

--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -29,6 +29,7 @@
 			demoCommand(),
 			overloadCommand(),
 			latencyCommand(),
+			capacityCommand(),
 			storeCommand(),
 			backendCommand(),
 			loadCommand(),
--- /dev/null
+++ b/internal/lab/capacity/change.go
@@ -0,0 +1,76 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/operator"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+)
+
+const (
+	// changeTimeout bounds the wait for a change to be in force everywhere.
+	changeTimeout = 30 * time.Second
+	// changePoll is the time between looks at a node that does not have a change yet.
+	changePoll = 100 * time.Millisecond
+	// adminTimeout bounds one call of the administration API.
+	adminTimeout = 5 * time.Second
+)
+
+// changeDocuments changes documents through nodes in turn and returns how long each change took from its acceptance
+// until the last node had it in force, by the nodes' own clocks, which are one on a single machine.
+func changeDocuments(ctx context.Context, f *fleet.Fleet, changes int) ([]time.Duration, error) {
+	var took []time.Duration
+	for i := range changes {
+		n := f.Nodes[i*len(f.Nodes)/changes]
+		d, err := changeDocument(ctx, f, n, i+1)
+		if err != nil {
+			return took, trace.Wrap(err)
+		}
+		took = append(took, d)
+	}
+	return took, nil
+}
+
+func changeDocument(ctx context.Context, f *fleet.Fleet, n *fleet.Node, edit int) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	client := operator.NewClient(operator.ClientConfig{Address: n.Operator, Token: fleet.OperatorToken, Timeout: adminTimeout})
+	stands, err := client.Get(ctx, n.Service)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	stored, err := client.Put(ctx, n.Service, []byte(documentOf(n.Service, edit)), stands.Tag(), "")
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	accepted := time.Now()
+	last := accepted
+	for _, other := range f.Nodes {
+		at, err := inForce(ctx, other, n.Service, stored.Revision)
+		if err != nil {
+			return 0, trace.Wrap(err)
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last.Sub(accepted), nil
+}
+
+// inForce waits until the node has the revision and returns since when.
+func inForce(ctx context.Context, n *fleet.Node, service string, revision uint64) (time.Time, error) {
+	for {
+		dump, err := fleet.FetchDump(ctx, n.Backend)
+		if err == nil {
+			if d := dump.Board.Documents.ByService[service]; d.Revision >= revision {
+				return d.InForce, nil
+			}
+		}
+		if err := pause(ctx, changePoll); err != nil {
+			return time.Time{}, trace.Wrap(err, "%s has not taken revision %d", n.Name, revision)
+		}
+	}
+}
--- a/internal/lab/proxy/network.go
+++ b/internal/lab/proxy/network.go
@@ -56,6 +56,14 @@
 	changed chan struct{}
 	pairs   map[*pair]bool
 	crossed map[link]chan []byte
+	traffic map[link]*Traffic
+}
+
+// Traffic is what has passed from one end to another.
+type Traffic struct {
+	Bytes int64
+	// Chunks are reads from the network, which come close to messages where these are small.
+	Chunks int64
 }
 
 // NewNetwork returns a network without faults. The seed drives its random delays.
@@ -67,6 +75,7 @@
 		changed: make(chan struct{}),
 		pairs:   map[*pair]bool{},
 		crossed: map[link]chan []byte{},
+		traffic: map[link]*Traffic{},
 	}
 }
 
@@ -137,6 +146,32 @@
 	return listener.Addr().String(), nil
 }
 
+// Traffic returns what has passed from one end to another so far, by the names of both.
+func (n *Network) Traffic() map[string]map[string]Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	traffic := map[string]map[string]Traffic{}
+	for l, t := range n.traffic {
+		if traffic[l.from] == nil {
+			traffic[l.from] = map[string]Traffic{}
+		}
+		traffic[l.from][l.to] = *t
+	}
+	return traffic
+}
+
+func (n *Network) count(l link, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t, ok := n.traffic[l]
+	if !ok {
+		t = &Traffic{}
+		n.traffic[l] = t
+	}
+	t.Bytes += int64(bytes)
+	t.Chunks++
+}
+
 // Wait returns when all proxies have ended, after their contexts did.
 func (n *Network) Wait() {
 	n.group.Wait()
--- a/internal/lab/proxy/pair.go
+++ b/internal/lab/proxy/pair.go
@@ -97,6 +97,7 @@
 		return false
 	}
 	*passed += int64(len(chunk))
+	p.network.count(l, len(chunk))
 	_, err := to.Write(chunk)
 	return err == nil
 }
