--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -18,6 +18,8 @@
 	controlTimeout = time.Second
 	// beatTimeout bounds one heartbeat.
 	beatTimeout = 500 * time.Millisecond
+	// limitedEvery is the time between two events of one number that strangers can cause.
+	limitedEvery = time.Second
 	// drainSettle is how long a leaving node waits for others to learn of it.
 	drainSettle = time.Second
 	// drainTimeout bounds the wait for requests in flight.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -54,13 +55,14 @@
 	platform    *platform.Client
 	chains      *call.Chains
 	listeners   listeners
+	limiter     *events.Limiter
 	stop        context.CancelFunc
 }
 
 // New builds a node without starting it.
 func New(config Config) *Node {
 	s := config.Settings
-	n := &Node{config: config, chains: call.NewChains()}
+	n := &Node{config: config, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, limitedEvery)}
 	n.loop = board.NewLoop(board.Board{Self: board.Self{
 		Node:          s.Node.Name,
 		Zone:          s.Node.Zone,
@@ -184,6 +186,8 @@
 		Sender:  n.sender,
 		Chains:  n.chains,
 		MaxBody: n.config.Settings.Caller.MaxBody,
+
+		Rejected: n.rejected,
 	})
 	return router
 }
@@ -242,7 +246,8 @@
 		return
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
-		Log: func(err error) { n.config.Log.Emit(events.PeerGarbage, events.Fields{"error": err.Error()}) },
+		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
+		Log:     n.peerFailed,
 	})
 	_ = server.Serve(ctx, n.listeners.peer)
 }
@@ -252,7 +257,9 @@
 		Handler:           router,
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
 		ReadTimeout:       n.config.Settings.Caller.BodyTimeout,
+		ErrorLog:          n.httpLog(),
 	}
+	caller.WatchConns(server, n.endedEarly)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	_ = server.Serve(l)
