Admission: limits that learn on trial, fair turns by kind and caller, refusals with the time to come back

The limit shrank whenever latency rose over twice its lowest, also where the rise came from a busy host or from slow work, which shrinking only makes worse; a 503 that crew-scheduling passed on from access counted as its own. Ruled out: the queue's order (rank 0 always ran first) and the wait bound alone.

Now: a limit that shrank for latency is on trial, and comes back where throughput fell with it. Latency is compared with the kind's own baseline, so that a changing mix of kinds isn't taken for overload; a baseline no longer rises with time, because under steady load it crept up together with the queue inside the backend server. The limit starts low, grows faster with each clean window, and goes above the announced slots only on trial. A shed answer of the backend server lowers the limit at once and pauses starts, else the whole queue is sent into it in one moment.

A request is refused on offer where the queue ahead of it is longer than its rank's wait or where its kind can't end before the deadline; every refusal says when to come back, by the drain time and the excess of the rank's load, spread at random over half as much again so that those refused together don't come back together. Within a rank turns go by start-time fair queueing between kinds (by share), then between callers, then by the age of the root. The least urgent rank loses first. A slot is kept for more urgent work where one would take over 20 ms to get free. Load.SheddingRank is set. The dump shows what became of each rank, and the work that was wasted.

--- /dev/null
+++ b/internal/decide/admission/fair.go
@@ -0,0 +1,217 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+)
+
+// queue holds waiting tickets.
+type queue interface {
+	// push adds a ticket.
+	push(t *Ticket)
+	// next takes out the ticket whose turn it is, from a queue that isn't empty.
+	next() *Ticket
+	// shed takes out the ticket that is given up first, from a queue that isn't empty.
+	shed() *Ticket
+	// remove takes out a ticket that is in the queue.
+	remove(t *Ticket)
+	length() int
+}
+
+// flow is the part of a fairQueue with one name.
+type flow struct {
+	name   string
+	queue  queue
+	weight float64
+	// turn is the virtual time of the flow's next turn.
+	turn float64
+	// turnIndex and loadIndex are the flow's places in the two heaps; both are meaningless while it is empty.
+	turnIndex int
+	loadIndex int
+}
+
+func (f *flow) load() float64 {
+	return float64(f.queue.length()) / f.weight
+}
+
+// fairQueue shares turns between flows in proportion to their weights, by start-time fair queueing: a turn moves a
+// flow's virtual time on by the inverse of its weight, and the flow that is furthest behind goes next. A flow that
+// was idle starts at the present virtual time, so that it can't save up turns.
+type fairQueue struct {
+	key    func(*Ticket) string
+	weight func(*Ticket) float64
+	inner  func() queue
+
+	flows map[string]*flow
+	// turns orders the flows with tickets by their next turn, loads by how long their queue is for their weight.
+	turns indexedHeap[*flow]
+	loads indexedHeap[*flow]
+	// virtual is the virtual time of the last turn.
+	virtual float64
+	count   int
+	// keepIdle is how many flows without tickets there may be before the next sweep.
+	keepIdle int
+}
+
+func newFairQueue(key func(*Ticket) string, weight func(*Ticket) float64, inner func() queue) *fairQueue {
+	return &fairQueue{
+		key:    key,
+		weight: weight,
+		inner:  inner,
+		flows:  map[string]*flow{},
+		turns: indexedHeap[*flow]{
+			less:  func(a, b *flow) bool { return a.turn < b.turn || a.turn == b.turn && a.name < b.name },
+			index: func(f *flow) *int { return &f.turnIndex },
+		},
+		loads: indexedHeap[*flow]{
+			less:  func(a, b *flow) bool { return a.load() > b.load() || a.load() == b.load() && a.name < b.name },
+			index: func(f *flow) *int { return &f.loadIndex },
+		},
+	}
+}
+
+func (q *fairQueue) length() int {
+	return q.count
+}
+
+func (q *fairQueue) push(t *Ticket) {
+	q.sweep()
+	f := q.flow(t)
+	f.weight = q.weight(t)
+	f.queue.push(t)
+	q.count++
+	if f.queue.length() > 1 {
+		q.loads.fix(f)
+		return
+	}
+	f.turn = max(f.turn, q.virtual)
+	q.turns.add(f)
+	q.loads.add(f)
+}
+
+func (q *fairQueue) next() *Ticket {
+	f := q.turns.top()
+	t := f.queue.next()
+	q.virtual = f.turn
+	f.turn += 1 / f.weight
+	q.taken(f)
+	return t
+}
+
+func (q *fairQueue) shed() *Ticket {
+	f := q.loads.top()
+	t := f.queue.shed()
+	q.taken(f)
+	return t
+}
+
+func (q *fairQueue) remove(t *Ticket) {
+	f := q.flows[q.key(t)]
+	f.queue.remove(t)
+	q.taken(f)
+}
+
+// taken puts the heaps in order after a ticket left the flow.
+func (q *fairQueue) taken(f *flow) {
+	q.count--
+	if f.queue.length() == 0 {
+		q.turns.remove(f)
+		q.loads.remove(f)
+		return
+	}
+	q.turns.fix(f)
+	q.loads.fix(f)
+}
+
+func (q *fairQueue) flow(t *Ticket) *flow {
+	name := q.key(t)
+	f, ok := q.flows[name]
+	if !ok {
+		f = &flow{name: name, queue: q.inner()}
+		q.flows[name] = f
+	}
+	return f
+}
+
+// leastIdleFlows is how many flows without tickets are always kept.
+const leastIdleFlows = 256
+
+// sweep forgets flows without tickets. While others wait, a flow that had its turn lately is kept until the others
+// have caught up, else it could come first again and again.
+func (q *fairQueue) sweep() {
+	if q.count == 0 {
+		clear(q.flows)
+		q.virtual = 0
+		return
+	}
+	if q.idle() <= max(q.keepIdle, leastIdleFlows) {
+		return
+	}
+	for name, f := range q.flows {
+		if f.queue.length() == 0 && f.turn <= q.virtual {
+			delete(q.flows, name)
+		}
+	}
+	q.keepIdle = 2 * q.idle()
+}
+
+func (q *fairQueue) idle() int {
+	return len(q.flows) - q.turns.Len()
+}
+
+// ageQueue holds tickets in the order of their roots' start.
+type ageQueue struct {
+	tickets []*Ticket
+}
+
+func (q *ageQueue) length() int {
+	return len(q.tickets)
+}
+
+func (q *ageQueue) push(t *Ticket) {
+	i, _ := slices.BinarySearchFunc(q.tickets, t, compareAge)
+	q.tickets = slices.Insert(q.tickets, i, t)
+}
+
+func (q *ageQueue) next() *Ticket {
+	t := q.tickets[0]
+	q.tickets = slices.Delete(q.tickets, 0, 1)
+	return t
+}
+
+func (q *ageQueue) shed() *Ticket {
+	last := len(q.tickets) - 1
+	t := q.tickets[last]
+	q.tickets = slices.Delete(q.tickets, last, last+1)
+	return t
+}
+
+func (q *ageQueue) remove(t *Ticket) {
+	i, found := slices.BinarySearchFunc(q.tickets, t, compareAge)
+	if found {
+		q.tickets = slices.Delete(q.tickets, i, i+1)
+	}
+}
+
+func compareAge(a, b *Ticket) int {
+	if c := a.RootStart.Compare(b.RootStart); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.number, b.number)
+}
+
+// newRankQueue returns the queue of one rank: fair between kinds, then between callers, then by age.
+func newRankQueue() *fairQueue {
+	newCallers := func() queue {
+		return newFairQueue(
+			func(t *Ticket) string { return t.Caller },
+			func(*Ticket) float64 { return 1 },
+			func() queue { return &ageQueue{} },
+		)
+	}
+	return newFairQueue(
+		func(t *Ticket) string { return t.Kind },
+		func(t *Ticket) float64 { return float64(max(t.Share, 1)) },
+		newCallers,
+	)
+}
--- /dev/null
+++ b/internal/decide/admission/gate.go
@@ -0,0 +1,298 @@
+package admission
+
+import "time"
+
+// GateConfig sets a Gate up.
+type GateConfig struct {
+	Limit LimitConfig
+	// QueuePerSlot bounds the queue, in entries for each slot of the limit, before the time of a request is known.
+	QueuePerSlot float64
+	// MaxWait is how long a ticket of the least urgent rank may stand in the queue.
+	MaxWait time.Duration
+	// UrgentWait is the same for rank 0; the ranks between have waits between.
+	UrgentWait time.Duration
+	// ReserveWait is how long a slot may take to get free before one is kept for more urgent work.
+	ReserveWait time.Duration
+	// MaxRetryAfter bounds the time after which a refused request may come back.
+	MaxRetryAfter time.Duration
+}
+
+// Gate admits requests to one backend server.
+type Gate struct {
+	config   GateConfig
+	limit    *Limit
+	demand   demand
+	inFlight int
+	ranks    [Ranks]*fairQueue
+	expiry   indexedHeap[*Ticket]
+	number   uint64
+	totals   Totals
+	// pausedUntil holds starts back after the backend server shed a request.
+	pausedUntil time.Time
+}
+
+// Totals counts tickets of each rank since the start.
+type Totals struct {
+	Offered [Ranks]uint64 `json:"offered"`
+	Started [Ranks]uint64 `json:"started"`
+	// Shed are those refused for overload, at once or out of the queue.
+	Shed [Ranks]uint64 `json:"shed"`
+	// Late are those refused because of their deadline.
+	Late [Ranks]uint64 `json:"late"`
+	// Withdrawn are those whose caller went away while they waited.
+	Withdrawn [Ranks]uint64 `json:"withdrawn"`
+}
+
+// NewGate returns an empty gate.
+func NewGate(config GateConfig) *Gate {
+	g := &Gate{
+		config: config,
+		limit:  NewLimit(config.Limit),
+		expiry: indexedHeap[*Ticket]{
+			less:  func(a, b *Ticket) bool { return a.expires.Before(b.expires) },
+			index: func(t *Ticket) *int { return &t.place },
+		},
+	}
+	for r := range g.ranks {
+		g.ranks[r] = newRankQueue()
+	}
+	return g
+}
+
+// Offer asks for a slot. A ticket that has to wait is returned by a later Finish, Cancel, Advance or Offer.
+func (g *Gate) Offer(now time.Time, t *Ticket) Verdict {
+	g.demand.offered(now, t.Rank)
+	g.totals.Offered[t.Rank]++
+	if g.tooLate(now, t) {
+		return Verdict{Action: Shed, Refusal: g.refuse(now, t, DeadlineTooNear)}
+	}
+	if g.mayStart(now, t.Rank) && g.queuedUpTo(t.Rank) == 0 {
+		g.start(now, t)
+		return Verdict{Action: Run}
+	}
+	g.limit.Want()
+	g.enqueue(now, t)
+	return g.makeRoom(now, t)
+}
+
+// Finish frees the slot of a request that ended and learns from its sample.
+func (g *Gate) Finish(now time.Time, s Sample) Next {
+	s.inFlight = g.inFlight
+	g.inFlight--
+	g.limit.Observe(now, s)
+	g.pause(now, s)
+	return g.Advance(now)
+}
+
+// pause holds starts back until a slot of the backend server should be free, where it shed a request: the freed slot
+// of the gate isn't one of the backend server, and all that waits would be shed in one moment.
+func (g *Gate) pause(now time.Time, s Sample) {
+	if !s.Overloaded {
+		g.pausedUntil = time.Time{}
+		return
+	}
+	next := g.limit.HoldTime() / time.Duration(g.limit.Value())
+	g.pausedUntil = now.Add(min(max(next, minPause), maxPause))
+}
+
+const (
+	minPause = time.Millisecond
+	maxPause = 50 * time.Millisecond
+)
+
+// Cancel frees a slot whose request did not run.
+func (g *Gate) Cancel(now time.Time) Next {
+	g.inFlight--
+	return g.Advance(now)
+}
+
+// Advance drops tickets that waited too long and starts those for which there are slots.
+func (g *Gate) Advance(now time.Time) Next {
+	next := Next{Expired: g.expire(now)}
+	for r := range g.ranks {
+		for g.ranks[r].length() > 0 && g.mayStart(now, r) {
+			t := g.ranks[r].next()
+			g.expiry.remove(t)
+			g.start(now, t)
+			next.Run = append(next.Run, t)
+		}
+		if g.ranks[r].length() > 0 {
+			break
+		}
+	}
+	return next
+}
+
+// Withdraw takes a waiting ticket out, for a caller that went away. It must only be called for one that still waits.
+func (g *Gate) Withdraw(t *Ticket) {
+	g.totals.Withdrawn[t.Rank]++
+	g.expiry.remove(t)
+	g.ranks[t.Rank].remove(t)
+}
+
+// Announce sets the slots and connections that the backend server claims.
+func (g *Gate) Announce(slots, connections int) {
+	g.limit.Announce(slots, connections)
+}
+
+// InFlight returns how many requests hold a slot.
+func (g *Gate) InFlight() int {
+	return g.inFlight
+}
+
+// Queued returns how many requests wait.
+func (g *Gate) Queued() int {
+	return g.expiry.Len()
+}
+
+// QueuedByRank returns how many requests of each rank wait.
+func (g *Gate) QueuedByRank() [Ranks]int {
+	var counts [Ranks]int
+	for r, q := range g.ranks {
+		counts[r] = q.length()
+	}
+	return counts
+}
+
+// LimitValue returns the limit in force.
+func (g *Gate) LimitValue() int {
+	return g.limit.Value()
+}
+
+// SheddingRank returns the most urgent rank of which all is being shed, with every less urgent one; 0 for none.
+func (g *Gate) SheddingRank(now time.Time) int {
+	return g.demand.sheddingRank(now)
+}
+
+// Totals returns the counts since the start.
+func (g *Gate) Totals() Totals {
+	return g.totals
+}
+
+// minRetryAfter is the least time after which a refused request may come back.
+const minRetryAfter = 50 * time.Millisecond
+
+// RetryAfter estimates when a request of the rank may come back: when the queue ahead of it has drained, put off by as
+// much as the rank's load exceeds what is run of it.
+func (g *Gate) RetryAfter(rank int) time.Duration {
+	drain := g.limit.HoldTime() * time.Duration(g.queuedUpTo(rank)+1) / time.Duration(g.limit.Value())
+	spread := time.Duration(float64(drain) * g.demand.pressure(rank))
+	return min(max(spread, minRetryAfter), g.config.MaxRetryAfter)
+}
+
+func (g *Gate) start(now time.Time, t *Ticket) {
+	g.inFlight++
+	g.demand.started(now, t.Rank)
+	g.totals.Started[t.Rank]++
+}
+
+func (g *Gate) refuse(now time.Time, t *Ticket, cause Cause) Refusal {
+	if cause == DeadlineTooNear {
+		g.totals.Late[t.Rank]++
+	} else {
+		g.totals.Shed[t.Rank]++
+		g.demand.shed(now, t.Rank)
+	}
+	return Refusal{Ticket: t, Cause: cause, RetryAfter: g.RetryAfter(t.Rank)}
+}
+
+func (g *Gate) tooLate(now time.Time, t *Ticket) bool {
+	return !now.Add(g.limit.LeastTime(now, t.Kind)).Before(t.Deadline)
+}
+
+// mayStart reports whether there is a slot for the rank.
+func (g *Gate) mayStart(now time.Time, rank int) bool {
+	free := g.limit.Value() - g.inFlight
+	if free <= 0 || now.Before(g.pausedUntil) {
+		return false
+	}
+	return free > 1 || !g.reserves(now, rank)
+}
+
+// reserves reports whether the last free slot is kept for work that is more urgent than the rank: where such work is
+// about and would else have to wait long for a slot to get free.
+func (g *Gate) reserves(now time.Time, rank int) bool {
+	limit := g.limit.Value()
+	if limit < 2 || g.limit.HoldTime()/time.Duration(limit) < g.config.ReserveWait {
+		return false
+	}
+	return g.demand.moreUrgentPresent(now, rank)
+}
+
+func (g *Gate) enqueue(now time.Time, t *Ticket) {
+	g.number++
+	t.number = g.number
+	t.expires = now.Add(g.waitBound(t.Rank))
+	latest := t.Deadline.Add(-g.limit.LeastTime(now, t.Kind))
+	t.late = latest.Before(t.expires)
+	if t.late {
+		t.expires = latest
+	}
+	g.expiry.add(t)
+	g.ranks[t.Rank].push(t)
+}
+
+// makeRoom sheds what would wait too long now that the ticket waits too.
+func (g *Gate) makeRoom(now time.Time, t *Ticket) Verdict {
+	verdict := Verdict{Action: Wait}
+	ahead := g.queuedUpTo(t.Rank)
+	for r := t.Rank; r < Ranks; r++ {
+		if r > t.Rank {
+			ahead += g.ranks[r].length()
+		}
+		for places := g.places(r); ahead > places && g.ranks[r].length() > 0; ahead-- {
+			victim := g.ranks[r].shed()
+			g.expiry.remove(victim)
+			refusal := g.refuse(now, victim, Overload)
+			if victim == t {
+				verdict.Action, verdict.Refusal = Shed, refusal
+				continue
+			}
+			verdict.Displaced = append(verdict.Displaced, refusal)
+		}
+	}
+	return verdict
+}
+
+// places returns how many tickets of the rank and of more urgent ones may wait: those that the slots take in within
+// the rank's wait.
+func (g *Gate) places(rank int) int {
+	limit := float64(g.limit.Value())
+	held := g.limit.HoldTime()
+	if held <= 0 {
+		return max(int(limit*g.config.QueuePerSlot), 1)
+	}
+	return max(int(limit*float64(g.waitBound(rank))/float64(held)), 1)
+}
+
+// waitBound returns how long a ticket of the rank may wait.
+func (g *Gate) waitBound(rank int) time.Duration {
+	step := (g.config.UrgentWait - g.config.MaxWait) / (Ranks - 1)
+	return g.config.UrgentWait - step*time.Duration(rank)
+}
+
+func (g *Gate) queuedUpTo(rank int) int {
+	queued := 0
+	for r := range rank + 1 {
+		queued += g.ranks[r].length()
+	}
+	return queued
+}
+
+func (g *Gate) expire(now time.Time) []Refusal {
+	var expired []Refusal
+	for g.expiry.Len() > 0 && !now.Before(g.expiry.top().expires) {
+		t := g.expiry.top()
+		g.expiry.remove(t)
+		g.ranks[t.Rank].remove(t)
+		expired = append(expired, g.refuse(now, t, g.expiryCause(t)))
+	}
+	return expired
+}
+
+func (g *Gate) expiryCause(t *Ticket) Cause {
+	if t.late {
+		return DeadlineTooNear
+	}
+	return WaitedTooLong
+}
--- /dev/null
+++ b/internal/decide/admission/gate_test.go
@@ -0,0 +1,271 @@
+package admission_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500", "rapid.steps": "100"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testConfig() admission.GateConfig {
+	return admission.GateConfig{
+		Limit: admission.LimitConfig{
+			Initial: 8, Min: 1, Max: 1000, Tolerance: 2, LatencySlack: 5 * time.Millisecond, Backoff: 0.7, Growth: 0.1,
+			Window: 100 * time.Millisecond, MaxWindow: time.Second, KindMemory: time.Minute, RetrialTime: 2 * time.Second, MaxRetrialTime: 30 * time.Second,
+		},
+		QueuePerSlot: 1, MaxWait: 100 * time.Millisecond, UrgentWait: 300 * time.Millisecond,
+		ReserveWait: 20 * time.Millisecond, MaxRetryAfter: 3 * time.Second,
+	}
+}
+
+func newTicket(now time.Time, rank int, kind, caller string) *admission.Ticket {
+	return &admission.Ticket{Rank: rank, Kind: kind, Share: 1, Caller: caller, RootStart: now, Deadline: now.Add(time.Second)}
+}
+
+// model checks every answer of a gate against what the gate was asked.
+type model struct {
+	*rapid.T
+	gate    *admission.Gate
+	now     time.Time
+	waiting map[*admission.Ticket]bool
+	running []*admission.Ticket
+}
+
+func (m *model) answered(t *admission.Ticket) {
+	if !m.waiting[t] {
+		m.Fatalf("ticket of rank %d was answered, but did not wait", t.Rank)
+	}
+	delete(m.waiting, t)
+}
+
+func (m *model) run(t *admission.Ticket) {
+	for w := range m.waiting {
+		if w.Rank < t.Rank {
+			m.Fatalf("rank %d runs while rank %d waits", t.Rank, w.Rank)
+		}
+	}
+	m.running = append(m.running, t)
+	if len(m.running) > m.gate.LimitValue() {
+		m.Fatalf("%d run with a limit of %d", len(m.running), m.gate.LimitValue())
+	}
+}
+
+func (m *model) refused(r admission.Refusal) {
+	if r.RetryAfter <= 0 {
+		m.Fatalf("a refusal says not when to come back")
+	}
+	if r.Cause != admission.Overload {
+		return
+	}
+	for w := range m.waiting {
+		if w.Rank > r.Ticket.Rank {
+			m.Fatalf("rank %d is shed while rank %d waits", r.Ticket.Rank, w.Rank)
+		}
+	}
+}
+
+func (m *model) apply(next admission.Next) {
+	for _, e := range next.Expired {
+		m.answered(e.Ticket)
+		m.refused(e)
+	}
+	for _, t := range next.Run {
+		m.answered(t)
+		m.run(t)
+	}
+}
+
+func (m *model) offer(t *admission.Ticket) {
+	verdict := m.gate.Offer(m.now, t)
+	m.waiting[t] = true
+	for _, d := range verdict.Displaced {
+		m.answered(d.Ticket)
+	}
+	switch verdict.Action {
+	case admission.Run:
+		delete(m.waiting, t)
+		m.run(t)
+	case admission.Shed:
+		m.answered(t)
+		m.refused(verdict.Refusal)
+	}
+	for _, d := range verdict.Displaced {
+		m.refused(d)
+	}
+}
+
+func (m *model) finish(i int, s admission.Sample) {
+	s.Kind = m.running[i].Kind
+	m.running = append(m.running[:i], m.running[i+1:]...)
+	m.apply(m.gate.Finish(m.now, s))
+}
+
+func TestGateAnswersEachTicketOnce(t *testing.T) {
+	kinds := rapid.SampledFrom([]string{"sheets", "bookings", "archive"})
+	rapid.Check(t, func(r *rapid.T) {
+		m := &model{T: r, gate: admission.NewGate(testConfig()), now: epoch, waiting: map[*admission.Ticket]bool{}}
+		m.gate.Announce(rapid.IntRange(1, 12).Draw(r, "slots"), 100)
+		r.Repeat(map[string]func(*rapid.T){
+			"offer": func(r *rapid.T) {
+				ticket := newTicket(m.now, rapid.IntRange(0, 9).Draw(r, "rank"), kinds.Draw(r, "kind"), kinds.Draw(r, "caller"))
+				ticket.Share = rapid.IntRange(1, 5).Draw(r, "share")
+				ticket.RootStart = m.now.Add(-time.Duration(rapid.IntRange(0, 50).Draw(r, "age")) * time.Millisecond)
+				ticket.Deadline = m.now.Add(time.Duration(rapid.IntRange(0, 500).Draw(r, "deadline")) * time.Millisecond)
+				m.offer(ticket)
+			},
+			"finish": func(r *rapid.T) {
+				if len(m.running) == 0 {
+					r.Skip()
+				}
+				took := time.Duration(rapid.IntRange(1, 200).Draw(r, "took")) * time.Millisecond
+				m.finish(rapid.IntRange(0, len(m.running)-1).Draw(r, "which"), admission.Sample{
+					Took: took, Held: took, Overloaded: rapid.IntRange(0, 9).Draw(r, "overloaded") == 0,
+				})
+			},
+			"cancel": func(r *rapid.T) {
+				if len(m.running) == 0 {
+					r.Skip()
+				}
+				m.running = m.running[1:]
+				m.apply(m.gate.Cancel(m.now))
+			},
+			"withdraw": func(r *rapid.T) {
+				for ticket := range m.waiting {
+					m.gate.Withdraw(ticket)
+					m.answered(ticket)
+					return
+				}
+				r.Skip()
+			},
+			"pass": func(r *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 60).Draw(r, "time")) * time.Millisecond)
+				m.apply(m.gate.Advance(m.now))
+			},
+			"": func(r *rapid.T) {
+				if m.gate.InFlight() != len(m.running) || m.gate.Queued() != len(m.waiting) {
+					r.Fatalf("gate has %d and %d, model %d and %d", m.gate.InFlight(), m.gate.Queued(), len(m.running), len(m.waiting))
+				}
+			},
+		})
+		m.now = m.now.Add(time.Minute)
+		m.apply(m.gate.Advance(m.now))
+		if len(m.waiting) > 0 {
+			r.Fatalf("%d tickets never got an answer", len(m.waiting))
+		}
+	})
+}
+
+func TestOfferRefusesWhatCannotEnd(t *testing.T) {
+	tests := map[string]struct {
+		deadline time.Duration
+		pause    time.Duration
+		want     admission.Action
+	}{
+		"deadline has passed":              {0, 0, admission.Shed},
+		"less time than the kind takes":    {20 * time.Millisecond, 0, admission.Shed},
+		"enough time":                      {80 * time.Millisecond, 0, admission.Run},
+		"what the kind took is long ago":   {20 * time.Millisecond, 2 * time.Second, admission.Run},
+		"passed, and nothing known lately": {-time.Millisecond, 2 * time.Second, admission.Shed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			gate, now := admission.NewGate(testConfig()), epoch
+			for range 20 {
+				gate.Offer(now, newTicket(now, 0, "sheets", "crew"))
+				now = now.Add(50 * time.Millisecond)
+				gate.Finish(now, admission.Sample{Kind: "sheets", Took: 50 * time.Millisecond, Held: 50 * time.Millisecond})
+			}
+			now = now.Add(test.pause)
+			ticket := newTicket(now, 0, "sheets", "crew")
+			ticket.Deadline = now.Add(test.deadline)
+			is.Equal(gate.Offer(now, ticket).Action, test.want)
+		})
+	}
+}
+
+// A flood of one kind, or of one caller, leaves the others of its rank their share.
+func TestFloodWithinRank(t *testing.T) {
+	tests := map[string]struct {
+		flood, other         *admission.Ticket
+		otherRate, wantOther float64
+	}{
+		"one kind floods":               {newTicket(epoch, 5, "lookups", "a"), newTicket(epoch, 5, "orders", "a"), 50, 0.99},
+		"one caller floods":             {newTicket(epoch, 5, "lookups", "a"), newTicket(epoch, 5, "lookups", "b"), 50, 0.99},
+		"both want more than the half":  {newTicket(epoch, 5, "lookups", "a"), newTicket(epoch, 5, "orders", "b"), 400, 0.22},
+		"a less urgent flood is no foe": {newTicket(epoch, 7, "lookups", "a"), newTicket(epoch, 5, "orders", "a"), 150, 0.99},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(10, 10, 50*time.Millisecond) // 200 requests a second
+			s.stream(1000, test.flood)
+			s.stream(test.otherRate, test.other)
+			s.run(5 * time.Second)
+			s.finishAll()
+			good := float64(s.good[label(test.other)]) / float64(s.sent[label(test.other)])
+			is.True(good >= test.wantOther)
+			total := s.good[label(test.other)] + s.good[label(test.flood)]
+			is.True(total >= 900) // nine tenths of what 10 slots run in 5 s
+		})
+	}
+}
+
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(10, 10, 50*time.Millisecond)
+	s.stream(100, newTicket(epoch, 0, "sheets", "a"))
+	s.stream(1000, newTicket(epoch, 7, "archive", "a"))
+	s.run(3 * time.Second)
+	is.True(s.gate.RetryAfter(7) > 4*s.gate.RetryAfter(0)) // ten times too much is offered
+	is.Equal(s.gate.SheddingRank(s.now), 8)
+	s.finishAll()
+	is.Equal(s.gate.SheddingRank(s.now), 0)                  // nothing outlives its evidence
+	is.True(s.gate.RetryAfter(7) <= 300*time.Millisecond)    // also where it was far more
+	is.True(s.longestRefusal <= 300*time.Millisecond)        // urgent waits are the longest
+	is.Equal(s.good["sheets a"], s.sent["sheets a"])         // urgent work lost nothing
+	is.True(s.longestWait["sheets a"] < 60*time.Millisecond) // and waited for one slot at most
+}
+
+func BenchmarkOfferFinish(b *testing.B) {
+	for _, waiting := range []int{12, 300, 2100} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			config := testConfig()
+			config.MaxWait, config.UrgentWait, config.QueuePerSlot = time.Hour, time.Hour, 10000
+			gate := admission.NewGate(config)
+			now := epoch
+			tickets := make([]*admission.Ticket, waiting+10)
+			for i := range tickets {
+				tickets[i] = newTicket(now, i%10, fmt.Sprint("kind ", i%3), fmt.Sprint("caller ", i%100))
+				tickets[i].Deadline = now.Add(time.Hour)
+				gate.Offer(now, tickets[i])
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				next := gate.Cancel(now)
+				for _, t := range next.Run {
+					gate.Offer(now, t)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/admission/latency.go
@@ -0,0 +1,125 @@
+package admission
+
+import "time"
+
+// maxKinds bounds the kinds whose latency is told apart; further ones share an entry.
+const maxKinds = 256
+
+// kindLatency is what is known of one kind's time in the backend server.
+type kindLatency struct {
+	// baseline is the lowest mean of a window seen.
+	baseline time.Duration
+	// lastSeen is when a whole answer was last seen.
+	lastSeen time.Time
+
+	count int
+	total time.Duration
+	cut   bool
+}
+
+// latencies compares each kind's latency with its own baseline, so that a changing mix of quick and slow kinds isn't
+// taken for a change of the backend server.
+type latencies struct {
+	memory time.Duration
+	slack  time.Duration
+	kinds  map[string]*kindLatency
+	// sweepAfter is when kinds that are no longer seen are next forgotten.
+	sweepAfter time.Time
+}
+
+func newLatencies(memory, slack time.Duration) *latencies {
+	return &latencies{memory: memory, slack: slack, kinds: map[string]*kindLatency{}}
+}
+
+func (l *latencies) observe(now time.Time, s Sample) {
+	k := l.kind(s.Kind)
+	if s.Cut && s.Took < k.baseline {
+		return
+	}
+	k.count++
+	k.total += s.Took
+	k.cut = k.cut || s.Cut
+	if !s.Cut {
+		k.lastSeen = now
+	}
+}
+
+// closeWindow returns the mean of each request's latency over its kind's baseline, 0 where there was none.
+func (l *latencies) closeWindow(now time.Time) float64 {
+	l.sweep(now)
+	requests := 0
+	excess := 0.0
+	for _, k := range l.kinds {
+		if k.count == 0 {
+			continue
+		}
+		count := k.count
+		requests += count
+		excess += float64(count) * k.closeWindow(l.slack)
+	}
+	if requests == 0 {
+		return 0
+	}
+	return excess / float64(requests)
+}
+
+// sweep forgets the kinds that were not seen for long.
+func (l *latencies) sweep(now time.Time) {
+	if now.Before(l.sweepAfter) {
+		return
+	}
+	l.sweepAfter = now.Add(l.memory)
+	for name, k := range l.kinds {
+		if now.Sub(k.lastSeen) > l.memory && k.count == 0 {
+			delete(l.kinds, name)
+		}
+	}
+}
+
+func (k *kindLatency) closeWindow(slack time.Duration) float64 {
+	mean := k.total / time.Duration(k.count)
+	if !k.cut {
+		k.baseline = lowest(k.baseline, mean)
+	}
+	k.count, k.total, k.cut = 0, 0, false
+	if k.baseline == 0 {
+		return 1
+	}
+	return float64(mean) / float64(k.baseline+slack)
+}
+
+// lowest returns the lower of the two, where 0 stands for none.
+func lowest(known, mean time.Duration) time.Duration {
+	if known == 0 {
+		return mean
+	}
+	return min(known, mean)
+}
+
+// evidenceTime is how long the last answers of a kind say what the next one will take.
+const evidenceTime = time.Second
+
+// least returns the least time that a request of the kind takes; 0 where too little is known lately.
+func (l *latencies) least(now time.Time, kind string) time.Duration {
+	k, ok := l.kinds[kind]
+	if !ok || now.Sub(k.lastSeen) > evidenceTime {
+		return 0
+	}
+	return k.baseline
+}
+
+func (l *latencies) kind(name string) *kindLatency {
+	k, ok := l.kinds[name]
+	if ok {
+		return k
+	}
+	if len(l.kinds) >= maxKinds {
+		name = ""
+	}
+	k = &kindLatency{}
+	if shared, ok := l.kinds[name]; ok {
+		return shared
+	}
+	l.kinds[name] = k
+	return k
+}
--- /dev/null
+++ b/internal/decide/admission/simulation_test.go
@@ -0,0 +1,224 @@
+package admission_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+)
+
+// simulation drives one gate in front of one model of a backend server, in simulated time. The backend server has
+// slots and a queue, first come first served.
+type simulation struct {
+	gate    *admission.Gate
+	random  *rand.Rand
+	now     time.Time
+	service time.Duration
+	slots   int
+	queue   int
+
+	streams []*stream
+	events  events
+	busy    int
+	backlog []*admission.Ticket
+	started map[*admission.Ticket]time.Time
+	offered map[*admission.Ticket]time.Time
+
+	sent, good     map[string]int
+	ended          int
+	peak           int
+	longestRefusal time.Duration
+	longestWait    map[string]time.Duration
+}
+
+type stream struct {
+	every    time.Duration
+	template admission.Ticket
+	next     time.Time
+}
+
+type event struct {
+	at     time.Time
+	ticket *admission.Ticket
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newSimulation(announced, slots int, service time.Duration) *simulation {
+	s := &simulation{
+		gate: admission.NewGate(testConfig()), random: rand.New(rand.NewPCG(1, 2)), now: epoch, service: service, slots: slots, queue: 1000,
+		started: map[*admission.Ticket]time.Time{}, offered: map[*admission.Ticket]time.Time{},
+		sent: map[string]int{}, good: map[string]int{}, longestWait: map[string]time.Duration{},
+	}
+	s.gate.Announce(announced, 300)
+	return s
+}
+
+func label(t *admission.Ticket) string {
+	return t.Kind + " " + t.Caller
+}
+
+func (s *simulation) stream(rate float64, template *admission.Ticket) {
+	s.streams = append(s.streams, &stream{every: time.Duration(float64(time.Second) / rate), template: *template, next: s.now})
+}
+
+// run lets time pass in steps of a millisecond.
+func (s *simulation) run(d time.Duration) {
+	s.peak, s.ended = 0, 0
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(time.Millisecond) {
+		for len(s.events) > 0 && !s.events[0].at.After(s.now) {
+			s.finish(heap.Pop(&s.events).(event).ticket)
+		}
+		for _, stream := range s.streams {
+			for ; !stream.next.After(s.now); stream.next = stream.next.Add(time.Duration(s.random.ExpFloat64() * float64(stream.every))) {
+				s.offer(stream.template)
+			}
+		}
+		s.apply(s.gate.Advance(s.now))
+		s.peak = max(s.peak, s.gate.InFlight())
+	}
+}
+
+// finishAll ends the load and lets what is in flight end.
+func (s *simulation) finishAll() {
+	s.streams = nil
+	s.run(2 * time.Second)
+}
+
+func (s *simulation) offer(t admission.Ticket) {
+	t.RootStart, t.Deadline = s.now, s.now.Add(time.Second)
+	s.sent[label(&t)]++
+	s.offered[&t] = s.now
+	if s.gate.Offer(s.now, &t).Action == admission.Run {
+		s.send(&t)
+	}
+}
+
+func (s *simulation) apply(next admission.Next) {
+	for _, t := range next.Run {
+		s.send(t)
+	}
+	for _, e := range next.Expired {
+		s.longestRefusal = max(s.longestRefusal, s.now.Sub(s.offered[e.Ticket]))
+	}
+}
+
+// send hands a request to the backend server.
+func (s *simulation) send(t *admission.Ticket) {
+	s.longestWait[label(t)] = max(s.longestWait[label(t)], s.now.Sub(s.offered[t]))
+	s.started[t] = s.now
+	switch {
+	case s.busy < s.slots:
+		s.begin(t)
+	case len(s.backlog) < s.queue:
+		s.backlog = append(s.backlog, t)
+	default:
+		s.apply(s.gate.Finish(s.now, admission.Sample{Kind: t.Kind, Overloaded: true}))
+	}
+}
+
+func (s *simulation) begin(t *admission.Ticket) {
+	s.busy++
+	took := time.Duration(float64(s.service) * (0.7 + 0.6*s.random.Float64()))
+	heap.Push(&s.events, event{s.now.Add(took), t})
+}
+
+func (s *simulation) finish(t *admission.Ticket) {
+	s.busy--
+	if len(s.backlog) > 0 {
+		s.begin(s.backlog[0])
+		s.backlog = s.backlog[1:]
+	}
+	took := s.now.Sub(s.started[t])
+	if !s.now.After(t.Deadline) {
+		s.good[label(t)]++
+		s.ended++
+	}
+	s.apply(s.gate.Finish(s.now, admission.Sample{Kind: t.Kind, Took: took, Held: took}))
+}
+
+// The limit finds what the backend server can do, whatever it announces, and keeps the queue in front of the gate.
+func TestLimitFindsCapacity(t *testing.T) {
+	tests := map[string]struct {
+		announced, slots, queue int
+		service                 time.Duration
+		wantPeak                int
+	}{
+		"announces the truth":            {35, 35, 100, 20 * time.Millisecond, 44},
+		"announces ten times its slots":  {100, 10, 1000, 20 * time.Millisecond, 30},
+		"announces a tenth of its slots": {4, 40, 100, 20 * time.Millisecond, 60},
+		"sheds beyond its slots":         {100, 10, 0, 20 * time.Millisecond, 30},
+		"slow work":                      {35, 35, 100, 200 * time.Millisecond, 44},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(test.announced, test.slots, test.service)
+			s.queue = test.queue
+			capacity := float64(test.slots) / test.service.Seconds()
+			s.stream(1.5*capacity, newTicket(epoch, 5, "lookups", "a"))
+			s.run(20 * time.Second)
+			s.run(5 * time.Second)
+			t.Logf("%d ended of %.0f possible, peak %d, limit %d", s.ended, 5*capacity, s.peak, s.gate.LimitValue())
+			is.True(float64(s.ended) >= 0.9*5*capacity) // nine tenths of what the backend server can do
+			is.True(s.peak <= test.wantPeak)
+		})
+	}
+}
+
+// After a slow spell, however long, goodput is back within 5 s.
+func TestLimitRecovers(t *testing.T) {
+	tests := map[string]struct {
+		spell   time.Duration
+		service time.Duration
+		slots   int
+		queue   int
+	}{
+		"slow for 5 s":                   {5 * time.Second, 500 * time.Millisecond, 35, 1000},
+		"slow for a minute":              {time.Minute, 500 * time.Millisecond, 35, 1000},
+		"one slot that sheds the others": {10 * time.Second, 100 * time.Millisecond, 1, 0},
+		"stands for 10 s":                {10 * time.Second, 2 * time.Second, 35, 1000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(35, 35, 20*time.Millisecond)
+			s.stream(1400, newTicket(epoch, 5, "lookups", "a")) // four fifths of the capacity
+			s.run(10 * time.Second)
+			s.run(5 * time.Second)
+			before := s.ended
+			s.service, s.slots, s.queue = test.service, test.slots, test.queue
+			s.run(test.spell)
+			limit := s.gate.LimitValue()
+			s.service, s.slots, s.queue = 20*time.Millisecond, 35, 1000
+			s.run(5 * time.Second)
+			s.run(5 * time.Second)
+			t.Logf("limit %d at the end of the spell, %d now; %d ended before, %d now", limit, s.gate.LimitValue(), before, s.ended)
+			is.True(float64(s.ended) >= 0.95*float64(before))
+		})
+	}
+}
+
+func TestColdStartRamps(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(200, 200, 50*time.Millisecond)
+	is.True(s.gate.LimitValue() <= 8)
+	s.stream(4800, newTicket(epoch, 5, "lookups", "a"))
+	s.run(3 * time.Second)
+	s.run(time.Second)
+	is.True(s.ended >= 3600) // nine tenths of 4000 a second
+}
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -24,8 +24,10 @@
 	peerMaxIdle = 30 * time.Second
 	// peerDialTimeout bounds the making of a connection to another node.
 	peerDialTimeout = 500 * time.Millisecond
-	// firstLimit is the concurrency limit before the backend server has announced its slots.
+	// firstLimit is the concurrency limit of a backend server of which nothing is known yet.
 	firstLimit = 8
+	// urgentWaits is how many times longer rank 0 may wait for a slot than the least urgent rank.
+	urgentWaits = 3
 	// highestLimit bounds the concurrency limit.
 	highestLimit = 1000
 )
@@ -41,12 +43,20 @@
 			Min:            1,
 			Max:            highestLimit,
 			Tolerance:      2,
-			Backoff:        0.8,
+			LatencySlack:   5 * time.Millisecond,
+			Backoff:        0.7,
+			Growth:         0.1,
 			Window:         100 * time.Millisecond,
-			BaselineWindow: 10 * time.Second,
+			MaxWindow:      time.Second,
+			KindMemory:     time.Minute,
+			RetrialTime:    2 * time.Second,
+			MaxRetrialTime: 30 * time.Second,
 		},
-		QueuePerSlot: 1,
-		MaxWait:      s.Backend.MaxWait,
+		QueuePerSlot:  1,
+		MaxWait:       s.Backend.MaxWait,
+		UrgentWait:    urgentWaits * s.Backend.MaxWait,
+		ReserveWait:   20 * time.Millisecond,
+		MaxRetryAfter: 3 * time.Second,
 	}
 }
 
--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -8,7 +8,9 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
 )
 
 // Dump is the state of a node at one moment.
@@ -16,6 +18,8 @@
 	Board        *board.Board
 	Load         call.Load
 	QueuedByRank []int
+	Admission    admission.Totals
+	Receiver     flow.ReceiverStats
 	Connections  map[string]int
 }
 
@@ -50,6 +54,8 @@
 		Board:        n.loop.Snapshot(),
 		Load:         n.gate.Load(),
 		QueuedByRank: byRank[:],
+		Admission:    n.gate.Totals(),
+		Receiver:     n.receiver.Stats(),
 		Connections:  n.pool.Open(),
 	})
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -169,7 +169,7 @@
 
 // announced takes in what the local backend server says of itself.
 func (n *Node) announced(ctx context.Context, a backend.Announcement) {
-	n.gate.Announce(a.Slots)
+	n.gate.Announce(a.Slots, a.Connections)
 	n.client.SetConnections(a.Connections)
 	before := n.loop.Snapshot().Backend
 	n.loop.Do(ctx, func(b *board.Board) {
--- a/internal/traffic/backend/gate.go
+++ b/internal/traffic/backend/gate.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
@@ -14,24 +14,32 @@
 type Gate struct {
 	mu      sync.Mutex
 	gate    *admission.Gate
-	waiters map[*admission.Ticket]chan bool
-	next    atomic.Uint64
+	waiters map[*admission.Ticket]chan answer
+}
+
+// answer is the final word on a ticket that waited.
+type answer struct {
+	admitted bool
+	refusal  admission.Refusal
 }
 
 // NewGate returns a gate.
 func NewGate(config admission.GateConfig) *Gate {
-	return &Gate{gate: admission.NewGate(config), waiters: map[*admission.Ticket]chan bool{}}
+	return &Gate{gate: admission.NewGate(config), waiters: map[*admission.Ticket]chan answer{}}
 }
 
 // Enter waits for a slot. Without one it returns the reply that refuses the request. Whoever got a slot calls Leave.
 func (g *Gate) Enter(ctx context.Context, r *call.Request, share int) (call.Reply, bool) {
-	t := g.ticket(r, share)
+	if ctx.Err() != nil {
+		return gone(ctx), false
+	}
+	t := newTicket(r, share)
 	verdict, waiter := g.offer(t)
 	switch verdict.Action {
 	case admission.Run:
 		return call.Reply{}, true
 	case admission.Shed:
-		return call.Refused(call.NotRun, call.ReasonOverload, verdict.RetryAfter), false
+		return refused(verdict.Refusal), false
 	}
 	return g.wait(ctx, t, waiter)
 }
@@ -50,18 +58,23 @@
 	g.signal(g.gate.Advance(time.Now()))
 }
 
-// Announce sets the slots that the backend server claims.
-func (g *Gate) Announce(slots int) {
+// Announce sets the slots and connections that the backend server claims.
+func (g *Gate) Announce(slots, connections int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.gate.Announce(slots)
+	g.gate.Announce(slots, connections)
 }
 
 // Load returns the load to report to others.
 func (g *Gate) Load() call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return call.Load{InFlight: g.gate.InFlight(), Queued: g.gate.Queued(), Limit: g.gate.LimitValue()}
+	return call.Load{
+		InFlight:     g.gate.InFlight(),
+		Queued:       g.gate.Queued(),
+		Limit:        g.gate.LimitValue(),
+		SheddingRank: g.gate.SheddingRank(time.Now()),
+	}
 }
 
 // QueuedByRank returns how many requests of each rank wait.
@@ -71,75 +84,101 @@
 	return g.gate.QueuedByRank()
 }
 
-func (g *Gate) ticket(r *call.Request, share int) *admission.Ticket {
+// Totals returns what became of the requests of each rank since the start.
+func (g *Gate) Totals() admission.Totals {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Totals()
+}
+
+func newTicket(r *call.Request, share int) *admission.Ticket {
 	return &admission.Ticket{
-		ID:        g.next.Add(1),
 		Rank:      r.Root.Rank,
 		Kind:      r.Kind,
 		Share:     share,
+		Caller:    r.Root.Caller,
 		RootStart: r.Root.Start,
 		Deadline:  r.Deadline,
 	}
 }
 
-func (g *Gate) offer(t *admission.Ticket) (admission.Verdict, chan bool) {
+func (g *Gate) offer(t *admission.Ticket) (admission.Verdict, chan answer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	verdict := g.gate.Offer(time.Now(), t)
 	for _, d := range verdict.Displaced {
-		g.answer(d, false)
+		g.answer(d.Ticket, answer{refusal: d})
 	}
 	if verdict.Action != admission.Wait {
 		return verdict, nil
 	}
-	waiter := make(chan bool, 1)
+	waiter := make(chan answer, 1)
 	g.waiters[t] = waiter
 	return verdict, waiter
 }
 
-func (g *Gate) wait(ctx context.Context, t *admission.Ticket, waiter chan bool) (call.Reply, bool) {
+func (g *Gate) wait(ctx context.Context, t *admission.Ticket, waiter chan answer) (call.Reply, bool) {
 	select {
-	case admitted := <-waiter:
-		if admitted {
+	case a := <-waiter:
+		if a.admitted {
 			return call.Reply{}, true
 		}
-		return call.Refused(call.NotRun, call.ReasonOverload, g.retryAfter()), false
+		return refused(a.refusal), false
 	case <-ctx.Done():
 		g.withdraw(t, waiter)
-		return call.Refused(call.NotRun, call.ReasonCanceled, 0), false
+		return gone(ctx), false
 	}
 }
 
 // withdraw takes back a ticket, or frees the slot that it was given in the same moment.
-func (g *Gate) withdraw(t *admission.Ticket, waiter chan bool) {
+func (g *Gate) withdraw(t *admission.Ticket, waiter chan answer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.gate.Withdraw(t) {
+	if _, waits := g.waiters[t]; waits {
 		delete(g.waiters, t)
+		g.gate.Withdraw(t)
 		return
 	}
-	if <-waiter {
+	if a := <-waiter; a.admitted {
 		g.signal(g.gate.Cancel(time.Now()))
 	}
 }
 
-func (g *Gate) retryAfter() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.gate.RetryAfter()
-}
-
 func (g *Gate) signal(next admission.Next) {
 	for _, t := range next.Run {
-		g.answer(t, true)
+		g.answer(t, answer{admitted: true})
 	}
-	for _, t := range next.Expired {
-		g.answer(t, false)
+	for _, e := range next.Expired {
+		g.answer(e.Ticket, answer{refusal: e})
 	}
 }
 
-func (g *Gate) answer(t *admission.Ticket, admitted bool) {
+func (g *Gate) answer(t *admission.Ticket, a answer) {
 	waiter := g.waiters[t]
 	delete(g.waiters, t)
-	waiter <- admitted
+	waiter <- a
+}
+
+var refusalReasons = map[admission.Cause]call.Reason{
+	admission.Overload:        call.ReasonOverload,
+	admission.WaitedTooLong:   call.ReasonQueueTimeout,
+	admission.DeadlineTooNear: call.ReasonDeadline,
+}
+
+func refused(r admission.Refusal) call.Reply {
+	return call.Refused(call.NotRun, refusalReasons[r.Cause], jittered(r.RetryAfter))
+}
+
+// jittered puts a time off by up to half. Requests refused in one moment would else come back in one moment too, and
+// most of them be refused again.
+func jittered(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Float64()*float64(d)/2)
+}
+
+// gone is the reply to a request whose caller went away or whose deadline passed while it waited.
+func gone(ctx context.Context) call.Reply {
+	if ctx.Err() == context.DeadlineExceeded {
+		return call.Refused(call.NotRun, call.ReasonDeadline, 0)
+	}
+	return call.Refused(call.NotRun, call.ReasonCanceled, 0)
 }
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
@@ -19,7 +20,8 @@
 
 // Receiver runs requests on the local backend server.
 type Receiver struct {
-	config ReceiverConfig
+	config   ReceiverConfig
+	counters receiverCounters
 }
 
 // NewReceiver returns a receiver.
@@ -34,6 +36,11 @@
 	return reply
 }
 
+// Stats returns what the receiver did since the start.
+func (v *Receiver) Stats() ReceiverStats {
+	return v.counters.stats()
+}
+
 func (v *Receiver) receive(ctx context.Context, r *call.Request) call.Reply {
 	b := v.config.Board.Snapshot()
 	if b.Backend.Service != r.Service || b.Backend.Address == "" {
@@ -47,13 +54,28 @@
 	}
 	refusal, admitted := v.config.Gate.Enter(ctx, r, share(b, r))
 	if !admitted {
+		v.counters.notStarted.Add(1)
 		return refusal
 	}
 	result := v.config.Backend.Run(ctx, b.Backend.Address, r)
-	v.config.Gate.Leave(admission.Sample{Took: result.Took, Overloaded: result.Overloaded})
+	v.config.Gate.Leave(sample(r, result))
+	v.counters.ended(result)
 	return result.Reply
 }
 
+// sample tells the gate what the run showed about the backend server.
+func sample(r *call.Request, result backend.Result) admission.Sample {
+	cut := result.Reply.Outcome != call.Ran
+	return admission.Sample{
+		Kind:       r.Kind,
+		Took:       result.Took,
+		Held:       result.Held,
+		Overloaded: result.Overloaded,
+		Cut:        cut && !result.Broken,
+		Failed:     result.Broken || !cut && result.Reply.Status >= http.StatusInternalServerError,
+	}
+}
+
 // share returns the share that the service's document gives the request's kind.
 func share(b *board.Board, r *call.Request) int {
 	d, ok := b.Documents.ByService[r.Service]
