Admission proofs with real processes, connections between nodes by rank, shorter queues

Cause: in a flood of job sheets by one caller another caller lost 1 of 599 sheets, and refusals came without Retry-After. The pool of connections between two nodes was full (64) with requests that waited at the gate, and knew no rank; its refusal was told as peer_unreachable. Now a rank leaves a twentieth of the connections to each more urgent one, a full pool is told as overload with Retry-After, and the queue holds at most 4 entries for each slot. Ruled out: a larger pool alone, which a longer queue fills as well.

--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -5,7 +5,7 @@
 // GateConfig sets a Gate up.
 type GateConfig struct {
 	Limit LimitConfig
-	// QueuePerSlot bounds the queue, in entries for each slot of the limit, before the time of a request is known.
+	// QueuePerSlot bounds the queue, in entries for each slot of the limit.
 	QueuePerSlot float64
 	// MaxWait is how long a ticket of the least urgent rank may stand in the queue.
 	MaxWait time.Duration
@@ -255,14 +255,14 @@
 }
 
 // places returns how many tickets of the rank and of more urgent ones may wait: those that the slots take in within
-// the rank's wait.
+// the rank's wait, within the bound of the queue.
 func (g *Gate) places(rank int) int {
 	limit := float64(g.limit.Value())
-	held := g.limit.HoldTime()
-	if held <= 0 {
-		return max(int(limit*g.config.QueuePerSlot), 1)
+	perSlot := g.config.QueuePerSlot
+	if held := g.limit.HoldTime(); held > 0 {
+		perSlot = min(perSlot, float64(g.waitBound(rank))/float64(held))
 	}
-	return max(int(limit*float64(g.waitBound(rank))/float64(held)), 1)
+	return max(int(limit*perSlot), 1)
 }
 
 // waitBound returns how long a ticket of the rank may wait.
--- a/internal/lab/fleet/deployment.go
+++ b/internal/lab/fleet/deployment.go
@@ -23,12 +23,14 @@
 
 // Service is one service of a deployment.
 type Service struct {
-	Name        string
-	Document    string
-	Instances   int
-	Slots       int
-	Connections int
-	Behaviour   server.Behaviour
+	Name      string
+	Document  string
+	Instances int
+	Slots     int
+	// AnnouncedSlots is what the backend servers say of their slots; 0 for the truth.
+	AnnouncedSlots int
+	Connections    int
+	Behaviour      server.Behaviour
 }
 
 // Chain returns a deployment of two services, of which the first calls the second.
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -205,13 +205,14 @@
 	}
 	n.command = append([]string{f.config.Binary}, f.arguments(n, addresses[3])...)
 	n.Server = server.New(server.Config{
-		Service:     s.Name,
-		Address:     addresses[4],
-		NodeBackend: n.Backend,
-		NodeCaller:  n.Caller,
-		Slots:       s.Slots,
-		Connections: s.Connections,
-		Behaviour:   s.Behaviour,
+		Service:        s.Name,
+		Address:        addresses[4],
+		NodeBackend:    n.Backend,
+		NodeCaller:     n.Caller,
+		Slots:          s.Slots,
+		AnnouncedSlots: s.AnnouncedSlots,
+		Connections:    s.Connections,
+		Behaviour:      s.Behaviour,
 	})
 	return n, nil
 }
--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -169,7 +170,7 @@
 	body, err := json.Marshal(backend.Announcement{
 		Service:     s.config.Service,
 		Address:     s.config.Address,
-		Slots:       s.config.Slots,
+		Slots:       cmp.Or(s.config.AnnouncedSlots, s.config.Slots),
 		Connections: s.config.Connections,
 		Leaving:     s.Behaviour().Leaving,
 	})
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -28,10 +28,12 @@
 	// NodeBackend is the local node's address for announcements.
 	NodeBackend string
 	// NodeCaller is the local node's address for calls to other services.
-	NodeCaller  string
-	Slots       int
-	Connections int
-	Behaviour   Behaviour
+	NodeCaller string
+	Slots      int
+	// AnnouncedSlots is what the server says of its slots, where that isn't the truth; 0 for the truth.
+	AnnouncedSlots int
+	Connections    int
+	Behaviour      Behaviour
 }
 
 // Behaviour is how the server works until it is changed.
@@ -96,6 +98,11 @@
 	return s.config.Address
 }
 
+// Busy returns how many requests hold a slot.
+func (s *Server) Busy() int {
+	return len(s.slots)
+}
+
 // Ledger returns the server's ledger.
 func (s *Server) Ledger() *Ledger {
 	return s.ledger
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -52,7 +52,7 @@
 			RetrialTime:    2 * time.Second,
 			MaxRetrialTime: 30 * time.Second,
 		},
-		QueuePerSlot:  1,
+		QueuePerSlot:  4,
 		MaxWait:       s.Backend.MaxWait,
 		UrgentWait:    urgentWaits * s.Backend.MaxWait,
 		ReserveWait:   20 * time.Millisecond,
--- /dev/null
+++ b/internal/proof/admission/admission_test.go
@@ -0,0 +1,284 @@
+package admission_test
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(harness.Main(m))
+}
+
+const document = `[service]
+name = venue
+team = venue-team
+
+[kind sheets]
+path = /sheets/*
+rank = 0
+idempotent = true
+deadline = 2s
+
+[kind orders]
+path = /orders/*
+rank = 5
+idempotent = true
+deadline = 2s
+
+[kind lookups]
+path = /lookups/*
+rank = 5
+idempotent = true
+deadline = 2s
+
+[kind archive]
+path = /archive/*
+rank = 8
+idempotent = true
+deadline = 10s
+
+[kind long]
+path = /long/*
+rank = 3
+idempotent = true
+deadline = 2m
+`
+
+// serviceTime is long enough for the slots, not the processor, to bound what the fleet can do.
+const serviceTime = 40 * time.Millisecond
+
+// venue returns a deployment whose two backend servers have 10 slots each and run 500 requests a second together.
+func venue() fleet.Deployment {
+	return fleet.Deployment{
+		Zones: []string{"lisbon_1"},
+		Services: []fleet.Service{{
+			Name:        "venue",
+			Document:    document,
+			Instances:   2,
+			Slots:       10,
+			Connections: 170,
+			Behaviour:   server.Behaviour{ServiceTime: serviceTime, Spread: 0.3, Queue: 1000},
+		}},
+	}
+}
+
+func stream(name, path string, rank int, rate float64) load.Stream {
+	return load.Stream{
+		Name: name, Service: "venue", Method: http.MethodGet, Path: path, Rank: rank, Rate: rate, Caller: name, Timeout: 2 * time.Second,
+	}
+}
+
+const (
+	runTime    = 4500 * time.Millisecond
+	floodStart = 500 * time.Millisecond
+	floodStop  = 3500 * time.Millisecond
+	// floodRate is three times what the fleet can do.
+	floodRate = 1500
+	// transition is how long after a flood began the fleet may still run less urgent work.
+	transition = time.Second
+)
+
+func flood(name, path string, rank int) load.Stream {
+	s := stream(name, path, rank, floodRate)
+	s.Start, s.Stop = floodStart, floodStop
+	return s
+}
+
+func run(t *testing.T, f *fleet.Fleet, streams ...load.Stream) []load.Result {
+	t.Helper()
+	results := load.Run(t.Context(), load.Config{Streams: streams, Targets: f.Callers(), Duration: runTime, Seed: 1})
+	_ = fleet.WriteTable(t.Output(), fleet.Summarize(results))
+	return results
+}
+
+// share returns the part of the stream's requests, sent within the time, that got a good answer.
+func share(results []load.Result, stream string, from, to time.Duration) float64 {
+	sent, good := 0, 0
+	for _, r := range results {
+		if r.Stream != stream || r.Sent < from || r.Sent >= to {
+			continue
+		}
+		sent++
+		if r.OK() {
+			good++
+		}
+	}
+	return float64(good) / float64(max(sent, 1))
+}
+
+// Urgent work, and what is within its share, is served whatever floods.
+func TestFloods(t *testing.T) {
+	tests := map[string]struct {
+		flood  load.Stream
+		served []load.Stream
+		change func(*fleet.Deployment)
+	}{
+		"of the least urgent": {
+			flood:  flood("flood", "/archive/x", 8),
+			served: []load.Stream{stream("sheets", "/sheets/x", 0, 100), stream("orders", "/orders/x", 5, 60)},
+		},
+		"of one kind within a rank": {
+			flood:  flood("flood", "/lookups/x", 5),
+			served: []load.Stream{stream("sheets", "/sheets/x", 0, 100), stream("orders", "/orders/x", 5, 60)},
+		},
+		"of one caller within the most urgent kind": {
+			flood:  flood("flood", "/sheets/x", 0),
+			served: []load.Stream{stream("crew", "/sheets/x", 0, 100)},
+		},
+		"of the least urgent where ten times the slots are announced": {
+			flood:  flood("flood", "/archive/x", 8),
+			served: []load.Stream{stream("sheets", "/sheets/x", 0, 100)},
+			change: func(d *fleet.Deployment) { d.Services[0].AnnouncedSlots = 100 },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := venue()
+			if test.change != nil {
+				test.change(&d)
+			}
+			f := harness.Start(t, fleet.Config{Deployment: d})
+			results := run(t, f, append(test.served, test.flood)...)
+			for _, s := range test.served {
+				is.True(share(results, s.Name, 0, runTime) >= 0.99) // good answers in the deadline
+			}
+			checkRefusals(is, results)
+			for _, n := range f.Nodes {
+				is.True(n.Server.Report().PeakConnections <= 170)
+			}
+		})
+	}
+}
+
+// checkRefusals checks that what was given up was answered early and with when to come back.
+func checkRefusals(is *is.I, results []load.Result) {
+	refused := 0
+	for _, r := range results {
+		if r.Outcome != "not_run" {
+			continue
+		}
+		refused++
+		seconds, err := strconv.Atoi(r.RetryAfter)
+		if err != nil || seconds < 1 {
+			is.Equal(r.RetryAfter+" for "+r.Reason, "a number of seconds")
+		}
+		is.True(r.Took < time.Second) // half of what the callers wait for
+	}
+	is.True(refused > 0)
+}
+
+// While more of the most urgent work comes than can be run, nothing less urgent is run.
+func TestFloodOfMostUrgent(t *testing.T) {
+	is := is.New(t)
+	f := harness.Start(t, fleet.Config{Deployment: venue()})
+	results := run(t, f, flood("flood", "/sheets/x", 0), stream("archive", "/archive/x", 8, 100))
+	is.True(share(results, "archive", 0, floodStart-100*time.Millisecond) >= 0.99)
+	is.True(share(results, "archive", floodStart+transition, floodStop-transition) <= 0.01)
+	is.True(share(results, "archive", floodStop+transition/2, runTime) >= 0.95)
+}
+
+// A deep service slows while demand surges and callers send again at once. Five seconds after the trigger ended, all
+// ordinary work gets through, and no queue is left.
+func TestRecovery(t *testing.T) {
+	is := is.New(t)
+	const (
+		triggerStart = time.Second
+		triggerStop  = 3 * time.Second
+		recovered    = triggerStop + 5*time.Second
+		end          = recovered + time.Second
+	)
+	d := venue()
+	d.Services[0].Behaviour.Calls = []server.Downstream{{Service: "deep", Method: http.MethodGet, Path: "/lookups/x"}}
+	deep := d.Services[0]
+	deep.Name, deep.Document, deep.Behaviour.Calls = "deep", strings.Replace(document, "venue", "deep", 1), nil
+	d.Services = append(d.Services, deep)
+	f := harness.Start(t, fleet.Config{Deployment: d})
+	var group conc.WaitGroup
+	group.Go(func() {
+		time.Sleep(triggerStart)
+		slow := deep.Behaviour
+		slow.ServiceTime *= 10
+		setDeep(f, slow)
+		time.Sleep(triggerStop - triggerStart)
+		setDeep(f, deep.Behaviour)
+	})
+	surge := stream("surge", "/lookups/x", 5, 300)
+	surge.Start, surge.Stop, surge.Resends = triggerStart, triggerStop, 3
+	streams := []load.Stream{stream("sheets", "/sheets/x", 0, 50), stream("lookups", "/lookups/x", 5, 100), surge}
+	results := load.Run(t.Context(), load.Config{Streams: streams, Targets: f.Callers(), Duration: end, Seed: 1})
+	group.Wait()
+	for _, name := range []string{"sheets", "lookups"} {
+		for from := time.Duration(0); from < end; from += time.Second {
+			t.Logf("%s from %s: %.3f", name, from, share(results, name, from, from+time.Second))
+		}
+		is.True(share(results, name, 0, triggerStart/2) >= 0.95)
+		is.True(share(results, name, recovered, end) >= 0.95)
+	}
+	for _, n := range f.Nodes {
+		dump, err := fleet.FetchDump(t.Context(), n.Backend)
+		is.NoErr(err)
+		is.Equal(dump.Load.Queued, 0)
+		is.Equal(n.Server.Busy(), 0)
+	}
+}
+
+func setDeep(f *fleet.Fleet, b server.Behaviour) {
+	for _, n := range f.Nodes {
+		if n.Service == "deep" {
+			n.Server.SetBehaviour(b)
+		}
+	}
+}
+
+// A caller that goes away, or a deadline that passes, ends the work on the backend server.
+func TestCancellationReachesBackendServer(t *testing.T) {
+	is := is.New(t)
+	d := venue()
+	d.Services[0].Behaviour.ServiceTime = time.Minute
+	f := harness.Start(t, fleet.Config{Deployment: d})
+	ctx, cancel := context.WithCancel(t.Context())
+	busy := func() int { return f.Nodes[0].Server.Busy() + f.Nodes[1].Server.Busy() }
+	const requests = 10
+	var group conc.WaitGroup
+	for i := range requests {
+		target := f.Callers()[i%2]
+		group.Go(func() { get(ctx, "http://"+target+"/call/venue/long/x") })
+	}
+	harness.Eventually(t, 10*time.Second, func() bool { return busy() == requests })
+	cancel()
+	group.Wait()
+	harness.Eventually(t, 10*time.Second, func() bool { return busy() == 0 })
+	harness.Eventually(t, 10*time.Second, func() bool {
+		wasted := uint64(0)
+		for _, n := range f.Nodes {
+			dump, err := fleet.FetchDump(t.Context(), n.Backend)
+			is.NoErr(err)
+			wasted += dump.Receiver.Wasted
+		}
+		return wasted == requests
+	})
+}
+
+func get(ctx context.Context, url string) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return
+	}
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
--- a/internal/traffic/backend/gate.go
+++ b/internal/traffic/backend/gate.go
@@ -31,7 +31,7 @@
 // Enter waits for a slot. Without one it returns the reply that refuses the request. Whoever got a slot calls Leave.
 func (g *Gate) Enter(ctx context.Context, r *call.Request, share int) (call.Reply, bool) {
 	if ctx.Err() != nil {
-		return gone(ctx), false
+		return g.gone(ctx, r.Root.Rank), false
 	}
 	t := newTicket(r, share)
 	verdict, waiter := g.offer(t)
@@ -126,7 +126,7 @@
 		return refused(a.refusal), false
 	case <-ctx.Done():
 		g.withdraw(t, waiter)
-		return gone(ctx), false
+		return g.gone(ctx, t.Rank), false
 	}
 }
 
@@ -144,6 +144,12 @@
 	}
 }
 
+func (g *Gate) retryAfter(rank int) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.RetryAfter(rank)
+}
+
 func (g *Gate) signal(next admission.Next) {
 	for _, t := range next.Run {
 		g.answer(t, answer{admitted: true})
@@ -176,9 +182,9 @@
 }
 
 // gone is the reply to a request whose caller went away or whose deadline passed while it waited.
-func gone(ctx context.Context) call.Reply {
+func (g *Gate) gone(ctx context.Context, rank int) call.Reply {
 	if ctx.Err() == context.DeadlineExceeded {
-		return call.Refused(call.NotRun, call.ReasonDeadline, 0)
+		return call.Refused(call.NotRun, call.ReasonDeadline, jittered(g.retryAfter(rank)))
 	}
 	return call.Refused(call.NotRun, call.ReasonCanceled, 0)
 }
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -120,7 +120,7 @@
 		outcome = call.NotRun
 		used = 0
 	}
-	reply := call.Refused(outcome, failure.Reason, 0)
+	reply := call.Refused(outcome, failure.Reason, failure.RetryAfter)
 	reply.AttemptsUsed = used
 	return reply
 }
--- a/internal/traffic/peer/client.go
+++ b/internal/traffic/peer/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
 	"storj.io/drpc/drpcconn"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -27,7 +28,9 @@
 	Sent bool
 	// Reason is what a caller is told.
 	Reason call.Reason
-	Cause  error
+	// RetryAfter is when the request may be sent again.
+	RetryAfter time.Duration
+	Cause      error
 }
 
 // Error returns the failure on one line.
@@ -56,14 +59,17 @@
 	message := requestMessage(r, c.node, time.Now())
 	var answer *peerpb.CallReply
 	sent := false
-	err := c.pool.Use(ctx, address, func(conn *drpcconn.Conn) error {
+	err := c.pool.UseFor(ctx, address, r.Root.Rank, func(conn *drpcconn.Conn) error {
 		sent = true
 		var err error
 		answer, err = peerpb.NewDRPCPeerClient(conn).Call(ctx, message)
 		return err
 	})
+	if err != nil && !sent {
+		return call.Reply{}, notSent(ctx, address, err)
+	}
 	if err != nil {
-		return call.Reply{}, &Error{Address: address, Sent: sent, Reason: reasonOf(ctx), Cause: err}
+		return call.Reply{}, &Error{Address: address, Sent: true, Reason: reasonOf(ctx), Cause: err}
 	}
 	if err := checkReply(r, answer); err != nil {
 		return call.Reply{}, &Error{Address: address, Sent: true, Reason: call.ReasonCorrupt, Cause: err}
@@ -71,6 +77,17 @@
 	return replyOf(answer), nil
 }
 
+// notSentRetry is when to come back after a request that found no connection.
+const notSentRetry = 500 * time.Millisecond
+
+func notSent(ctx context.Context, address string, err error) *Error {
+	failure := &Error{Address: address, Reason: reasonOf(ctx), RetryAfter: notSentRetry, Cause: err}
+	if trace.IsLimitExceeded(err) {
+		failure.Reason = call.ReasonOverload
+	}
+	return failure
+}
+
 func reasonOf(ctx context.Context) call.Reason {
 	switch ctx.Err() {
 	case context.DeadlineExceeded:
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -44,12 +44,26 @@
 	since time.Time
 }
 
+// rankPart is the part of the connections to one node that each rank leaves to more urgent ones.
+const rankPart = 0.05
+
+// bound returns how many connections to one node may be in use for a request of the rank to take a further one, so
+// that a flood of less urgent requests leaves some to the urgent.
+func (p *Pool) bound(rank int) int {
+	return max(int(float64(p.config.MaxPerPeer)*(1-rankPart*float64(rank))), 1)
+}
+
 // errTooManyConnections says that the bound of connections to one node is reached.
 var errTooManyConnections = trace.LimitExceeded("too many connections to the node")
 
 // Use runs f on a connection to the address. The connection is kept for later use only if f succeeds.
 func (p *Pool) Use(ctx context.Context, address string, f func(*drpcconn.Conn) error) error {
-	conn, err := p.take(ctx, address)
+	return p.UseFor(ctx, address, 0, f)
+}
+
+// UseFor is Use for a request of the rank. Less urgent ranks may use fewer connections.
+func (p *Pool) UseFor(ctx context.Context, address string, rank int, f func(*drpcconn.Conn) error) error {
+	conn, err := p.take(ctx, address, rank)
 	if err != nil {
 		return err
 	}
@@ -101,8 +115,8 @@
 	return nil
 }
 
-func (p *Pool) take(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	conn, err := p.takeIdle(address, time.Now())
+func (p *Pool) take(ctx context.Context, address string, rank int) (*drpcconn.Conn, error) {
+	conn, err := p.takeIdle(address, rank, time.Now())
 	if conn != nil || err != nil {
 		return conn, err
 	}
@@ -115,10 +129,13 @@
 }
 
 // takeIdle returns the idle connection used last, or nil with a place reserved for a new one.
-func (p *Pool) takeIdle(address string, now time.Time) (*drpcconn.Conn, error) {
+func (p *Pool) takeIdle(address string, rank int, now time.Time) (*drpcconn.Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	peer := p.peer(address)
+	if peer.open-len(peer.idle) >= p.bound(rank) {
+		return nil, errTooManyConnections
+	}
 	for len(peer.idle) > 0 {
 		last := len(peer.idle) - 1
 		i := peer.idle[last]
@@ -129,9 +146,6 @@
 		_ = i.conn.Close()
 		peer.open--
 	}
-	if peer.open >= p.config.MaxPerPeer {
-		return nil, errTooManyConnections
-	}
 	peer.open++
 	return nil, nil
 }
