Retries bounded by one pool of attempts down the whole chain

Cause: the chain lent all attempts to its first call, so calls side by side got none, a lost reply spent everything, and attempts lent to a call that outlived its parent's answer were reported as unused, so that they were spent twice. The retry budget was never earned. A refusal after an attempt that may have run was passed on as not_run.

Now a pool holds each attempt in one place (left, lent, used), lends the larger half, and counts what is still lent at the answer as used. A reply tells why a call further down failed, and only the node next to the failure tries again, for answers of 500 and more too where the request is idempotent. The token of a canceled request starts no calls.

Ruled out: lending all but one unit at each level, with which levels below the allowance never try again.

--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -30,7 +30,9 @@
 	// Started says that the backend server may have begun the request.
 	Started bool
 	// Final is the mark of the reply.
-	Final        bool
+	Final bool
+	// Deeper says that the failure came from further down the chain, where the node next to it has decided.
+	Deeper       bool
 	AttemptsLeft int
 	TimeLeft     time.Duration
 	// Candidates is how many instances have not been tried.
@@ -42,7 +44,7 @@
 
 // Decide applies the rules to a failed attempt and charges the budget where the answer is TryAgain.
 func Decide(a Attempt, b *Budget) Verdict {
-	if a.Final || a.AttemptsLeft <= 0 || a.Candidates <= 0 || a.TimeLeft < MinTimeLeft {
+	if a.Final || a.Deeper || a.AttemptsLeft <= 0 || a.Candidates <= 0 || a.TimeLeft < MinTimeLeft {
 		return GiveUp
 	}
 	if a.Started && !a.Idempotent {
--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -72,6 +72,10 @@
 		http.Error(w, "a call failed", status)
 		return
 	}
+	if rand.Float64() < b.FailRate {
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return
+	}
 	s.ledger.end(run)
 	_, _ = fmt.Fprintf(w, "%s ran %s %s\n", s.config.Service, r.Method, r.URL.Path)
 }
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -46,6 +46,8 @@
 	Calls []Downstream `json:"calls"`
 	// FailFast answers every request with 500 at once.
 	FailFast bool `json:"fail_fast"`
+	// FailRate is the part of the requests, from 0 to 1, that run, make their calls and then end with 500.
+	FailRate float64 `json:"fail_rate"`
 	// CrashOn closes the listener and all connections when a body holds the text; empty for never.
 	CrashOn string `json:"crash_on"`
 	// RestartAfter is how long a crash lasts.
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -97,7 +97,7 @@
 		result.Broken = ctx.Err() == nil && err.sent
 	}
 	result.Overloaded = result.Reply.Status == http.StatusServiceUnavailable && err == nil
-	result.Reply.AttemptsUsed = chain.AttemptsUsed()
+	chain.Settle(&result.Reply)
 	return result
 }
 
--- /dev/null
+++ b/internal/traffic/call/attempts_test.go
@@ -0,0 +1,164 @@
+package call_test
+
+import (
+	"context"
+	"flag"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+// tree is one root request with random calls, failures, lost replies and early answers.
+type tree struct {
+	t       *rapid.T
+	depth   int
+	calls   int
+	retries int
+	runs    []int
+}
+
+func (w *tree) draw(what string) bool {
+	return rapid.IntRange(0, 2).Draw(w.t, what) == 0
+}
+
+// send sends one request to the level until it succeeds or may not be tried again.
+func (w *tree) send(pool *call.Attempts, level int) (failed bool) {
+	for {
+		lent := pool.Lend()
+		reply := w.run(level, lent)
+		if w.draw("lost") {
+			reply = call.Reply{Outcome: call.Unknown, Reason: call.ReasonPeerUnreachable, AttemptsUsed: lent}
+		}
+		pool.Return(lent, reply.AttemptsUsed)
+		if reply.Failure() == call.ReasonNone {
+			return false
+		}
+		attempt := retry.Attempt{
+			Idempotent:   true,
+			Deeper:       reply.Deeper != call.ReasonNone,
+			AttemptsLeft: pool.Left(),
+			TimeLeft:     retry.MinTimeLeft,
+			Candidates:   1,
+		}
+		budget := retry.NewBudget(retry.BudgetConfig{Max: 1})
+		if retry.Decide(attempt, budget) == retry.GiveUp || !pool.Take() {
+			return true
+		}
+		w.retries++
+	}
+}
+
+// run is one run on a backend server of the level, which may make one call beside the others and answer before that
+// one has ended.
+func (w *tree) run(level, lent int) call.Reply {
+	w.runs[level]++
+	chain := call.NewChains().Begin(w.t.Context(), "token", &call.Request{AttemptsLeft: lent})
+	reply := call.Reply{Outcome: call.Ran, Status: 200}
+	if w.draw("failed") {
+		reply.Status = 500
+	}
+	if level+1 == w.depth {
+		return reply
+	}
+	early, parallel := 0, w.draw("parallel")
+	if parallel {
+		early = chain.Attempts.Lend()
+	}
+	for range w.calls {
+		if w.send(chain.Attempts, level+1) {
+			chain.NoteFailure(call.ReasonOverload)
+			reply.Status = 503
+		}
+	}
+	if parallel && !w.draw("answered early") {
+		w.late(chain.Attempts, early, level+1)
+		parallel = false
+	}
+	chain.Settle(&reply)
+	if parallel {
+		w.late(chain.Attempts, early, level+1)
+	}
+	return reply
+}
+
+// late runs a call to which attempts were lent before and returns them, perhaps after the pool is closed.
+func (w *tree) late(pool *call.Attempts, lent, level int) {
+	reply := w.run(level, lent)
+	pool.Return(lent, reply.AttemptsUsed)
+}
+
+func TestAttemptsNeverExceedTheAllowance(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(flag.Set("rapid.checks", "3000"))
+	is.NoErr(flag.Set("rapid.seed", "1"))
+	rapid.Check(t, func(rt *rapid.T) {
+		w := &tree{
+			t:     rt,
+			depth: rapid.IntRange(1, 6).Draw(rt, "depth"),
+			calls: rapid.IntRange(1, 2).Draw(rt, "calls"),
+		}
+		w.runs = make([]int, w.depth)
+		allowance := rapid.IntRange(0, 5).Draw(rt, "allowance")
+		w.send(call.NewAttempts(allowance), 0)
+		if w.retries > allowance {
+			rt.Fatalf("%d retries with an allowance of %d", w.retries, allowance)
+		}
+		width := 1
+		for level, runs := range w.runs {
+			if runs > width*(1+allowance) {
+				rt.Fatalf("%d runs at level %d of width %d with an allowance of %d", runs, level, width, allowance)
+			}
+			width *= w.calls + 1
+		}
+	})
+}
+
+func TestAttemptsReturnedLate(t *testing.T) {
+	is := is.New(t)
+	pool := call.NewAttempts(3)
+	first, second := pool.Lend(), pool.Lend()
+	is.Equal(first, 2)
+	is.Equal(second, 1) // a call in parallel gets a part
+	pool.Return(first, 0)
+	is.Equal(pool.Close(), 1) // what is still lent counts as used
+	pool.Return(second, 0)
+	is.Equal(pool.Left(), 0)
+	is.True(!pool.Take())
+}
+
+func TestReplyFailure(t *testing.T) {
+	for name, test := range map[string]struct {
+		reply call.Reply
+		want  call.Reason
+	}{
+		"good answer":     {call.Reply{Outcome: call.Ran, Status: 200}, call.ReasonNone},
+		"not found":       {call.Reply{Outcome: call.Ran, Status: 404}, call.ReasonNone},
+		"shed by server":  {call.Reply{Outcome: call.Ran, Status: 503}, call.ReasonOverload},
+		"server's fault":  {call.Reply{Outcome: call.Ran, Status: 500}, call.ReasonBackendFailed},
+		"refused":         {call.Refused(call.NotRun, call.ReasonDraining, 0), call.ReasonDraining},
+		"without a cause": {call.Reply{Outcome: call.Unknown}, call.ReasonBackendFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(test.reply.Failure(), test.want)
+		})
+	}
+}
+
+func TestTokenOfCanceledRequest(t *testing.T) {
+	is := is.New(t)
+	chains := call.NewChains()
+	running, cancel := context.WithCancel(t.Context())
+	chains.Begin(running, "canceled", &call.Request{})
+	chains.Begin(t.Context(), "answered", &call.Request{})
+	cancel()
+	chains.End("canceled")
+	chains.End("answered")
+	is.True(chains.IsCanceled("canceled"))
+	is.True(!chains.IsCanceled("answered"))
+	is.True(!chains.IsCanceled("never seen"))
+	is.True(chains.Find("answered") == nil)
+}
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -73,6 +73,8 @@
 	Deadline  time.Time
 	// AttemptsLeft is how many further attempts the whole chain below may spend.
 	AttemptsLeft int
+	// Attempts is the pool that AttemptsLeft comes from on the node that sends the request; it is not passed on.
+	Attempts *Attempts
 	// SourceNode is the node that sent the request here; empty at the entry.
 	SourceNode string
 	// Delegated says that the key's home passed the request on to be run.
@@ -100,7 +102,26 @@
 	AttemptsUsed int
 	// Final forbids further attempts by anybody up the chain.
 	Final bool
-	Load  Load
+	// Deeper is why a call further down the chain failed, where that made this reply a failure. Only the node next
+	// to a failure may try again, so such a reply is passed up.
+	Deeper Reason
+	Load   Load
+}
+
+// Failure returns why the reply is no good answer, or ReasonNone. An answer of the backend server is judged by its
+// status.
+func (r *Reply) Failure() Reason {
+	switch {
+	case r.Outcome != Ran && r.Reason != ReasonNone:
+		return r.Reason
+	case r.Outcome != Ran:
+		return ReasonBackendFailed
+	case r.Status == http.StatusServiceUnavailable:
+		return ReasonOverload
+	case r.Status >= http.StatusInternalServerError:
+		return ReasonBackendFailed
+	}
+	return ReasonNone
 }
 
 // Refused returns the reply to a request that was given up for the reason.
--- a/internal/traffic/call/chain.go
+++ b/internal/traffic/call/chain.go
@@ -15,37 +15,33 @@
 	// Running ends with the request, so that its calls end too.
 	Running context.Context
 
-	mu           sync.Mutex
-	attemptsLeft int
-	attemptsUsed int
-	children     int
-	childStart   time.Time
-	childTime    time.Duration
-}
+	// Attempts are what the calls down the chain may spend together.
+	Attempts *Attempts
 
-// TakeAttempts lends the attempts that are left to one call down the chain.
-func (c *Chain) TakeAttempts() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	lent := c.attemptsLeft
-	c.attemptsLeft = 0
-	return lent
+	mu         sync.Mutex
+	failure    Reason
+	children   int
+	childStart time.Time
+	childTime  time.Duration
 }
 
-// ReturnAttempts gives back what a call did not use of the attempts lent to it.
-func (c *Chain) ReturnAttempts(lent, used int) {
+// NoteFailure remembers that a call down the chain failed.
+func (c *Chain) NoteFailure(reason Reason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	used = min(used, lent)
-	c.attemptsLeft += lent - used
-	c.attemptsUsed += used
+	c.failure = reason
 }
 
-// AttemptsUsed returns how many attempts the calls below have spent.
-func (c *Chain) AttemptsUsed() int {
+// Settle completes the reply to the request: the attempts that were spent below, and whether its failure came from
+// further down.
+func (c *Chain) Settle(reply *Reply) {
+	reply.AttemptsUsed = c.Attempts.Close()
+	if reply.Failure() == ReasonNone {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.attemptsUsed
+	reply.Deeper = c.failure
 }
 
 // BeginChild marks the start of a call down the chain.
@@ -81,27 +77,56 @@
 type Chains struct {
 	mu      sync.RWMutex
 	byToken map[string]*Chain
+	// canceled holds the tokens of requests that were canceled while they ran, and canceledOrder the oldest first.
+	canceled      map[string]bool
+	canceledOrder []string
 }
 
+// maxCanceled is how many tokens of canceled requests are remembered.
+const maxCanceled = 4096
+
 // NewChains returns an empty table.
 func NewChains() *Chains {
-	return &Chains{byToken: map[string]*Chain{}}
+	return &Chains{byToken: map[string]*Chain{}, canceled: map[string]bool{}}
 }
 
 // Begin enters a request under the token and returns its chain.
 func (t *Chains) Begin(running context.Context, token string, r *Request) *Chain {
-	c := &Chain{Root: r.Root, Depth: r.Depth, Deadline: r.Deadline, Running: running, attemptsLeft: r.AttemptsLeft}
+	c := &Chain{
+		Root:     r.Root,
+		Depth:    r.Depth,
+		Deadline: r.Deadline,
+		Running:  running,
+		Attempts: NewAttempts(r.AttemptsLeft),
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.byToken[token] = c
 	return c
 }
 
-// End removes the request under the token.
+// End removes the request under the token. The token of a request that was canceled is remembered, so that a backend
+// server that works on regardless can't start calls for it.
 func (t *Chains) End(token string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	c, ok := t.byToken[token]
+	if !ok {
+		return
+	}
 	delete(t.byToken, token)
+	if c.Running.Err() != nil {
+		t.rememberCanceled(token)
+	}
+}
+
+func (t *Chains) rememberCanceled(token string) {
+	t.canceled[token] = true
+	t.canceledOrder = append(t.canceledOrder, token)
+	if len(t.canceledOrder) > maxCanceled {
+		delete(t.canceled, t.canceledOrder[0])
+		t.canceledOrder = t.canceledOrder[1:]
+	}
 }
 
 // Find returns the chain under the token, or nil.
@@ -110,3 +135,10 @@
 	defer t.mu.RUnlock()
 	return t.byToken[token]
 }
+
+// IsCanceled reports whether the token belongs to a request that was canceled while it ran.
+func (t *Chains) IsCanceled(token string) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.canceled[token]
+}
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -88,16 +88,19 @@
 	h.write(w, request, h.send(ctx, request, chain))
 }
 
-// send charges the attempts to the chain that the call belongs to.
+// send sends the request on. A call of a chain spends the chain's attempts and waits on the chain's behalf.
 func (h *handler) send(ctx context.Context, request *call.Request, chain *call.Chain) call.Reply {
 	if chain == nil {
+		request.Attempts = call.NewAttempts(request.AttemptsLeft)
 		return h.config.Sender.Send(ctx, request)
 	}
-	request.AttemptsLeft = chain.TakeAttempts()
+	request.Attempts = chain.Attempts
 	chain.BeginChild(time.Now())
 	reply := h.config.Sender.Send(ctx, request)
 	chain.EndChild(time.Now())
-	chain.ReturnAttempts(request.AttemptsLeft, reply.AttemptsUsed)
+	if failure := reply.Failure(); failure != call.ReasonNone {
+		chain.NoteFailure(failure)
+	}
 	return reply
 }
 
@@ -131,7 +134,11 @@
 		Deadline:     deadline,
 		AttemptsLeft: accepted.Document.Attempts,
 	}
-	chain := h.config.Chains.Find(r.Header.Get(backend.ChainHeader))
+	token := r.Header.Get(backend.ChainHeader)
+	if h.config.Chains.IsCanceled(token) {
+		return nil, nil, &rejection{call.ReasonCanceled, backend.ChainHeader + " names a request that was canceled"}
+	}
+	chain := h.config.Chains.Find(token)
 	inherit(request, r, kind, chain)
 	return request, chain, nil
 }
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -50,26 +50,47 @@
 
 // Send sends the request to an instance of its service, again where that is allowed, and returns the last reply.
 func (s *Sender) Send(ctx context.Context, r *call.Request) call.Reply {
-	var tried []string
-	used := 0
+	t := &trial{}
 	for {
-		target, ok := s.choose(r, tried)
+		target, ok := s.choose(r, t.tried)
 		if !ok {
-			reply := call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
-			reply.AttemptsUsed = used
-			return reply
+			return t.end(call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry))
 		}
-		tried = append(tried, target.Node)
-		reply := s.attempt(ctx, target, r, r.AttemptsLeft-used)
-		used += reply.AttemptsUsed
-		if reply.Outcome == call.Ran || s.decide(r, reply, used, len(tried)) == retry.GiveUp {
-			reply.AttemptsUsed = used
-			return reply
+		lent := r.Attempts.Lend()
+		reply := s.attempt(ctx, target, r, lent)
+		r.Attempts.Return(lent, reply.AttemptsUsed)
+		t.note(target.Node, reply)
+		if !s.again(r, reply, t) {
+			return t.end(reply)
 		}
-		used++
 	}
 }
 
+// trial is what the attempts of one Send have come to.
+type trial struct {
+	tried []string
+	used  int
+	// mayHaveRun says that an attempt ran, or may have.
+	mayHaveRun bool
+}
+
+func (t *trial) note(node string, reply call.Reply) {
+	t.tried = append(t.tried, node)
+	t.used += reply.AttemptsUsed
+	if reply.Outcome == call.Ran || reply.Outcome == call.Unknown {
+		t.mayHaveRun = true
+	}
+}
+
+// end returns the reply for all attempts: one that was refused does not undo an earlier one that may have run.
+func (t *trial) end(reply call.Reply) call.Reply {
+	reply.AttemptsUsed = t.used
+	if t.mayHaveRun && reply.Outcome != call.Ran {
+		reply.Outcome = call.Unknown
+	}
+	return reply
+}
+
 // noInstanceRetry is when to come back where no instance is known.
 const noInstanceRetry = 500 * time.Millisecond
 
@@ -112,7 +133,7 @@
 func failedReply(err error, attempt *call.Request) call.Reply {
 	var failure *peer.Error
 	if !errors.As(err, &failure) {
-		return call.Refused(call.Unknown, call.ReasonPeerUnreachable, 0)
+		failure = &peer.Error{Sent: true, Reason: call.ReasonPeerUnreachable, Cause: err}
 	}
 	outcome := call.Unknown
 	used := attempt.AttemptsLeft
@@ -125,18 +146,33 @@
 	return reply
 }
 
-func (s *Sender) decide(r *call.Request, reply call.Reply, used, tried int) retry.Verdict {
+// again learns from the reply and reports whether to try another instance, which it charges.
+func (s *Sender) again(r *call.Request, reply call.Reply, t *trial) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	budget := s.budget(r.Service)
-	return retry.Decide(retry.Attempt{
+	if reply.Failure() == call.ReasonNone {
+		budget.Earn()
+		return false
+	}
+	candidates := len(s.config.Board.Snapshot().Members.ByService[r.Service]) - len(t.tried)
+	if reply.Outcome == call.NotRun && reply.Reason == call.ReasonDraining {
+		return candidates > 0 // a leaving instance has started nothing, and each instance is asked once
+	}
+	verdict := retry.Decide(retry.Attempt{
 		Idempotent:   r.Idempotent,
-		Started:      reply.Outcome == call.Unknown,
+		Started:      reply.Outcome == call.Ran || reply.Outcome == call.Unknown,
 		Final:        reply.Final,
-		AttemptsLeft: r.AttemptsLeft - used,
+		Deeper:       reply.Deeper != call.ReasonNone,
+		AttemptsLeft: r.Attempts.Left(),
 		TimeLeft:     time.Until(r.Deadline),
-		Candidates:   len(s.config.Board.Snapshot().Members.ByService[r.Service]) - tried,
+		Candidates:   candidates,
 	}, budget)
+	if verdict == retry.GiveUp || !r.Attempts.Take() {
+		return false
+	}
+	t.used++
+	return true
 }
 
 func (s *Sender) budget(service string) *retry.Budget {
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -103,6 +103,7 @@
 		BodyChecksum:     xxhash.Sum64(r.Body),
 		AttemptsUsed:     int32(r.AttemptsUsed),
 		Final:            r.Final,
+		Deeper:           string(r.Deeper),
 		Load: &peerpb.Load{
 			InFlight:     int32(r.Load.InFlight),
 			Queued:       int32(r.Load.Queued),
@@ -122,6 +123,7 @@
 		Body:         m.GetBody(),
 		AttemptsUsed: int(m.GetAttemptsUsed()),
 		Final:        m.GetFinal(),
+		Deeper:       call.Reason(m.GetDeeper()),
 		Load: call.Load{
 			InFlight:     int(m.GetLoad().GetInFlight()),
 			Queued:       int(m.GetLoad().GetQueued()),
