Refusal at the entry of what would be shed further down the chain

Cause: with a deep service overloaded, every flooded root request still ran at the upper levels. Callers that resend took as much as first requests.

The entry measures per service, kind and rank how many chains were accepted, and admits 1.1 times that many while any are shed. Weighed: a yes-or-no rule on Load.SheddingRank of all instances; not taken, since an instance that sheds a part of a rank also runs the rest, so that refusing the rank would leave slots idle. A controller of the admitted share by steps was not taken either: replies lag and steps add up.

--- /dev/null
+++ b/internal/decide/throttle/throttle.go
@@ -0,0 +1,225 @@
+// Package throttle decides at the entry which root requests are refused before any work is done for them, by what
+// became of the chains of others like them.
+//
+// A Throttle watches the root requests of one kind and rank. While some of them are refused anywhere down their
+// chains, it admits about as many as were accepted, and a little more, so that it notices at once when more would be
+// accepted. Since it measures the accepted rate, the time that replies take can't make it refuse ever more. Callers
+// that send no more than their equal part are admitted before the others, and requests that are sent again get a
+// bounded part.
+//
+// # Usage
+//
+//	verdict := t.Offer(now, random, throttle.Offer{Caller: "parish"})
+//	if verdict.Admitted {
+//		... send it ...
+//		t.Learn(now, throttle.Accepted)
+//	}
+//
+// The package does no I/O and reads no clock. A Throttle is not safe for concurrent use.
+package throttle
+
+import (
+	"math"
+	"time"
+)
+
+// Source gives random numbers.
+type Source interface {
+	// Float64 returns a number from 0 up to, but not including, 1.
+	Float64() float64
+}
+
+// Result is what became of an admitted request.
+type Result int
+
+// The results.
+const (
+	// Neutral tells nothing about overload.
+	Neutral Result = iota
+	// Accepted is a whole good answer.
+	Accepted
+	// Refused means that the request was shed, here or further down its chain.
+	Refused
+)
+
+// Config sets a Throttle up.
+type Config struct {
+	// Window is the time constant with which counts fade.
+	Window time.Duration
+	// Headroom is the admitted rate over the accepted one while requests are being refused.
+	Headroom float64
+	// QuietHeadroom replaces Headroom once no request was refused for the time Quiet.
+	QuietHeadroom float64
+	Quiet         time.Duration
+	// ProbeEvery is the time without an admitted request after which one is admitted in any case.
+	ProbeEvery time.Duration
+	// ResentShare is the part of the accepted rate that requests sent again may take while others are refused.
+	ResentShare float64
+	// MaxCallers bounds the callers that are told apart; the others count as one.
+	MaxCallers int
+	// MinRetryAfter and MaxRetryAfter bound what refused callers are told.
+	MinRetryAfter time.Duration
+	MaxRetryAfter time.Duration
+}
+
+// DefaultConfig holds where nothing else is set.
+var DefaultConfig = Config{
+	Window:        250 * time.Millisecond,
+	Headroom:      1.1,
+	QuietHeadroom: 2,
+	Quiet:         100 * time.Millisecond,
+	ProbeEvery:    50 * time.Millisecond,
+	ResentShare:   0.2,
+	MaxCallers:    256,
+	MinRetryAfter: 100 * time.Millisecond,
+	MaxRetryAfter: 5 * time.Second,
+}
+
+// Offer is a root request that asks to be admitted.
+type Offer struct {
+	Caller string
+	// Resent says that the caller has sent the request before.
+	Resent bool
+}
+
+// Verdict answers an offer.
+type Verdict struct {
+	Admitted bool
+	// RetryAfter is when a refused request may be sent again. It differs from request to request, so that those
+	// refused together don't come back together.
+	RetryAfter time.Duration
+}
+
+// Throttle watches the root requests of one kind and rank.
+type Throttle struct {
+	config Config
+	// last is when the counts were last faded.
+	last time.Time
+
+	accepted float64
+	refused  float64
+	// local counts the requests that the throttle refused itself.
+	local   float64
+	resent  float64
+	callers map[string]float64
+
+	refusedAt  time.Time
+	admittedAt time.Time
+}
+
+// New returns a throttle that admits everything.
+func New(config Config) *Throttle {
+	return &Throttle{config: config, callers: map[string]float64{}}
+}
+
+// otherCallers stands for the callers beyond the bound.
+const otherCallers = ""
+
+// Offer decides on one request.
+func (t *Throttle) Offer(now time.Time, random Source, o Offer) Verdict {
+	t.fade(now)
+	own := t.count(o.Caller)
+	refusal := t.refusal(now)
+	switch {
+	case now.Sub(t.admittedAt) >= t.config.ProbeEvery:
+	case o.Resent && t.refused > spared && t.resent >= t.config.ResentShare*t.accepted:
+		// Not counted, so that requests sent again don't take the place of new ones.
+		return Verdict{RetryAfter: t.retryAfter(random)}
+	case refusal == 0:
+	case own <= t.accepted/float64(len(t.callers)):
+	case random.Float64() < refusal:
+		t.local++
+		return Verdict{RetryAfter: t.retryAfter(random)}
+	}
+	t.admittedAt = now
+	if o.Resent {
+		t.resent++
+	}
+	return Verdict{Admitted: true}
+}
+
+// Learn takes in what became of an admitted request.
+func (t *Throttle) Learn(now time.Time, r Result) {
+	t.fade(now)
+	switch r {
+	case Accepted:
+		t.accepted++
+	case Refused:
+		t.refused++
+		t.refusedAt = now
+	}
+}
+
+// Throttling reports whether requests are being refused.
+func (t *Throttle) Throttling(now time.Time) bool {
+	t.fade(now)
+	return t.refusal(now) > 0
+}
+
+// Idle reports whether nothing was counted lately, so that the throttle may be forgotten.
+func (t *Throttle) Idle(now time.Time) bool {
+	t.fade(now)
+	return t.accepted+t.refused+t.local+float64(len(t.callers)) < faded
+}
+
+// faded is the count below which nothing is left of one request.
+const faded = 0.05
+
+// spared is how many requests in a window are not throttled, so that few requests can't stop each other.
+const spared = 1
+
+// refusal is the part of the requests to refuse.
+func (t *Throttle) refusal(now time.Time) float64 {
+	headroom := t.config.Headroom
+	if now.Sub(t.refusedAt) >= t.config.Quiet {
+		headroom = t.config.QuietHeadroom
+	}
+	offered := t.accepted + t.refused + t.local
+	if offered == 0 {
+		return 0
+	}
+	return max(0, (offered-spared-headroom*t.accepted)/offered)
+}
+
+func (t *Throttle) retryAfter(random Source) time.Duration {
+	offered := t.accepted + t.refused + t.local
+	wait := time.Duration(float64(t.config.Window) * offered / (t.accepted + 1))
+	wait = min(max(wait, t.config.MinRetryAfter), t.config.MaxRetryAfter)
+	return time.Duration(float64(wait) * (0.5 + random.Float64()))
+}
+
+// count adds one request of the caller and returns its count.
+func (t *Throttle) count(caller string) float64 {
+	if _, ok := t.callers[caller]; !ok && len(t.callers) >= t.config.MaxCallers {
+		caller = otherCallers
+	}
+	t.callers[caller]++
+	return t.callers[caller]
+}
+
+// fadeStep is the shortest time after which counts are renewed.
+const fadeStep = 5 * time.Millisecond
+
+func (t *Throttle) fade(now time.Time) {
+	if t.last.IsZero() {
+		t.last = now
+		return
+	}
+	passed := now.Sub(t.last)
+	if passed < fadeStep {
+		return
+	}
+	t.last = now
+	factor := math.Exp(-float64(passed) / float64(t.config.Window))
+	t.accepted *= factor
+	t.refused *= factor
+	t.local *= factor
+	t.resent *= factor
+	for caller, count := range t.callers {
+		if count*factor < faded {
+			delete(t.callers, caller)
+			continue
+		}
+		t.callers[caller] = count * factor
+	}
+}
--- /dev/null
+++ b/internal/decide/throttle/throttle_test.go
@@ -0,0 +1,146 @@
+package throttle_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
+)
+
+// capacity is a model of all that lies behind the entry: it accepts so many requests a second and answers late.
+type capacity struct {
+	perSecond float64
+	tokens    float64
+	pending   []answer
+}
+
+type answer struct {
+	at     time.Time
+	result throttle.Result
+}
+
+const (
+	step  = time.Millisecond
+	delay = 60 * time.Millisecond
+)
+
+func (c *capacity) take(now time.Time) bool {
+	result := throttle.Refused
+	if c.tokens >= 1 {
+		c.tokens--
+		result = throttle.Accepted
+	}
+	c.pending = append(c.pending, answer{now.Add(delay), result})
+	return result == throttle.Accepted
+}
+
+func (c *capacity) advance(now time.Time, t *throttle.Throttle) {
+	c.tokens = min(c.tokens+c.perSecond*step.Seconds(), 10)
+	for len(c.pending) > 0 && !now.Before(c.pending[0].at) {
+		t.Learn(now, c.pending[0].result)
+		c.pending = c.pending[1:]
+	}
+}
+
+// counts are what became of the requests of one source of load.
+type counts struct {
+	offered  int
+	admitted int
+	good     int
+}
+
+// drive offers each source's requests, in whole numbers a millisecond step, for the time.
+func drive(t *throttle.Throttle, c *capacity, start time.Time, d time.Duration, sources map[string]source) map[string]counts {
+	random := rand.New(rand.NewPCG(1, 1))
+	sums := map[string]counts{}
+	for now := start; now.Before(start.Add(d)); now = now.Add(step) {
+		c.advance(now, t)
+		for _, name := range slices.Sorted(maps.Keys(sources)) {
+			s, sum := sources[name], sums[name]
+			if random.Float64() < s.perSecond*step.Seconds() {
+				sum.offered++
+				if t.Offer(now, random, throttle.Offer{Caller: name, Resent: s.resent}).Admitted {
+					sum.admitted++
+					if c.take(now) {
+						sum.good++
+					}
+				}
+			}
+			sums[name] = sum
+		}
+	}
+	return sums
+}
+
+type source struct {
+	perSecond float64
+	resent    bool
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func TestAdmitsWhatIsAccepted(t *testing.T) {
+	for _, perSecond := range []float64{40, 100, 300} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			is := is.New(t)
+			th, c := throttle.New(throttle.DefaultConfig), &capacity{perSecond: perSecond}
+			drive(th, c, start, time.Second, map[string]source{"a": {perSecond: 900}})
+			sum := drive(th, c, start.Add(time.Second), 4*time.Second, map[string]source{"a": {perSecond: 900}})["a"]
+			is.True(float64(sum.good) >= 0.9*4*perSecond)     // goodput stays near what can be done
+			is.True(float64(sum.admitted) <= 1.5*4*perSecond) // and little is wasted
+		})
+	}
+}
+
+func TestRecovers(t *testing.T) {
+	is := is.New(t)
+	th, c := throttle.New(throttle.DefaultConfig), &capacity{perSecond: 5}
+	drive(th, c, start, 5*time.Second, map[string]source{"a": {perSecond: 500}})
+	c.perSecond = 1000
+	drive(th, c, start.Add(5*time.Second), 2*time.Second, map[string]source{"a": {perSecond: 500}})
+	sum := drive(th, c, start.Add(7*time.Second), time.Second, map[string]source{"a": {perSecond: 500}})["a"]
+	is.Equal(sum.admitted, sum.offered) // within 2 s of the end of a collapse to a hundredth
+}
+
+func TestSparesCallersThatSendLittle(t *testing.T) {
+	is := is.New(t)
+	th, c := throttle.New(throttle.DefaultConfig), &capacity{perSecond: 100}
+	sources := map[string]source{"heavy": {perSecond: 800}, "light": {perSecond: 30}}
+	drive(th, c, start, time.Second, sources)
+	light := drive(th, c, start.Add(time.Second), 4*time.Second, sources)["light"]
+	is.True(float64(light.admitted) >= 0.9*float64(light.offered))
+}
+
+func TestBoundsResends(t *testing.T) {
+	is := is.New(t)
+	th, c := throttle.New(throttle.DefaultConfig), &capacity{perSecond: 100}
+	sources := map[string]source{"first": {perSecond: 200}, "resent": {perSecond: 700, resent: true}}
+	drive(th, c, start, time.Second, sources)
+	sums := drive(th, c, start.Add(time.Second), 4*time.Second, sources)
+	admitted := sums["first"].admitted + sums["resent"].admitted
+	is.True(float64(sums["first"].good+sums["resent"].good) >= 0.9*4*100)
+	is.True(float64(sums["resent"].admitted) <= 0.3*float64(admitted))
+	is.True(sums["resent"].admitted > 0)
+}
+
+func TestFailures(t *testing.T) {
+	is := is.New(t)
+	f := throttle.NewFailures(time.Second, 10)
+	f.Add(start, 1)
+	f.Add(start, 2)
+	f.Remove(2)
+	is.True(f.Has(start.Add(900*time.Millisecond), 1))
+	is.True(!f.Has(start.Add(1100*time.Millisecond), 1))
+	is.True(!f.Has(start, 2))
+	for i := range uint64(1000) {
+		f.Add(start, 10+i)
+	}
+	is.True(!f.Has(start, 1)) // the memory is bounded
+	is.True(f.Has(start, 1009))
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
@@ -74,6 +75,7 @@
 		Receiver: n.receiver,
 		Budget:   retryBudget,
 		Ejection: ejection,
+		Throttle: throttle.DefaultConfig,
 	})
 	n.controller = zone.NewController(zone.Config{
 		Board:       n.loop,
--- /dev/null
+++ b/internal/proof/routing/early_test.go
@@ -0,0 +1,87 @@
+package routing_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+const (
+	deepSlots       = 5
+	deepServiceTime = 50 * time.Millisecond
+	deepInstances   = 2
+	// deepCapacity is what the deep service can run, in requests a second.
+	deepCapacity = deepSlots * deepInstances * int(time.Second/deepServiceTime)
+)
+
+// shallowAndDeep is a roomy service that calls a small one.
+func shallowAndDeep() fleet.Deployment {
+	return fleet.Deployment{
+		Zones: []string{"lisbon_1", "lisbon_2"},
+		Services: []fleet.Service{
+			{
+				Name: "level0", Document: levelDocument("level0"), Instances: 2, Slots: 100, Connections: 300,
+				Behaviour: server.Behaviour{
+					ServiceTime: 5 * time.Millisecond,
+					Queue:       100,
+					Calls:       []server.Downstream{{Service: "level1", Method: http.MethodGet, Path: "/look"}},
+				},
+			},
+			{
+				Name: "level1", Document: levelDocument("level1"), Instances: deepInstances, Slots: deepSlots, Connections: 50,
+				Behaviour: server.Behaviour{ServiceTime: deepServiceTime, Queue: 10},
+			},
+		},
+	}
+}
+
+// tally sums up results that were sent within a time.
+type tally struct {
+	sent int
+	good int
+}
+
+func tallied(results []load.Result, from, to time.Duration) tally {
+	var sum tally
+	for _, r := range results {
+		if r.Sent < from || r.Sent >= to {
+			continue
+		}
+		sum.sent++
+		if r.OK() {
+			sum.good++
+		}
+	}
+	return sum
+}
+
+func TestEntryRefusesWhatADeepServiceSheds(t *testing.T) {
+	is := is.New(t)
+	f := harness.Start(t, fleet.Config{Deployment: shallowAndDeep()})
+	const seconds = 6
+	base, flood := lookups(float64(deepCapacity)/2, 0), lookups(2*float64(deepCapacity), 0)
+	flood.Name, flood.Stop = "flood", 4*time.Second
+	results := load.Run(t.Context(), load.Config{
+		Streams:  []load.Stream{base, flood},
+		Targets:  f.Callers(),
+		Duration: seconds * time.Second,
+		Seed:     1,
+	})
+	during := tallied(results, time.Second, 4*time.Second)
+	after := tallied(results, 5*time.Second, seconds*time.Second)
+	runs, good := 0, tallied(results, 0, seconds*time.Second).good
+	for _, byService := range runsByRequest(f) {
+		runs += byService["level0"]
+	}
+	t.Logf("flood: %d of %d good in 3 s, capacity %d/s; after: %d of %d good; %d runs at level 0 for %d good",
+		during.good, during.sent, deepCapacity, after.good, after.sent, runs, good)
+	is.True(runs-good < good/2) // without refusal at the entry every flooded request runs at level 0
+	is.True(float64(after.good) >= 0.95*float64(after.sent))
+}
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -75,6 +75,8 @@
 	AttemptsLeft int
 	// Attempts is the pool that AttemptsLeft comes from on the node that sends the request; it is not passed on.
 	Attempts *Attempts
+	// Resends is how often the caller says that it has sent the request before.
+	Resends int
 	// SourceNode is the node that sent the request here; empty at the entry.
 	SourceNode string
 	// Delegated says that the key's home passed the request on to be run.
@@ -134,3 +136,12 @@
 		Final:      reason.Entry().Final,
 	}
 }
+
+// Cause returns the failure that the reply goes back to: that of a call further down, else its own.
+func (r *Reply) Cause() Reason {
+	failure := r.Failure()
+	if failure != ReasonNone && r.Deeper != ReasonNone {
+		return r.Deeper
+	}
+	return failure
+}
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -34,6 +34,8 @@
 	AttemptsHeader = "Comfreyhoist-Attempts-Used"
 	CallerHeader   = "Comfreyhoist-Caller"
 	DeadlineHeader = "Comfreyhoist-Deadline-Ms"
+	// ResendHeader is how often the caller has sent the request before.
+	ResendHeader = "Comfreyhoist-Resend"
 )
 
 // Path is the route of all calls.
@@ -98,8 +100,8 @@
 	chain.BeginChild(time.Now())
 	reply := h.config.Sender.Send(ctx, request)
 	chain.EndChild(time.Now())
-	if failure := reply.Failure(); failure != call.ReasonNone {
-		chain.NoteFailure(failure)
+	if cause := reply.Cause(); cause != call.ReasonNone {
+		chain.NoteFailure(cause)
 	}
 	return reply
 }
@@ -118,6 +120,10 @@
 	if refused != nil {
 		return nil, nil, refused
 	}
+	resends, refused := resendsOf(r)
+	if refused != nil {
+		return nil, nil, refused
+	}
 	body, refused := h.body(r)
 	if refused != nil {
 		return nil, nil, refused
@@ -133,6 +139,7 @@
 		Key:          r.Header.Get(backend.KeyHeader),
 		Deadline:     deadline,
 		AttemptsLeft: accepted.Document.Attempts,
+		Resends:      resends,
 	}
 	token := r.Header.Get(backend.ChainHeader)
 	if h.config.Chains.IsCanceled(token) {
@@ -173,6 +180,18 @@
 	return deadline, nil
 }
 
+func resendsOf(r *http.Request) (int, *rejection) {
+	text := r.Header.Get(ResendHeader)
+	if text == "" {
+		return 0, nil
+	}
+	resends, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return 0, &rejection{call.ReasonBadRequest, ResendHeader + " is not a small whole number"}
+	}
+	return int(resends), nil
+}
+
 func (h *handler) body(r *http.Request) ([]byte, *rejection) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, h.config.MaxBody))
 	var tooLarge *http.MaxBytesError
--- /dev/null
+++ b/internal/traffic/flow/entry.go
@@ -0,0 +1,117 @@
+package flow
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+const (
+	// failureLife is how long a failed request is known, so that sending it again counts as such.
+	failureLife = 2 * time.Second
+	// maxFailures bounds the failed requests that are known.
+	maxFailures = 8192
+	// maxThrottles bounds the kinds and ranks that are watched; idle ones are dropped first.
+	maxThrottles = 1024
+)
+
+// throttleKey names the root requests that are watched together.
+type throttleKey struct {
+	service string
+	kind    string
+	rank    int
+}
+
+// entry refuses root requests that would be shed further down, before any work is done for them.
+type entry struct {
+	config throttle.Config
+
+	mu        sync.Mutex
+	throttles map[throttleKey]*throttle.Throttle
+	failures  *throttle.Failures
+}
+
+func newEntry(config throttle.Config) *entry {
+	return &entry{
+		config:    config,
+		throttles: map[throttleKey]*throttle.Throttle{},
+		failures:  throttle.NewFailures(failureLife, maxFailures),
+	}
+}
+
+// offer returns the reply that refuses the request, or reports that it is admitted.
+func (e *entry) offer(now time.Time, r *call.Request) (call.Reply, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	// A request with a key is answered from memory when it is sent again, which costs little.
+	resent := r.Key == "" && (r.Resends > 0 || e.failures.Has(now, fingerprint(r)))
+	verdict := e.throttle(now, r).Offer(now, globalRandom{}, throttle.Offer{Caller: r.Root.Caller, Resent: resent})
+	if verdict.Admitted {
+		return call.Reply{}, true
+	}
+	outcome := call.NotRun
+	if r.Key != "" && !r.KeyMinted {
+		outcome = call.NotAdmitted
+	}
+	return call.Refused(outcome, call.ReasonOverload, verdict.RetryAfter), false
+}
+
+// learn takes in the reply to an admitted request.
+func (e *entry) learn(now time.Time, r *call.Request, reply *call.Reply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.throttle(now, r).Learn(now, resultOf(reply))
+	if reply.Failure() == call.ReasonNone {
+		e.failures.Remove(fingerprint(r))
+		return
+	}
+	e.failures.Add(now, fingerprint(r))
+}
+
+func (e *entry) throttle(now time.Time, r *call.Request) *throttle.Throttle {
+	key := throttleKey{service: r.Service, kind: r.Kind, rank: r.Root.Rank}
+	t, ok := e.throttles[key]
+	if !ok {
+		e.dropIdle(now)
+		t = throttle.New(e.config)
+		e.throttles[key] = t
+	}
+	return t
+}
+
+func (e *entry) dropIdle(now time.Time) {
+	if len(e.throttles) < maxThrottles {
+		return
+	}
+	for key, t := range e.throttles {
+		if t.Idle(now) {
+			delete(e.throttles, key)
+		}
+	}
+}
+
+// resultOf tells what a reply says about overload, here or further down.
+func resultOf(reply *call.Reply) throttle.Result {
+	switch reply.Cause() {
+	case call.ReasonNone:
+		return throttle.Accepted
+	case call.ReasonOverload, call.ReasonQueueTimeout:
+		return throttle.Refused
+	}
+	return throttle.Neutral
+}
+
+// fingerprint is the same for a request that its caller sends again.
+func fingerprint(r *call.Request) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{r.Root.Caller, r.Service, r.Method, r.Path} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	return h.Sum64()
+}
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -21,6 +21,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
@@ -32,12 +33,14 @@
 	Receiver *Receiver
 	Budget   retry.BudgetConfig
 	Ejection EjectionConfig
+	Throttle throttle.Config
 }
 
 // Sender sends requests to instances.
 type Sender struct {
 	config SenderConfig
 	views  *views
+	entry  *entry
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -45,11 +48,30 @@
 
 // NewSender returns a sender.
 func NewSender(config SenderConfig) *Sender {
-	return &Sender{config: config, views: newViews(config.Ejection), budgets: map[string]*retry.Budget{}}
+	return &Sender{
+		config:  config,
+		views:   newViews(config.Ejection),
+		entry:   newEntry(config.Throttle),
+		budgets: map[string]*retry.Budget{},
+	}
 }
 
 // Send sends the request to an instance of its service, again where that is allowed, and returns the last reply.
+// A root request that would be shed further down is refused at once.
 func (s *Sender) Send(ctx context.Context, r *call.Request) call.Reply {
+	if r.Depth > 0 {
+		return s.send(ctx, r)
+	}
+	refusal, admitted := s.entry.offer(time.Now(), r)
+	if !admitted {
+		return refusal
+	}
+	reply := s.send(ctx, r)
+	s.entry.learn(time.Now(), r, &reply)
+	return reply
+}
+
+func (s *Sender) send(ctx context.Context, r *call.Request) call.Reply {
 	t := &trial{}
 	for {
 		target, ok := s.choose(r, t.tried)
@@ -191,3 +213,8 @@
 func (globalRandom) IntN(n int) int {
 	return rand.IntN(n)
 }
+
+// Float64 returns a number from 0 up to, but not including, 1.
+func (globalRandom) Float64() float64 {
+	return rand.Float64()
+}
