Quarantine of requests that crash backend servers

Cause: a request that crashes each backend server that runs it was run again by every resend.

A fingerprint without the key is charged with each crash; suspects run one at a time, those that ran well lately are spared once, and two crashes across the service quarantine for a term that doubles. Nodes of the service are told straight away; crashes carry an identity, so that those at the same time add up.

Ruled out: the largest of the nodes' counts as the service's count: with a caller that resent without a pause a trial reached 3 crashes where 2 was asserted, since two first crashes counted as one. Waiting with the answer until others know: a request that is given up is answered at once. Spreading by records of the zone: several heartbeats late.

TestCrashingRequestIsQuarantined asserts at most 3.

--- /dev/null
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -0,0 +1,149 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// service is several nodes whose blames reach each other at once.
+type service struct {
+	tables  []*quarantine.Table
+	crashes int
+}
+
+func newService(nodes int) *service {
+	s := &service{}
+	for i := range nodes {
+		config := quarantine.DefaultConfig
+		config.Node = fmt.Sprint("node_", i)
+		s.tables = append(s.tables, quarantine.NewTable(config))
+	}
+	return s
+}
+
+// crash breaks the requests that run on a node.
+func (s *service) crash(now time.Time, node int, began time.Time, running ...quarantine.Fingerprint) {
+	s.crashes++
+	for _, f := range running {
+		blame, blamed := s.tables[node].End(now, f, began, quarantine.Broken)
+		for i, t := range s.tables {
+			if blamed && i != node {
+				t.Learn(now, blame)
+			}
+		}
+	}
+}
+
+func request(body string) quarantine.Fingerprint {
+	return quarantine.NewFingerprint("bookings", "book", "POST", "/bookings", []byte(body))
+}
+
+func (s *service) run(t *testing.T, now time.Time, node int, f quarantine.Fingerprint) {
+	t.Helper()
+	is.New(t).Equal(s.tables[node].Begin(now, f, 0).Action, quarantine.Run)
+}
+
+func TestCrashesBounded(t *testing.T) {
+	is := is.New(t)
+	s := newService(5)
+	poison, beside := request("poison"), request("beside")
+	now := start
+	for i := range 20 {
+		now = now.Add(200 * time.Millisecond)
+		node := i % len(s.tables)
+		if s.tables[node].Begin(now, poison, 0).Action != quarantine.Run {
+			continue
+		}
+		running := []quarantine.Fingerprint{poison}
+		if s.tables[node].Begin(now, beside, 0).Action == quarantine.Run {
+			running = append(running, beside)
+		}
+		s.crash(now.Add(time.Millisecond), node, now, running...)
+	}
+	is.Equal(s.crashes, 2)
+	for _, table := range s.tables {
+		is.Equal(table.Begin(now, poison, 0).Action, quarantine.Refuse)
+	}
+	s.run(t, now, 0, beside) // it was suspected, but never ran alone beside the second crash
+	s.tables[0].End(now, beside, now, quarantine.Well)
+	is.Equal(len(s.tables[0].Entries()), 1)
+}
+
+func TestCrashesAtOnceAddUp(t *testing.T) {
+	is := is.New(t)
+	s := newService(3)
+	poison := request("poison")
+	s.run(t, start, 0, poison)
+	s.run(t, start, 1, poison)
+	s.crash(start, 0, start, poison)
+	s.crash(start, 1, start, poison)
+	is.Equal(s.tables[2].Begin(start, poison, 0).Action, quarantine.Refuse)
+}
+
+func TestRanWellLately(t *testing.T) {
+	is := is.New(t)
+	s := newService(2)
+	sheets := request("sheets")
+	s.run(t, start, 0, sheets)
+	s.tables[0].End(start, sheets, start, quarantine.Well)
+	now := start.Add(time.Second)
+	s.run(t, now, 0, sheets)
+	s.run(t, now, 0, sheets)
+	s.crash(now.Add(time.Millisecond), 0, now, sheets, sheets)
+	is.Equal(len(s.tables[0].Entries()), 0) // it ran well before: not suspected
+	for range 2 {
+		now = now.Add(time.Second)
+		s.run(t, now, 0, sheets)
+		s.crash(now.Add(time.Millisecond), 0, now, sheets)
+	}
+	is.Equal(s.tables[1].Begin(now, sheets, 0).Action, quarantine.Refuse) // but only once
+}
+
+func TestTermGrowsAndExpires(t *testing.T) {
+	is := is.New(t)
+	c := quarantine.DefaultConfig
+	s := newService(1)
+	poison := request("poison")
+	now := start
+	for _, term := range []time.Duration{0, c.FirstTerm, 2 * c.FirstTerm, 4 * c.FirstTerm} {
+		s.run(t, now, 0, poison)
+		s.crash(now, 0, now, poison)
+		is.Equal(s.tables[0].Entries()[0].Term, term)
+		now = now.Add(max(term, time.Second))
+	}
+	now = now.Add(c.EvidenceLife + time.Second)
+	s.run(t, now, 0, poison)
+	is.Equal(len(s.tables[0].Entries()), 0) // nothing outlives its evidence
+}
+
+func TestSuspectsRunOneAtATime(t *testing.T) {
+	is := is.New(t)
+	s := newService(2)
+	a, b := request("a"), request("b")
+	s.run(t, start, 0, a)
+	s.run(t, start, 0, a)
+	s.run(t, start, 0, b)
+	s.crash(start, 0, start, a, a, b) // counts once against each
+	s.run(t, start, 1, a)
+	is.Equal(s.tables[1].Begin(start, b, 0).Action, quarantine.Later)
+	s.run(t, start, 1, request("c")) // others go on
+	s.tables[1].End(start, a, start, quarantine.Well)
+	s.run(t, start, 1, b)
+}
+
+func TestCrashesCarriedByTheRequest(t *testing.T) {
+	is := is.New(t)
+	table := quarantine.NewTable(quarantine.DefaultConfig)
+	is.Equal(table.Begin(start, request("a"), 1).Action, quarantine.Run)
+	is.Equal(table.Begin(start, request("b"), 1).Action, quarantine.Later) // both are suspects already
+	is.Equal(table.Begin(start, request("c"), 2).Action, quarantine.Refuse)
+	table.Learn(start, quarantine.Blame{Crashes: 9}) // names no request
+	is.Equal(len(table.Entries()), 3)
+}
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -6,6 +6,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
@@ -50,6 +51,12 @@
 	}
 }
 
+func quarantineConfig(s *settings.Settings) quarantine.Config {
+	config := quarantine.DefaultConfig
+	config.Node = s.Node.Name
+	return config
+}
+
 func poolConfig(s *settings.Settings) peer.PoolConfig {
 	return peer.PoolConfig{
 		MaxPerPeer:  s.Peer.MaxConnections,
--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -8,6 +8,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
@@ -17,6 +18,7 @@
 	Load         call.Load
 	QueuedByRank []int
 	Connections  map[string]int
+	Quarantine   []quarantine.Entry
 }
 
 func (n *Node) registerHealth(router *httprouter.Router) {
@@ -51,5 +53,6 @@
 		Load:         n.gate.Load(),
 		QueuedByRank: byRank[:],
 		Connections:  n.pool.Open(),
+		Quarantine:   n.quarantine.Entries(),
 	})
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -49,6 +49,7 @@
 	pool       *peer.Pool
 	receiver   *flow.Receiver
 	sender     *flow.Sender
+	quarantine *flow.Quarantine
 	controller *zone.Controller
 	platform   *platform.Client
 	chains     *call.Chains
@@ -70,10 +71,22 @@
 	n.gate = backend.NewGate(gateConfig(s))
 	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody}, n.chains)
 	n.pool = peer.NewPool(poolConfig(s))
-	n.receiver = flow.NewReceiver(flow.ReceiverConfig{Board: n.loop, Gate: n.gate, Backend: n.client})
+	peers := peer.NewClient(n.pool, s.Node.Name)
+	n.quarantine = flow.NewQuarantine(flow.QuarantineConfig{
+		Table: quarantineConfig(s),
+		Board: n.loop,
+		Peers: peers,
+		Log:   config.Log,
+	})
+	n.receiver = flow.NewReceiver(flow.ReceiverConfig{
+		Board:      n.loop,
+		Gate:       n.gate,
+		Backend:    n.client,
+		Quarantine: n.quarantine,
+	})
 	n.sender = flow.NewSender(flow.SenderConfig{
 		Board:    n.loop,
-		Peers:    peer.NewClient(n.pool, s.Node.Name),
+		Peers:    peers,
 		Receiver: n.receiver,
 		Budget:   retryBudget,
 		Ejection: ejection,
@@ -160,6 +173,7 @@
 	group.Go(func() { n.loop.Run(ctx) })
 	group.Go(func() { n.controller.Run(ctx) })
 	group.Go(func() { n.advanceGate(ctx) })
+	group.Go(func() { n.quarantine.Run(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
 	group.Go(func() { n.serveHTTP(ctx, n.listeners.caller, n.callerRouter()) })
 	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
@@ -225,6 +239,9 @@
 func (n *Node) servePeers(ctx context.Context) {
 	mux := drpcmux.New()
 	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.receiver))
+	if err == nil {
+		err = peerpb.DRPCRegisterQuarantine(mux, peer.NewQuarantineServer(n.quarantine))
+	}
 	if err == nil {
 		err = zonepb.DRPCRegisterZone(mux, zone.NewServer(n.controller))
 	}
--- /dev/null
+++ b/internal/proof/routing/crash_test.go
@@ -0,0 +1,133 @@
+package routing_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
+)
+
+const (
+	poison = "crystal-from-hell"
+	// maxCrashes is what docs/QUARANTINE.md states for a request that is sent again after pauses.
+	maxCrashes = 3
+	// pause is longer than the news of a crash takes from node to node.
+	pause = 100 * time.Millisecond
+)
+
+// bookable is one service whose requests have bodies; bookings are not idempotent, searches are.
+func bookable() fleet.Deployment {
+	return fleet.Deployment{
+		Zones: []string{"lisbon_1", "lisbon_2", "lisbon_3"},
+		Services: []fleet.Service{{
+			Name: "bookings",
+			Document: `[service]
+name = bookings
+team = proofs
+
+[kind book]
+method = POST
+path = /bookings
+rank = 2
+idempotent = false
+deadline = 2s
+
+[kind search]
+method = POST
+path = /search
+rank = 2
+idempotent = true
+deadline = 2s
+`,
+			Instances: 4, Slots: 20, Connections: 100,
+			Behaviour: server.Behaviour{
+				ServiceTime:  20 * time.Millisecond,
+				Queue:        20,
+				CrashOn:      poison,
+				RestartAfter: 300 * time.Millisecond,
+			},
+		}},
+	}
+}
+
+// sendPoison sends the request that crashes backend servers again and again, under a new key through another node
+// each time, and returns the reasons that it was told.
+func sendPoison(t *testing.T, f *fleet.Fleet, path string, sends int) []string {
+	t.Helper()
+	var reasons []string
+	for i := range sends {
+		address := "http://" + f.Nodes[i%len(f.Nodes)].Caller + "/call/bookings" + path
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, address, strings.NewReader(poison))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set(backend.KeyHeader, uuid.Must(uuid.NewV7()).String())
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		time.Sleep(pause)
+		reasons = append(reasons, response.Header.Get(caller.ReasonHeader))
+	}
+	return reasons
+}
+
+func crashes(f *fleet.Fleet) int {
+	total := 0
+	for _, n := range f.Nodes {
+		total += n.Server.Report().Crashes
+	}
+	return total
+}
+
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	for name, path := range map[string]string{"idempotent": "/search", "not idempotent": "/bookings"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := harness.Start(t, fleet.Config{Deployment: bookable()})
+			others := load.Stream{
+				Name: "others", Service: "bookings", Method: http.MethodPost, Path: "/search", Body: "a good one",
+				Rate: 100, Resends: 3, Timeout: 2 * time.Second,
+			}
+			var results []load.Result
+			var group conc.WaitGroup
+			group.Go(func() {
+				results = load.Run(t.Context(), load.Config{
+					Streams: []load.Stream{others}, Targets: f.Callers(), Duration: 4 * time.Second, Seed: 1,
+				})
+			})
+			time.Sleep(time.Second)
+			reasons := sendPoison(t, f, path, 20)
+			group.Wait()
+			t.Logf("%d crashes; %s", crashes(f), summary(reasons))
+			is.True(crashes(f) >= 1)
+			is.True(crashes(f) <= maxCrashes)
+			is.Equal(reasons[len(reasons)-1], "quarantined")
+			after := tallied(results, 2500*time.Millisecond, 4*time.Second)
+			is.Equal(after.good, after.sent) // the others of its kind go on
+		})
+	}
+}
+
+func summary(reasons []string) string {
+	counts := map[string]int{}
+	for _, r := range reasons {
+		counts[r]++
+	}
+	return fmt.Sprint(counts)
+}
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -77,6 +77,8 @@
 	Attempts *Attempts
 	// Resends is how often the caller says that it has sent the request before.
 	Resends int
+	// Crashes is how many backend servers crashed, as far as the sender knows, while they ran the request.
+	Crashes int
 	// SourceNode is the node that sent the request here; empty at the entry.
 	SourceNode string
 	// Delegated says that the key's home passed the request on to be run.
--- a/internal/traffic/call/reason.go
+++ b/internal/traffic/call/reason.go
@@ -24,6 +24,7 @@
 	ReasonPeerSilent       Reason = "peer_silent"
 	ReasonBackendFailed    Reason = "backend_failed"
 	ReasonQuarantined      Reason = "quarantined"
+	ReasonSuspected        Reason = "suspected"
 	ReasonHomeUnreachable  Reason = "home_unreachable"
 	ReasonHomeUnknown      Reason = "home_unknown"
 	ReasonKeyTime          Reason = "key_time"
@@ -59,6 +60,7 @@
 	ReasonPeerSilent:       {Status: http.StatusGatewayTimeout, Text: "The instance stopped answering."},
 	ReasonBackendFailed:    {Status: http.StatusBadGateway, Text: "The backend server broke the connection before a whole answer."},
 	ReasonQuarantined:      {Status: http.StatusServiceUnavailable, Final: true, Text: "The request crashed backend servers and is refused for a time."},
+	ReasonSuspected:        {Status: http.StatusServiceUnavailable, Text: "A backend server crashed while it ran the request, and another such request is running."},
 	ReasonHomeUnreachable:  {Status: http.StatusServiceUnavailable, Text: "The node that remembers this key can't be reached."},
 	ReasonHomeUnknown:      {Status: http.StatusServiceUnavailable, Text: "No node may run this key now."},
 	ReasonKeyTime:          {Status: http.StatusBadRequest, Final: true, Text: "The key's own time is too far from the present."},
--- /dev/null
+++ b/internal/traffic/flow/quarantine.go
@@ -0,0 +1,151 @@
+package flow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
+)
+
+// QuarantineConfig sets a Quarantine up.
+type QuarantineConfig struct {
+	Table quarantine.Config
+	Board *board.Loop
+	Peers *peer.Client
+	Log   *events.Log
+}
+
+const (
+	// blamesLength is how many blames may wait to be told to other nodes. Further ones are dropped.
+	blamesLength = 256
+	// blameTimeout bounds the telling of one node.
+	blameTimeout = time.Second
+)
+
+// Quarantine keeps requests that crash backend servers away from the local one, and tells the other nodes of the
+// service at once. It goes straight to them and not through the records of the availability zone, which take several
+// heartbeats: a caller may send its request again within milliseconds.
+type Quarantine struct {
+	config QuarantineConfig
+	blames chan quarantine.Blame
+
+	mu    sync.Mutex
+	table *quarantine.Table
+}
+
+// NewQuarantine returns a quarantine. Run must be started for the other nodes to be told.
+func NewQuarantine(config QuarantineConfig) *Quarantine {
+	return &Quarantine{
+		config: config,
+		blames: make(chan quarantine.Blame, blamesLength),
+		table:  quarantine.NewTable(config.Table),
+	}
+}
+
+// Run tells the other nodes of the service of each blame, until the context ends.
+func (q *Quarantine) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-q.blames:
+			q.tell(ctx, b)
+		}
+	}
+}
+
+// Learn takes in what another node knows.
+func (q *Quarantine) Learn(b quarantine.Blame) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.Learn(time.Now(), b)
+}
+
+// Entries returns what is known against requests.
+func (q *Quarantine) Entries() []quarantine.Entry {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Entries()
+}
+
+// guard runs the request unless it is quarantined, and learns from how the run ended.
+func (q *Quarantine) guard(r *call.Request, run func() call.Reply) call.Reply {
+	f := quarantine.NewFingerprint(r.Service, r.Kind, r.Method, r.Path, r.Body)
+	began := time.Now()
+	verdict := q.begin(began, f, r.Crashes)
+	switch verdict.Action {
+	case quarantine.Refuse:
+		return call.Refused(call.NotRun, call.ReasonQuarantined, verdict.RetryAfter)
+	case quarantine.Later:
+		return call.Refused(call.NotRun, call.ReasonSuspected, verdict.RetryAfter)
+	}
+	ending := quarantine.Open
+	defer func() { q.end(f, began, ending) }()
+	reply := run()
+	ending = endingOf(&reply)
+	return reply
+}
+
+func endingOf(reply *call.Reply) quarantine.Ending {
+	switch {
+	case reply.Outcome == call.Ran:
+		return quarantine.Well
+	case crashed(reply):
+		return quarantine.Broken
+	}
+	return quarantine.Open
+}
+
+// crashed reports whether the backend server broke the connection while it ran the request.
+func crashed(reply *call.Reply) bool {
+	return reply.Outcome == call.Unknown && reply.Reason == call.ReasonBackendFailed
+}
+
+func (q *Quarantine) begin(now time.Time, f quarantine.Fingerprint, crashes int) quarantine.Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Begin(now, f, crashes)
+}
+
+func (q *Quarantine) end(f quarantine.Fingerprint, began time.Time, ending quarantine.Ending) {
+	q.mu.Lock()
+	blame, blamed := q.table.End(time.Now(), f, began, ending)
+	q.mu.Unlock()
+	if !blamed {
+		return
+	}
+	if blame.Term > 0 {
+		q.config.Log.Emit(events.RequestQuarantined, events.Fields{
+			"service": f.Service,
+			"kind":    f.Kind,
+			"hash":    f.Hash,
+			"crashes": blame.Crashes,
+			"term":    blame.Term.String(),
+		})
+	}
+	select {
+	case q.blames <- blame:
+	default:
+	}
+}
+
+// tell passes the blame to all other nodes of the service, side by side.
+func (q *Quarantine) tell(ctx context.Context, b quarantine.Blame) {
+	ctx, cancel := context.WithTimeout(ctx, blameTimeout)
+	defer cancel()
+	snapshot := q.config.Board.Snapshot()
+	var group conc.WaitGroup
+	defer group.Wait()
+	for _, m := range snapshot.Members.ByService[b.Fingerprint.Service] {
+		if m.Node != snapshot.Self.Node {
+			group.Go(func() { _ = q.config.Peers.Blame(ctx, m.PeerAddress, b) })
+		}
+	}
+}
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -15,6 +15,8 @@
 	Board   *board.Loop
 	Gate    *backend.Gate
 	Backend *backend.Client
+	// Quarantine keeps away requests that crash backend servers.
+	Quarantine *Quarantine
 }
 
 // Receiver runs requests on the local backend server.
@@ -45,6 +47,11 @@
 	if !time.Now().Before(r.Deadline) {
 		return call.Refused(call.NotRun, call.ReasonDeadline, 0)
 	}
+	return v.config.Quarantine.guard(r, func() call.Reply { return v.run(ctx, b, r) })
+}
+
+// run admits the request and runs it on the backend server.
+func (v *Receiver) run(ctx context.Context, b *board.Board, r *call.Request) call.Reply {
 	refusal, admitted := v.config.Gate.Enter(ctx, r, share(b, r))
 	if !admitted {
 		return refusal
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -82,6 +82,9 @@
 		reply := s.attempt(ctx, target, r, lent)
 		r.Attempts.Return(lent, reply.AttemptsUsed)
 		t.note(target.Node, reply)
+		if crashed(&reply) {
+			r.Crashes++
+		}
 		if !s.again(r, reply, t) {
 			return t.end(reply)
 		}
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -49,6 +49,7 @@
 		Caller:              r.Root.Caller,
 		SourceNode:          node,
 		Delegated:           r.Delegated,
+		Crashes:             int32(r.Crashes),
 	}
 }
 
@@ -60,8 +61,8 @@
 	if m.GetRank() < 0 || m.GetRank() >= admission.Ranks {
 		return nil, fmt.Errorf("rank %d is out of range", m.GetRank())
 	}
-	if m.GetAttemptsLeft() < 0 || m.GetDepth() < 0 {
-		return nil, fmt.Errorf("attempts or depth is negative")
+	if m.GetAttemptsLeft() < 0 || m.GetDepth() < 0 || m.GetCrashes() < 0 {
+		return nil, fmt.Errorf("attempts, depth or crashes is negative")
 	}
 	if m.GetBodyChecksum() != xxhash.Sum64(m.GetBody()) {
 		return nil, fmt.Errorf("body does not match its checksum")
@@ -88,6 +89,7 @@
 		AttemptsLeft: int(m.GetAttemptsLeft()),
 		SourceNode:   m.GetSourceNode(),
 		Delegated:    m.GetDelegated(),
+		Crashes:      int(m.GetCrashes()),
 	}, nil
 }
 
