--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -73,6 +73,10 @@
 		http.Error(w, "a call failed", status)
 		return
 	}
+	if rand.Float64() < b.FailRate {
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return
+	}
 	s.ledger.end(run)
 	if b.Echo {
 		_, _ = w.Write(body)
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -73,6 +73,12 @@
 	Deadline  time.Time
 	// AttemptsLeft is how many further attempts the whole chain below may spend.
 	AttemptsLeft int
+	// Attempts is the pool that AttemptsLeft comes from on the node that sends the request; it is not passed on.
+	Attempts *Attempts
+	// Resends is how often the caller says that it has sent the request before.
+	Resends int
+	// Crashes is how many backend servers crashed, as far as the sender knows, while they ran the request.
+	Crashes int
 	// SourceNode is the node that sent the request here; empty at the entry.
 	SourceNode string
 	// Delegated says that the key's home passed the request on to be run.
@@ -100,7 +106,26 @@
 	AttemptsUsed int
 	// Final forbids further attempts by anybody up the chain.
 	Final bool
-	Load  Load
+	// Deeper is why a call further down the chain failed, where that made this reply a failure. Only the node next
+	// to a failure may try again, so such a reply is passed up.
+	Deeper Reason
+	Load   Load
+}
+
+// Failure returns why the reply is no good answer, or ReasonNone. An answer of the backend server is judged by its
+// status.
+func (r *Reply) Failure() Reason {
+	switch {
+	case r.Outcome != Ran && r.Reason != ReasonNone:
+		return r.Reason
+	case r.Outcome != Ran:
+		return ReasonBackendFailed
+	case r.Status == http.StatusServiceUnavailable:
+		return ReasonOverload
+	case r.Status >= http.StatusInternalServerError:
+		return ReasonBackendFailed
+	}
+	return ReasonNone
 }
 
 // Refused returns the reply to a request that was given up for the reason.
@@ -113,3 +138,12 @@
 		Final:      reason.Entry().Final,
 	}
 }
+
+// Cause returns the failure that the reply goes back to: that of a call further down, else its own.
+func (r *Reply) Cause() Reason {
+	failure := r.Failure()
+	if failure != ReasonNone && r.Deeper != ReasonNone {
+		return r.Deeper
+	}
+	return failure
+}
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -33,6 +33,8 @@
 	AttemptsHeader = "Comfreyhoist-Attempts-Used"
 	CallerHeader   = "Comfreyhoist-Caller"
 	DeadlineHeader = "Comfreyhoist-Deadline-Ms"
+	// ResendHeader is how often the caller has sent the request before.
+	ResendHeader = "Comfreyhoist-Resend"
 )
 
 const (
@@ -105,16 +107,19 @@
 	h.write(w, nil, reply)
 }
 
-// send charges the attempts to the chain that the call belongs to.
+// send sends the request on. A call of a chain spends the chain's attempts and waits on the chain's behalf.
 func (h *handler) send(ctx context.Context, request *call.Request, chain *call.Chain) call.Reply {
 	if chain == nil {
+		request.Attempts = call.NewAttempts(request.AttemptsLeft)
 		return h.config.Sender.Send(ctx, request)
 	}
-	request.AttemptsLeft = chain.TakeAttempts()
+	request.Attempts = chain.Attempts
 	chain.BeginChild(time.Now())
 	reply := h.config.Sender.Send(ctx, request)
 	chain.EndChild(time.Now())
-	chain.ReturnAttempts(request.AttemptsLeft, reply.AttemptsUsed)
+	if cause := reply.Cause(); cause != call.ReasonNone {
+		chain.NoteFailure(cause)
+	}
 	return reply
 }
 
@@ -139,6 +144,10 @@
 	if refused != nil {
 		return nil, nil, refused
 	}
+	resends, refused := resendsOf(r)
+	if refused != nil {
+		return nil, nil, refused
+	}
 	body, refused := h.body(r)
 	if refused != nil {
 		return nil, nil, refused
@@ -154,8 +163,13 @@
 		Key:          r.Header.Get(backend.KeyHeader),
 		Deadline:     deadline,
 		AttemptsLeft: accepted.Document.Attempts,
+		Resends:      resends,
+	}
+	token := r.Header.Get(backend.ChainHeader)
+	if h.config.Chains.IsCanceled(token) {
+		return nil, nil, &rejection{call.ReasonCanceled, backend.ChainHeader + " names a request that was canceled"}
 	}
-	chain := h.config.Chains.Find(r.Header.Get(backend.ChainHeader))
+	chain := h.config.Chains.Find(token)
 	inherit(request, r, kind, chain)
 	return request, chain, nil
 }
