--- a/cmd/comfreyhoist/main.go
+++ b/cmd/comfreyhoist/main.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"syscall"
 
 	"github.com/gravitational/trace"
@@ -19,7 +21,7 @@
 	defer stop()
 	if err := rootCommand().ParseAndRun(ctx, os.Args[1:]); err != nil {
 		stop()
-		os.Exit(report(err))
+		os.Exit(report(err, os.Args[1:]))
 	}
 }
 
@@ -47,11 +49,27 @@
 	}
 }
 
-// report prints the error, but for a request for help, which ffcli has answered already, and returns the exit code.
-func report(err error) int {
-	if errors.Is(err, flag.ErrHelp) {
+// The exit codes of failures.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// report prints the error and returns the exit code. Help that was asked for is no failure; ffcli has printed it, as
+// it has where arguments were missing.
+func report(err error, arguments []string) int {
+	switch {
+	case !errors.Is(err, flag.ErrHelp):
+		fmt.Fprintln(os.Stderr, "comfreyhoist:", trace.UserMessage(err))
+		return exitFailure
+	case slices.ContainsFunc(arguments, isHelpFlag):
 		return 0
+	default:
+		return exitUsage
 	}
-	fmt.Fprintln(os.Stderr, "comfreyhoist:", trace.UserMessage(err))
-	return 1
+}
+
+func isHelpFlag(argument string) bool {
+	name := strings.TrimLeft(argument, "-")
+	return name != argument && (name == "h" || name == "help")
 }
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -28,10 +28,12 @@
 	// NodeBackend is the local node's address for announcements.
 	NodeBackend string
 	// NodeCaller is the local node's address for calls to other services.
-	NodeCaller  string
-	Slots       int
-	Connections int
-	Behaviour   Behaviour
+	NodeCaller string
+	Slots      int
+	// AnnouncedSlots is what the server says of its slots, where that isn't the truth; 0 for the truth.
+	AnnouncedSlots int
+	Connections    int
+	Behaviour      Behaviour
 }
 
 // Behaviour is how the server works until it is changed.
@@ -46,10 +48,14 @@
 	Calls []Downstream `json:"calls"`
 	// FailFast answers every request with 500 at once.
 	FailFast bool `json:"fail_fast"`
+	// FailRate is the part of the requests, from 0 to 1, that run, make their calls and then end with 500.
+	FailRate float64 `json:"fail_rate"`
 	// CrashOn closes the listener and all connections when a body holds the text; empty for never.
 	CrashOn string `json:"crash_on"`
 	// RestartAfter is how long a crash lasts.
 	RestartAfter time.Duration `json:"restart_after"`
+	// Echo answers with the request's own body.
+	Echo bool `json:"echo"`
 	// Leaving is announced to the node.
 	Leaving bool `json:"leaving"`
 }
@@ -96,6 +102,11 @@
 	return s.config.Address
 }
 
+// Busy returns how many requests hold a slot.
+func (s *Server) Busy() int {
+	return len(s.slots)
+}
+
 // Ledger returns the server's ledger.
 func (s *Server) Ledger() *Ledger {
 	return s.ledger
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -24,6 +25,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
@@ -50,17 +52,19 @@
 	controlPool *peer.Pool
 	receiver    *flow.Receiver
 	sender      *flow.Sender
+	quarantine  *flow.Quarantine
 	controller  *zone.Controller
 	platform    *platform.Client
 	chains      *call.Chains
 	listeners   listeners
+	limiter     *events.Limiter
 	stop        context.CancelFunc
 }
 
 // New builds a node without starting it.
 func New(config Config) *Node {
 	s := config.Settings
-	n := &Node{config: config, chains: call.NewChains()}
+	n := &Node{config: config, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, limitedEvery)}
 	n.loop = board.NewLoop(board.Board{Self: board.Self{
 		Node:          s.Node.Name,
 		Zone:          s.Node.Zone,
@@ -72,13 +76,26 @@
 	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody}, n.chains)
 	n.pool = peer.NewPool(poolConfig(s))
 	n.controlPool = peer.NewPool(poolConfig(s))
-	n.receiver = flow.NewReceiver(flow.ReceiverConfig{Board: n.loop, Gate: n.gate, Backend: n.client})
+	peers := peer.NewClient(n.pool, s.Node.Name)
+	n.quarantine = flow.NewQuarantine(flow.QuarantineConfig{
+		Table: quarantineConfig(s),
+		Board: n.loop,
+		Peers: peers,
+		Log:   config.Log,
+	})
+	n.receiver = flow.NewReceiver(flow.ReceiverConfig{
+		Board:      n.loop,
+		Gate:       n.gate,
+		Backend:    n.client,
+		Quarantine: n.quarantine,
+	})
 	n.sender = flow.NewSender(flow.SenderConfig{
 		Board:    n.loop,
-		Peers:    peer.NewClient(n.pool, s.Node.Name),
+		Peers:    peers,
 		Receiver: n.receiver,
 		Budget:   retryBudget,
 		Ejection: ejection,
+		Throttle: throttle.DefaultConfig,
 	})
 	n.platform = platform.NewClient(platformConfig(s))
 	n.controller = zone.NewController(zone.Config{
@@ -169,6 +186,7 @@
 	group.Go(func() { n.loop.Run(ctx) })
 	group.Go(func() { n.controller.Run(ctx) })
 	group.Go(func() { n.advanceGate(ctx) })
+	group.Go(func() { n.quarantine.Run(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
 	group.Go(func() { n.serveHTTP(ctx, n.listeners.caller, n.callerRouter()) })
 	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
@@ -184,6 +202,8 @@
 		Sender:  n.sender,
 		Chains:  n.chains,
 		MaxBody: n.config.Settings.Caller.MaxBody,
+
+		Rejected: n.rejected,
 	})
 	return router
 }
@@ -197,7 +217,7 @@
 
 // announced takes in what the local backend server says of itself.
 func (n *Node) announced(ctx context.Context, a backend.Announcement) {
-	n.gate.Announce(a.Slots)
+	n.gate.Announce(a.Slots, a.Connections)
 	n.client.SetConnections(a.Connections)
 	before := n.loop.Snapshot().Backend
 	n.loop.Do(ctx, func(b *board.Board) {
@@ -234,6 +254,9 @@
 func (n *Node) servePeers(ctx context.Context) {
 	mux := drpcmux.New()
 	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.receiver))
+	if err == nil {
+		err = peerpb.DRPCRegisterQuarantine(mux, peer.NewQuarantineServer(n.quarantine))
+	}
 	if err == nil {
 		err = zonepb.DRPCRegisterZone(mux, zone.NewServer(n.controller))
 	}
@@ -242,7 +265,8 @@
 		return
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
-		Log: func(err error) { n.config.Log.Emit(events.PeerGarbage, events.Fields{"error": err.Error()}) },
+		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
+		Log:     n.peerFailed,
 	})
 	_ = server.Serve(ctx, n.listeners.peer)
 }
@@ -252,7 +276,9 @@
 		Handler:           router,
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
 		ReadTimeout:       n.config.Settings.Caller.BodyTimeout,
+		ErrorLog:          n.httpLog(),
 	}
+	caller.WatchConns(server, n.endedEarly)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	_ = server.Serve(l)
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -102,7 +102,7 @@
 		result.Broken = ctx.Err() == nil && err.sent
 	}
 	result.Overloaded = err == nil && result.Reply.Status == http.StatusServiceUnavailable && chain.ChildTime() == 0
-	result.Reply.AttemptsUsed = chain.AttemptsUsed()
+	chain.Settle(&result.Reply)
 	return result
 }
 
