Dump as JSON in snake case and as tables, and metrics by expvar with a catalogue

Cause: the dump showed Go's field names and nothing of the control plane, and no metrics were published. The controller's state (role, lease, digest, silence of each member, links, counts) is in the dump; docs/METRICS.md is made from the catalogue and checked with the other pages.

--- a/cmd/comfreyhoist/dump.go
+++ b/cmd/comfreyhoist/dump.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
+	"os"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/process/node"
 )
 
 func dumpCommand() *ffcli.Command {
@@ -13,10 +18,17 @@
 	flags := flag.NewFlagSet("comfreyhoist dump", flag.ContinueOnError)
 	usage := "comfreyhoist dump -address 10.1.0.7:7004"
 	return clientCommand("dump", usage, "print the state of a node", flags, &t, func(ctx context.Context, _ []string) error {
-		dump, err := t.client().Dump(ctx)
+		encoded, err := t.client().Dump(ctx)
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		return printJSON(dump)
+		if t.json {
+			return printJSON(encoded)
+		}
+		var dump node.Dump
+		if err := json.Unmarshal(encoded, &dump); err != nil {
+			return trace.Wrap(err)
+		}
+		return trace.Wrap(dump.WriteTable(os.Stdout, time.Now()))
 	})
 }
--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -23,40 +23,40 @@
 
 // Board is the whole blackboard.
 type Board struct {
-	Self      Self
-	Backend   Backend
-	Members   Members
-	Documents Documents
-	Leader    Leader
-	Platform  Platform
+	Self      Self      `json:"self"`
+	Backend   Backend   `json:"backend"`
+	Members   Members   `json:"members"`
+	Documents Documents `json:"documents"`
+	Leader    Leader    `json:"leader"`
+	Platform  Platform  `json:"platform"`
 }
 
 // Self says who the node is and whether it leaves. Written by the node.
 type Self struct {
-	Node          string
-	Zone          string
-	Region        string
-	PeerAddress   string
-	CallerAddress string
-	Draining      bool
+	Node          string `json:"node"`
+	Zone          string `json:"zone"`
+	Region        string `json:"region"`
+	PeerAddress   string `json:"peer_address"`
+	CallerAddress string `json:"caller_address"`
+	Draining      bool   `json:"draining"`
 }
 
 // Backend is the local backend server, as it announced itself. Written by the backend listener.
 type Backend struct {
-	Service     string
-	Address     string
-	Slots       int
-	Connections int
-	Leaving     bool
-	AnnouncedAt time.Time
+	Service     string    `json:"service"`
+	Address     string    `json:"address"`
+	Slots       int       `json:"slots"`
+	Connections int       `json:"connections"`
+	Leaving     bool      `json:"leaving"`
+	AnnouncedAt time.Time `json:"announced_at"`
 }
 
 // Members are the nodes known here. Written by the zone controller.
 type Members struct {
 	// ByNode holds every member that is not down.
-	ByNode map[string]membership.Member
+	ByNode map[string]membership.Member `json:"by_node"`
 	// ByService lists the members with a backend server that takes work.
-	ByService map[string][]membership.Member
+	ByService map[string][]membership.Member `json:"by_service"`
 }
 
 // InZone counts the members of the zone.
@@ -84,40 +84,40 @@
 
 // Documents are the documents in force. Written by the zone controller.
 type Documents struct {
-	ByService map[string]DocumentInForce
+	ByService map[string]DocumentInForce `json:"by_service"`
 }
 
 // DocumentInForce is one document and its revision.
 type DocumentInForce struct {
-	Revision uint64
+	Revision uint64 `json:"revision"`
 	// Operation and Editor name the edit and who made it; Accepted is when it was written to the platform.
-	Operation string
-	Editor    string
-	Accepted  time.Time
-	Document  *document.Document
+	Operation string             `json:"operation"`
+	Editor    string             `json:"editor"`
+	Accepted  time.Time          `json:"accepted"`
+	Document  *document.Document `json:"document"`
 	// InForce is since when this node goes by the revision.
-	InForce time.Time
+	InForce time.Time `json:"in_force"`
 }
 
 // Leader is the leader of the node's availability zone. Written by the zone controller.
 type Leader struct {
 	// Node is empty while nobody is known to lead.
-	Node        string
-	PeerAddress string
+	Node        string `json:"node"`
+	PeerAddress string `json:"peer_address"`
 	// IsSelf says that this node leads under a lease, and so may write to the platform for its zone.
-	IsSelf bool
+	IsSelf bool `json:"is_self"`
 	// Leased says that the leader holds a lease; without one it only spreads what the zone holds.
-	Leased bool
+	Leased bool `json:"leased"`
 	// Role is this node's own part.
-	Role membership.Role
+	Role membership.Role `json:"role"`
 	// Term is that of this node's own lease.
-	Term uint64
+	Term uint64 `json:"term"`
 }
 
 // Platform tells how the platform answers. Written by the zone controller.
 type Platform struct {
-	Reachable bool
-	Since     time.Time
+	Reachable bool      `json:"reachable"`
+	Since     time.Time `json:"since"`
 }
 
 // Loop owns a Board.
--- a/internal/control/catalogue/catalogue.go
+++ b/internal/control/catalogue/catalogue.go
@@ -1,5 +1,5 @@
-// Package catalogue shows the catalogues of events and of reasons: as a table for a terminal, and as the pages
-// docs/EVENTS.md and docs/REASONS.md. The data stays beside the code that uses it, in the packages events and call.
+// Package catalogue shows the catalogues of events of reasons and of metrics: as a table for a terminal, and as the pages
+// docs/EVENTS.md, docs/REASONS.md and docs/METRICS.md. The data stays beside the code that uses it, in the packages events and call.
 //
 // # Usage
 //
@@ -21,6 +21,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/metrics"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
@@ -44,8 +45,9 @@
 // Pages returns the pages by the names of their files.
 func Pages() map[string]string {
 	return map[string]string{
-		EventsPage:  page("Events", eventsIntroduction, eventRows()),
-		ReasonsPage: page("Reasons", reasonsIntroduction, reasonRows()),
+		EventsPage:   page("Events", eventsIntroduction, eventRows()),
+		ReasonsPage:  page("Reasons", reasonsIntroduction, reasonRows()),
+		metrics.Page: metrics.Markdown(),
 	}
 }
 
--- a/internal/control/document/document.go
+++ b/internal/control/document/document.go
@@ -36,12 +36,12 @@
 
 // Document is the accepted description of one service.
 type Document struct {
-	Service string
-	Team    string
+	Service string `json:"service"`
+	Team    string `json:"team"`
 	// Attempts is how many further attempts a root request of this service may spend in its whole chain.
-	Attempts int
+	Attempts int `json:"attempts"`
 	// Kinds are in the order of the file; the first that matches a request is taken.
-	Kinds []Kind
+	Kinds []Kind `json:"kinds"`
 }
 
 // Match returns the first kind whose method and path pattern fit.
@@ -56,16 +56,16 @@
 
 // Kind is one kind of work.
 type Kind struct {
-	Name string
+	Name string `json:"name"`
 	// Method is an HTTP method, or "*" for any.
-	Method string
+	Method string `json:"method"`
 	// Path is a path, with a trailing "*" for any rest.
-	Path       string
-	Rank       int
-	Idempotent bool
-	Deadline   time.Duration
+	Path       string        `json:"path"`
+	Rank       int           `json:"rank"`
+	Idempotent bool          `json:"idempotent"`
+	Deadline   time.Duration `json:"deadline"`
 	// Share weighs the kind against the others of its rank.
-	Share int
+	Share int `json:"share"`
 }
 
 func (k Kind) matches(method, path string) bool {
--- /dev/null
+++ b/internal/control/metrics/metrics.go
@@ -0,0 +1,142 @@
+// Package metrics publishes what a node measures by expvar. The catalogue is data; docs/METRICS.md is made from it.
+//
+// # Usage
+//
+//	metrics.Publish(func() metrics.Values { return metrics.Values{metrics.Members: 12, ...} })
+//
+// GET /debug/vars then has them under "comfreyhoist", beside Go's own.
+package metrics
+
+import (
+	"expvar"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Name names a metric, in snake case.
+type Name string
+
+// The metrics.
+const (
+	Members            Name = "members"
+	MembersDown        Name = "members_down"
+	Records            Name = "records"
+	Leads              Name = "leads"
+	LeadTerm           Name = "lead_term"
+	LeaderKnown        Name = "leader_known"
+	PlatformReachable  Name = "platform_reachable"
+	PlatformCalls      Name = "platform_calls"
+	BeatsSent          Name = "beats_sent"
+	BeatsReceived      Name = "beats_received"
+	Repairs            Name = "repairs"
+	Documents          Name = "documents"
+	Draining           Name = "draining"
+	InFlight           Name = "in_flight"
+	Queued             Name = "queued"
+	Limit              Name = "limit"
+	Offered            Name = "offered"
+	Started            Name = "started"
+	Shed               Name = "shed"
+	Late               Name = "late"
+	Withdrawn          Name = "withdrawn"
+	Succeeded          Name = "succeeded"
+	Wasted             Name = "wasted"
+	WastedTime         Name = "wasted_time"
+	Quarantined        Name = "quarantined"
+	TrafficConnections Name = "traffic_connections"
+	ControlConnections Name = "control_connections"
+)
+
+// Kind says how the values of a metric move.
+type Kind string
+
+// The kinds.
+const (
+	// Gauge goes up and down.
+	Gauge Kind = "gauge"
+	// Counter grows from the start of the process.
+	Counter Kind = "counter"
+)
+
+// Entry is the catalogue entry of one metric.
+type Entry struct {
+	Name Name
+	Kind Kind
+	Unit string
+	Text string
+	// Alarm says which values call for a look; empty where none does.
+	Alarm string
+}
+
+// Catalogue has an entry for every metric, in the order of the page.
+var Catalogue = []Entry{
+	{Name: Members, Kind: Gauge, Unit: "nodes", Text: "Members known here that are not down.", Alarm: "Far fewer than there are instances: the node or its availability zone is cut off."},
+	{Name: MembersDown, Kind: Gauge, Unit: "nodes", Text: "Members known to be down, until they are forgotten after an hour."},
+	{Name: Records, Kind: Gauge, Unit: "records", Text: "Records of members, documents, leaders and homes held here."},
+	{Name: Leads, Kind: Gauge, Unit: "0 or 1", Text: "1 where this node leads its availability zone under a lease.", Alarm: "The sum over an availability zone is 0 for more than a few seconds."},
+	{Name: LeadTerm, Kind: Gauge, Unit: "term", Text: "Term of the lease that this node holds or held last."},
+	{Name: LeaderKnown, Kind: Gauge, Unit: "0 or 1", Text: "1 where the node leads or follows a leader.", Alarm: "0 for more than a few seconds."},
+	{Name: PlatformReachable, Kind: Gauge, Unit: "0 or 1", Text: "1 where the platform answered this node's last call. Only leaders and nodes without a leader call it.", Alarm: "0 on a leader."},
+	{Name: PlatformCalls, Kind: Counter, Unit: "calls", Text: "Calls of the platform for leases, leaders, members and watches."},
+	{Name: BeatsSent, Kind: Counter, Unit: "heartbeats", Text: "Heartbeats sent to other nodes."},
+	{Name: BeatsReceived, Kind: Counter, Unit: "heartbeats", Text: "Heartbeats taken from other nodes."},
+	{Name: Repairs, Kind: Counter, Unit: "comparisons", Text: "Comparisons of digests after heartbeats that left a difference.", Alarm: "Grows steadily on a fleet in which nothing changes."},
+	{Name: Documents, Kind: Gauge, Unit: "documents", Text: "Documents in force on this node.", Alarm: "Differs between nodes for more than 4 seconds."},
+	{Name: Draining, Kind: Gauge, Unit: "0 or 1", Text: "1 from the begin of a planned stop."},
+	{Name: InFlight, Kind: Gauge, Unit: "requests", Text: "Requests on the local backend server."},
+	{Name: Queued, Kind: Gauge, Unit: "requests", Text: "Requests that wait for a slot."},
+	{Name: Limit, Kind: Gauge, Unit: "requests", Text: "Adaptive concurrency limit of the local backend server."},
+	{Name: Offered, Kind: Counter, Unit: "requests", Text: "Requests that asked for a slot."},
+	{Name: Started, Kind: Counter, Unit: "requests", Text: "Requests that got one."},
+	{Name: Shed, Kind: Counter, Unit: "requests", Text: "Requests refused for overload.", Alarm: "Grows while the backend servers have free slots."},
+	{Name: Late, Kind: Counter, Unit: "requests", Text: "Requests refused because their deadline left no time."},
+	{Name: Withdrawn, Kind: Counter, Unit: "requests", Text: "Requests whose caller went away while they waited."},
+	{Name: Succeeded, Kind: Counter, Unit: "requests", Text: "Requests that the backend server answered whole, below status 500."},
+	{Name: Wasted, Kind: Counter, Unit: "requests", Text: "Requests that used the backend server without such an answer.", Alarm: "Grows as fast as succeeded does."},
+	{Name: WastedTime, Kind: Counter, Unit: "microseconds", Text: "Time for which those held a slot."},
+	{Name: Quarantined, Kind: Gauge, Unit: "requests", Text: "Fingerprints of requests with crashes against them.", Alarm: "More than 0: see the poison request page in OPERATORS.md."},
+	{Name: TrafficConnections, Kind: Gauge, Unit: "connections", Text: "Connections to other nodes for requests."},
+	{Name: ControlConnections, Kind: Gauge, Unit: "connections", Text: "Connections to other nodes for heartbeats."},
+}
+
+// Values are the values of all metrics at one moment.
+type Values map[Name]int64
+
+// Variable is the name under which the metrics stand in /debug/vars.
+const Variable = "comfreyhoist"
+
+// Publish publishes the values that read returns, once in a process.
+func Publish(read func() Values) {
+	if expvar.Get(Variable) == nil {
+		expvar.Publish(Variable, expvar.Func(func() any { return read() }))
+	}
+}
+
+// Page is the name of the page.
+const Page = "METRICS.md"
+
+const introduction = "# Metrics\n\n" +
+	"Every node serves its metrics as JSON by expvar, at `/debug/vars` of its `backend.address`, under `comfreyhoist`.\n" +
+	"This page is written by `comfreyhoist events -markdown docs`.\n\n" +
+	"| Name | Kind | Unit | Text | Look when |\n| --- | --- | --- | --- | --- |\n"
+
+// Markdown returns the page.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString(introduction)
+	for _, e := range Catalogue {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", e.Name, e.Kind, e.Unit, e.Text, e.Alarm)
+	}
+	return b.String()
+}
+
+// Names returns all names, sorted.
+func Names() []Name {
+	var names []Name
+	for _, e := range Catalogue {
+		names = append(names, e.Name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -95,10 +95,11 @@
 
 // Counts are what the controller sent and took, for metrics.
 type Counts struct {
-	BeatsSent     uint64
-	BeatsReceived uint64
-	Repairs       uint64
-	PlatformCalls uint64
+	BeatsSent     uint64 `json:"beats_sent"`
+	BeatsReceived uint64 `json:"beats_received"`
+	// Repairs are comparisons of digests after heartbeats that left a difference.
+	Repairs       uint64 `json:"repairs"`
+	PlatformCalls uint64 `json:"platform_calls"`
 }
 
 // Controller keeps the node's records in step with the others'. All fields below tasks belong to the control
@@ -322,6 +323,7 @@
 	for _, r := range c.records.Prefix(membership.MemberPrefix) {
 		if isForgotten(r, now) {
 			c.records.Drop(r.Key)
+			c.detector.Forget(strings.TrimPrefix(r.Key, membership.MemberPrefix))
 		}
 	}
 }
--- /dev/null
+++ b/internal/control/zone/stats.go
@@ -0,0 +1,101 @@
+package zone
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+)
+
+// Stats are the state of a controller for the dump and the metrics. Times are in milliseconds.
+type Stats struct {
+	Role     membership.Role `json:"role"`
+	Followed string          `json:"followed,omitempty"`
+	// Relayed says that the followed node does not lead but follows the leader.
+	Relayed bool   `json:"relayed"`
+	Term    uint64 `json:"term"`
+	// LeaseLeft is how long the node still leads without a renewal.
+	LeaseLeft int64 `json:"lease_left_ms"`
+	Records   int   `json:"records"`
+	// Digest sums up all records; nodes that agree have the same.
+	Digest uint64 `json:"digest"`
+	// Silence is how long each node that this leader listens for has been silent; empty where the node follows.
+	Silence map[string]int64 `json:"silence_ms"`
+	// Down are the members that are known to be down.
+	Down []string `json:"down"`
+	// Lapsed are the other zones without a leader at the platform, and for how long.
+	Lapsed map[string]int64 `json:"lapsed_zones_ms"`
+	Links  []LinkStats      `json:"links"`
+	Counts Counts           `json:"counts"`
+}
+
+// LinkStats are the state of one link to another node.
+type LinkStats struct {
+	Address string `json:"address"`
+	// Pending are the records made here that the other node may lack.
+	Pending int `json:"pending"`
+	// Mismatches are the heartbeats in a row that showed another digest.
+	Mismatches int   `json:"mismatches"`
+	Idle       int64 `json:"idle_ms"`
+}
+
+// Stats returns the state of the controller.
+func (c *Controller) Stats(ctx context.Context) Stats {
+	var s Stats
+	c.config.Board.Do(ctx, func(*board.Board) { s = c.stats(time.Now()) })
+	return s
+}
+
+func (c *Controller) stats(now time.Time) Stats {
+	followed, leads, _ := c.election.Followed(now)
+	s := Stats{
+		Role:      c.role,
+		Followed:  followed.Node,
+		Relayed:   followed.Node != "" && !leads,
+		Term:      c.election.Term(),
+		LeaseLeft: max(0, c.election.LeaseLeft(now).Milliseconds()),
+		Records:   c.records.Len(),
+		Digest:    c.records.Digest(),
+		Silence:   map[string]int64{},
+		Lapsed:    map[string]int64{},
+		Down:      c.down(),
+		Links:     c.linkStats(now),
+		Counts:    c.counts,
+	}
+	if c.role != membership.Following {
+		for node, age := range c.detector.Ages(now) {
+			s.Silence[node] = age.Milliseconds()
+		}
+	}
+	for zone, since := range c.lead.lapsed {
+		s.Lapsed[zone] = now.Sub(since).Milliseconds()
+	}
+	return s
+}
+
+func (c *Controller) down() []string {
+	down := []string{}
+	for _, r := range c.records.Prefix(membership.MemberPrefix) {
+		if m, err := membership.ParseMember(r); err == nil && m.State == membership.Down {
+			down = append(down, m.Node)
+		}
+	}
+	return down
+}
+
+func (c *Controller) linkStats(now time.Time) []LinkStats {
+	stats := []LinkStats{}
+	for address, l := range c.links {
+		stats = append(stats, LinkStats{
+			Address:    address,
+			Pending:    len(l.pending),
+			Mismatches: l.mismatches,
+			Idle:       now.Sub(l.used).Milliseconds(),
+		})
+	}
+	slices.SortFunc(stats, func(a, b LinkStats) int { return strings.Compare(a.Address, b.Address) })
+	return stats
+}
--- a/internal/decide/membership/detector.go
+++ b/internal/decide/membership/detector.go
@@ -52,3 +52,8 @@
 func (d *Detector) Presume(node string, now time.Time) {
 	d.heard[node] = now.Add(-d.downAfter - 1)
 }
+
+// Forget drops what is known of the node.
+func (d *Detector) Forget(node string) {
+	delete(d.heard, node)
+}
--- a/internal/decide/membership/election.go
+++ b/internal/decide/membership/election.go
@@ -125,6 +125,11 @@
 	return e.lease.Term
 }
 
+// LeaseLeft returns how long the lease still holds without a renewal; it is negative where it does not.
+func (e *Election) LeaseLeft(now time.Time) time.Duration {
+	return e.lease.Until.Sub(now)
+}
+
 // Followed returns the node that is followed, whether it leads itself, and whether it does so under a lease.
 func (e *Election) Followed(now time.Time) (t Target, leads, leased bool) {
 	if !e.follows(now) {
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -26,9 +26,9 @@
 
 // Fingerprint names a request, whoever sends it and under whichever key.
 type Fingerprint struct {
-	Service string
-	Kind    string
-	Hash    uint64
+	Service string `json:"service"`
+	Kind    string `json:"kind"`
+	Hash    uint64 `json:"hash"`
 }
 
 // NewFingerprint returns the fingerprint of a request.
@@ -120,11 +120,11 @@
 
 // Entry is what is known against one request.
 type Entry struct {
-	Fingerprint Fingerprint
-	Crashes     int
-	Term        time.Duration
-	Until       time.Time
-	Expires     time.Time
+	Fingerprint Fingerprint   `json:"fingerprint"`
+	Crashes     int           `json:"crashes"`
+	Term        time.Duration `json:"term"`
+	Until       time.Time     `json:"until"`
+	Expires     time.Time     `json:"expires"`
 
 	// known are the crashes by which they are told apart. Crashes may be more, where some are only known by number.
 	known map[uint64]bool
--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"net/http"
@@ -8,6 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -16,13 +18,15 @@
 
 // Dump is the state of a node at one moment.
 type Dump struct {
-	Board        *board.Board
-	Load         call.Load
-	QueuedByRank []int
-	Admission    admission.Totals
-	Receiver     flow.ReceiverStats
-	Connections  map[string]int
-	Quarantine   []quarantine.Entry
+	Board              *board.Board       `json:"board"`
+	Load               call.Load          `json:"load"`
+	QueuedByRank       []int              `json:"queued_by_rank"`
+	Admission          admission.Totals   `json:"admission"`
+	Receiver           flow.ReceiverStats `json:"receiver"`
+	Connections        map[string]int     `json:"connections"`
+	Quarantine         []quarantine.Entry `json:"quarantine"`
+	Control            zone.Stats         `json:"control"`
+	ControlConnections map[string]int     `json:"control_connections"`
 }
 
 func (n *Node) registerHealth(router *httprouter.Router) {
@@ -32,8 +36,8 @@
 	router.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		n.ready(w)
 	})
-	router.GET("/dump", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-		n.writeDump(w)
+	router.GET("/dump", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		n.writeDump(r.Context(), w)
 	})
 	router.Handler(http.MethodGet, "/debug/vars", expvar.Handler())
 }
@@ -47,18 +51,20 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
-func (n *Node) writeDump(w http.ResponseWriter) {
+func (n *Node) writeDump(ctx context.Context, w http.ResponseWriter) {
 	byRank := n.gate.QueuedByRank()
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
 	encoder.SetIndent("", "  ")
 	_ = encoder.Encode(Dump{
-		Board:        n.loop.Snapshot(),
-		Load:         n.gate.Load(),
-		QueuedByRank: byRank[:],
-		Admission:    n.gate.Totals(),
-		Receiver:     n.receiver.Stats(),
-		Connections:  n.pool.Open(),
-		Quarantine:   n.quarantine.Entries(),
+		Board:              n.loop.Snapshot(),
+		Load:               n.gate.Load(),
+		QueuedByRank:       byRank[:],
+		Admission:          n.gate.Totals(),
+		Receiver:           n.receiver.Stats(),
+		Connections:        n.pool.Open(),
+		Quarantine:         n.quarantine.Entries(),
+		Control:            n.controller.Stats(ctx),
+		ControlConnections: n.controlPool.Open(),
 	})
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -22,6 +22,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/metrics"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
@@ -129,6 +130,7 @@
 	defer stop()
 	var group conc.WaitGroup
 	n.start(working, &group)
+	metrics.Publish(func() metrics.Values { return n.metricValues(working) })
 	config.Log.Emit(events.NodeStarted, events.Fields{"settings": config.Settings.Node.Name})
 	<-ctx.Done()
 	n.drain(working)
--- a/internal/process/node/operator.go
+++ b/internal/process/node/operator.go
@@ -26,7 +26,7 @@
 		}),
 		Tokens: operator.NewTokens(tokens),
 		Drain:  n.stop,
-		Dump:   func(w http.ResponseWriter, _ *http.Request) { n.writeDump(w) },
+		Dump:   func(w http.ResponseWriter, r *http.Request) { n.writeDump(r.Context(), w) },
 	})
 	return router
 }
--- a/internal/proof/control/session_test.go
+++ b/internal/proof/control/session_test.go
@@ -2,18 +2,24 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/control/metrics"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/store"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/node"
 	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
 
@@ -109,3 +115,39 @@
 
 	goldie.New(t).Assert(t, "operator_session", normalized(s.text.String()))
 }
+
+// TestDumpAndMetrics reads the state of a node in each way in which operators can.
+func TestDumpAndMetrics(t *testing.T) {
+	is := is.New(t)
+	f := harness.Start(t, fleet.Config{Deployment: fleet.Chain()})
+	is.True(serves(t, f.Nodes))
+	for _, n := range f.Nodes {
+		encoded, err := client(n).Dump(t.Context())
+		is.NoErr(err)
+		is.True(!bytes.Contains(encoded, []byte(fleet.OperatorToken))) // no token gets into a dump
+		is.Equal(camelCase.FindAllString(string(encoded), -1), nil)    // own formats use snake case
+		var d node.Dump
+		is.NoErr(json.Unmarshal(encoded, &d))
+		var table strings.Builder
+		is.NoErr(d.WriteTable(&table, time.Now()))
+		for _, other := range f.Nodes {
+			is.True(strings.Contains(table.String(), other.Name))
+		}
+		for _, title := range []string{"DOCUMENTS", "MEMBERS", "ADMISSION", "QUARANTINE", "CONNECTIONS"} {
+			is.True(strings.Contains(table.String(), "\n"+title))
+		}
+	}
+
+	response, err := http.Get("http://" + f.Nodes[0].Backend + "/debug/vars")
+	is.NoErr(err)
+	var variables struct {
+		Values metrics.Values `json:"comfreyhoist"`
+	}
+	is.NoErr(json.NewDecoder(response.Body).Decode(&variables))
+	is.NoErr(response.Body.Close())
+	is.Equal(slices.Sorted(maps.Keys(variables.Values)), metrics.Names()) // the catalogue is whole
+	is.Equal(variables.Values[metrics.Members], int64(len(f.Nodes)))
+}
+
+// camelCase finds keys of JSON objects that begin with a capital.
+var camelCase = regexp.MustCompile(`"[A-Z][A-Za-z]*":`)
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -87,11 +87,11 @@
 
 // Load is what a node reports about its own backend server with each reply.
 type Load struct {
-	InFlight int
-	Queued   int
-	Limit    int
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
+	Limit    int `json:"limit"`
 	// SheddingRank is the most urgent rank that is being shed; 0 for none.
-	SheddingRank int
+	SheddingRank int `json:"shedding_rank"`
 }
 
 // Reply is the answer to one Request.
