--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -25,7 +25,7 @@
 	root := &ffcli.Command{
 		Name:        "hoistlab",
 		ShortUsage:  "hoistlab <command> [flags]",
-		Subcommands: []*ffcli.Command{demoCommand(), overloadCommand(), latencyCommand()},
+		Subcommands: []*ffcli.Command{demoCommand(), onceCommand(), overloadCommand(), latencyCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
--- /dev/null
+++ b/cmd/hoistlab/once.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"io"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/once"
+)
+
+func onceCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("hoistlab once", flag.ContinueOnError)
+	duration := flags.Duration("duration", time.Minute, "length of the run")
+	seed := flags.Uint64("seed", 1, "seed of the faults and the callers")
+	callers := flags.Int("callers", 12, "callers that send bookings, one after the other")
+	calm := flags.Bool("calm", false, "without faults")
+	verbose := flags.Bool("verbose", false, "print the nodes' logs")
+	return &ffcli.Command{
+		Name:       "once",
+		ShortUsage: "hoistlab once [-seed N] [-duration D]",
+		ShortHelp:  "resend bookings under faults and compare the outcomes with the ledgers",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			return runOnce(ctx, once.Config{Duration: *duration, Seed: *seed, Callers: *callers, Calm: *calm}, *verbose)
+		},
+	}
+}
+
+func runOnce(ctx context.Context, config once.Config, verbose bool) error {
+	directory, err := os.MkdirTemp("", "hoistlab")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	binary, err := fleet.Build(ctx, directory)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	output := io.Discard
+	if verbose {
+		output = os.Stderr
+	}
+	f, err := fleet.Start(ctx, fleet.Config{Binary: binary, Deployment: once.Deployment(), Output: output, Seed: config.Seed})
+	defer f.Stop()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.WaitReady(ready); err != nil {
+		return trace.Wrap(err)
+	}
+	config.Fleet, config.Service, config.Output = f, "bookings", os.Stderr
+	return writeOnce(once.Run(ctx, config), config.Seed)
+}
+
+func writeOnce(r once.Report, seed uint64) error {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(r); err != nil {
+		return trace.Wrap(err)
+	}
+	if len(r.Violations) > 0 {
+		return trace.BadParameter("%d promises were broken with seed %d", len(r.Violations), seed)
+	}
+	return nil
+}
--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -17,6 +17,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 )
 
 // Board is the whole blackboard.
@@ -27,6 +28,7 @@
 	Documents Documents
 	Leader    Leader
 	Platform  Platform
+	Homes     Homes
 }
 
 // Self says who the node is and whether it leaves. Written by the node.
@@ -36,7 +38,13 @@
 	Region        string
 	PeerAddress   string
 	CallerAddress string
-	Draining      bool
+	// Incarnation is the start of the node's process.
+	Incarnation uint64
+	Draining    bool
+	// Successor is the node that gets the remembered keys of this one when it leaves.
+	Successor string
+	// AnswersFor lists the earlier nodes, with their incarnations, whose keys were handed over to this one.
+	AnswersFor string
 }
 
 // Backend is the local backend server, as it announced itself. Written by the backend listener.
@@ -82,6 +90,12 @@
 	Since     time.Time
 }
 
+// Homes say which nodes remember keys. Written by the homes controller.
+type Homes struct {
+	// Shards are the agreed epochs of each availability zone's shard.
+	Shards map[string]outcome.Shard
+}
+
 // Loop owns a Board.
 type Loop struct {
 	board    Board
--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -40,6 +40,7 @@
 	DocumentInForce    Number = 1403
 	KeysHandedOver     Number = 1501
 	HomesChanged       Number = 1502
+	KeysLost           Number = 1503
 )
 
 // Entry is the catalogue entry of one event.
@@ -77,6 +78,7 @@
 	DocumentRefused:    {Name: "document_refused", Level: zerolog.WarnLevel, Since: "0.1", Text: "A document has faults or lost a race and was not written.", Action: "The answer names each fault; mend the document and send it again."},
 	DocumentInForce:    {Name: "document_in_force", Level: zerolog.InfoLevel, Since: "0.1", Text: "A document's revision is in force on this node."},
 	KeysHandedOver:     {Name: "keys_handed_over", Level: zerolog.InfoLevel, Since: "0.1", Text: "A leaving node's remembered keys went to its successor."},
+	KeysLost:           {Name: "keys_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "A leaving node could not hand its keys over for certain; callers that send them again are told unknown or not_admitted."},
 	HomesChanged:       {Name: "homes_changed", Level: zerolog.InfoLevel, Since: "0.1", Text: "Another set of nodes remembers the keys from a given time on."},
 }
 
--- /dev/null
+++ b/internal/control/homes/controller.go
@@ -0,0 +1,236 @@
+// Package homes speaks to the platform about which nodes remember the keys of callers. The leader of each
+// availability zone keeps one record, its shard: it moves the end of the last epoch forward again and again, and
+// appends an epoch where the members changed. Every write is a compare-and-swap on the record last read, so the
+// epochs form one line, whoever writes and however late.
+//
+// A shard whose zone has been silent for some time is kept by the leader of another zone until its own returns.
+//
+// # Usage
+//
+//	c := homes.NewController(homes.Config{...})
+//	zoneConfig.Sections = map[string]zone.Section{homes.Prefix: c.Section()}
+//	c.Run(ctx)
+package homes
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+)
+
+// Prefix begins the key of each shard's record in the platform.
+const Prefix = "homes/"
+
+// Offerer spreads records that were made here.
+type Offerer interface {
+	Offer(ctx context.Context, records ...membership.Record)
+}
+
+// Config sets a Controller up.
+type Config struct {
+	Board    *board.Loop
+	Platform *platform.Client
+	Log      *events.Log
+	// Zones are all availability zones; the same list everywhere.
+	Zones  []string
+	Timing Timing
+}
+
+// Timing holds the intervals of the shards.
+type Timing struct {
+	// Renew is the time between renewals.
+	Renew time.Duration
+	// Horizon is how far beyond the present a renewal moves the end of the last epoch.
+	Horizon time.Duration
+	// Window is how long callers may send a key again.
+	Window time.Duration
+	// Election is how long the zone may be without a leader after a planned stop of the leader.
+	Election time.Duration
+	// TakeOver is how long past its end another zone leaves a shard alone.
+	TakeOver time.Duration
+}
+
+// DefaultTiming holds where nothing else is set.
+var DefaultTiming = Timing{
+	Renew:    time.Second,
+	Horizon:  4 * time.Second,
+	Window:   2 * time.Minute,
+	Election: 6 * time.Second,
+	TakeOver: 3 * time.Second,
+}
+
+// Controller keeps shards.
+type Controller struct {
+	config Config
+	// entries are the records last read or written, by shard. They belong to the goroutine of Run.
+	entries map[string]platform.Entry
+}
+
+// NewController returns a controller.
+func NewController(config Config) *Controller {
+	return &Controller{config: config, entries: map[string]platform.Entry{}}
+}
+
+// Section returns how shards come from the platform and get onto the board.
+func (c *Controller) Section() zone.Section {
+	return zone.Section{Decode: decode, Publish: publish}
+}
+
+// Run renews shards until the context ends.
+func (c *Controller) Run(ctx context.Context, offerer Offerer) {
+	ticker := time.NewTicker(c.config.Timing.Renew)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.tick(ctx, offerer)
+		}
+	}
+}
+
+func (c *Controller) tick(ctx context.Context, offerer Offerer) {
+	b := c.config.Board.Snapshot()
+	if !b.Leader.IsSelf {
+		clear(c.entries)
+		return
+	}
+	for _, shard := range c.config.Zones {
+		if c.isKept(b, shard) {
+			c.renew(ctx, offerer, b, shard)
+		}
+	}
+}
+
+// isKept reports whether this zone keeps the shard: its own always, another one while its zone is silent.
+func (c *Controller) isKept(b *board.Board, shard string) bool {
+	if shard == b.Self.Zone {
+		return true
+	}
+	last := b.Homes.Shards[shard].Last()
+	silent := time.Since(time.UnixMilli(last.Until)) > c.config.Timing.TakeOver
+	return last.Until > 0 && (silent || last.Zone == b.Self.Zone)
+}
+
+func (c *Controller) renew(ctx context.Context, offerer Offerer, b *board.Board, shard string) {
+	entry, ok := c.entry(ctx, shard)
+	if !ok {
+		return
+	}
+	known := b.Homes.Shards[shard]
+	written := parse(entry.Value)
+	next, changed := newest(known, written).Renew(c.renewal(b))
+	if !changed {
+		return
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return
+	}
+	swapped, err := c.config.Platform.CompareAndSwap(ctx, platform.Swap{Key: Prefix + shard, Value: value, Expected: entry.Revision})
+	if err != nil {
+		delete(c.entries, shard)
+		return
+	}
+	c.entries[shard] = swapped
+	if len(next.Epochs) == 0 || !slices.Equal(next.Last().Members, written.Last().Members) {
+		c.config.Log.Emit(events.HomesChanged, events.Fields{"shard": shard, "members": len(next.Last().Members)})
+	}
+	offerer.Offer(ctx, record(Prefix+shard, value))
+}
+
+// entry returns the record as it was last read, and reads it where that isn't known.
+func (c *Controller) entry(ctx context.Context, shard string) (platform.Entry, bool) {
+	if held, ok := c.entries[shard]; ok {
+		return held, true
+	}
+	read, err := c.config.Platform.Get(ctx, Prefix+shard)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return platform.Entry{}, false
+	}
+	c.entries[shard] = read
+	return read, true
+}
+
+// newest returns the shard that reaches further: a platform that was restored from an older copy must not take the
+// epochs back.
+func newest(known, written outcome.Shard) outcome.Shard {
+	if known.Last().Until > written.Last().Until {
+		return known
+	}
+	return written
+}
+
+func (c *Controller) renewal(b *board.Board) outcome.Renewal {
+	now := time.Now()
+	horizon := c.config.Timing.Horizon
+	if b.Self.Draining || b.Backend.Leaving {
+		horizon += c.config.Timing.Election
+	}
+	return outcome.Renewal{
+		Until:   now.Add(horizon).UnixMilli(),
+		Keep:    now.Add(-c.config.Timing.Window).UnixMilli(),
+		Zone:    b.Self.Zone,
+		Members: membersOf(b),
+	}
+}
+
+// membersOf returns the nodes of the board's own zone that may be homes, by name.
+func membersOf(b *board.Board) []outcome.Member {
+	var members []outcome.Member
+	for service, up := range b.Members.ByService {
+		for _, m := range up {
+			if m.Zone == b.Self.Zone && m.State == membership.Up {
+				node := outcome.Node{Name: m.Node, Incarnation: m.Incarnation}
+				members = append(members, outcome.Member{Node: node, Service: service})
+			}
+		}
+	}
+	slices.SortFunc(members, func(a, b outcome.Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
+
+func decode(e platform.Entry) []membership.Record {
+	return []membership.Record{record(e.Key, e.Value)}
+}
+
+// record orders the versions of a shard by the end of their last epoch, which only grows.
+func record(key string, value []byte) membership.Record {
+	return membership.Record{
+		Key:     key,
+		Version: membership.Version{Epoch: uint64(parse(value).Last().Until)},
+		Value:   value,
+	}
+}
+
+func parse(value []byte) outcome.Shard {
+	var s outcome.Shard
+	if json.Unmarshal(value, &s) != nil {
+		return outcome.Shard{}
+	}
+	return s
+}
+
+func publish(b *board.Board, changed []membership.Record) {
+	shards := maps.Clone(b.Homes.Shards)
+	if shards == nil {
+		shards = map[string]outcome.Shard{}
+	}
+	for _, r := range changed {
+		shards[strings.TrimPrefix(r.Key, Prefix)] = parse(r.Value)
+	}
+	b.Homes = board.Homes{Shards: shards}
+}
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -164,6 +164,7 @@
 	}
 	return membership.Member{
 		Node:          b.Self.Node,
+		Incarnation:   b.Self.Incarnation,
 		Zone:          b.Self.Zone,
 		Region:        b.Self.Region,
 		PeerAddress:   b.Self.PeerAddress,
@@ -172,6 +173,8 @@
 		Slots:         b.Backend.Slots,
 		Connections:   b.Backend.Connections,
 		State:         state,
+		Successor:     b.Self.Successor,
+		AnswersFor:    b.Self.AnswersFor,
 	}
 }
 
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -17,7 +17,9 @@
 
 // Member is one node with its backend server, as others know it.
 type Member struct {
-	Node          string `json:"node"`
+	Node string `json:"node"`
+	// Incarnation is the start of the node's process, which tells it from earlier ones of the same name.
+	Incarnation   uint64 `json:"incarnation,omitempty"`
 	Zone          string `json:"zone"`
 	Region        string `json:"region,omitempty"`
 	PeerAddress   string `json:"peer_address"`
@@ -27,6 +29,10 @@
 	Slots       int    `json:"slots,omitempty"`
 	Connections int    `json:"connections,omitempty"`
 	State       State  `json:"state"`
+	// Successor answers for the keys of a member that leaves; empty for none.
+	Successor string `json:"successor,omitempty"`
+	// AnswersFor lists the earlier nodes, with their incarnations, whose keys the member took over.
+	AnswersFor string `json:"answers_for,omitempty"`
 }
 
 // Record returns the member as a record.
--- /dev/null
+++ b/internal/decide/outcome/shard.go
@@ -0,0 +1,149 @@
+package outcome
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is a node that may be a home, with the service of its backend server.
+type Member struct {
+	Node
+	Service string `json:"service"`
+}
+
+// Epoch says which nodes are homes of the keys whose own times lie in [Start, Until), in Unix milliseconds.
+type Epoch struct {
+	Start int64 `json:"start"`
+	Until int64 `json:"until"`
+	// Zone is the availability zone whose leader keeps the epoch.
+	Zone    string   `json:"zone"`
+	Members []Member `json:"members"`
+}
+
+// Shard is the agreed list of epochs for one part of the keys, oldest first and without gaps.
+//
+// The home of a key time, once committed, never changes: a successor of a Shard moves the end of its last epoch
+// forward or appends an epoch that begins there. So two nodes that hold different versions never both take
+// themselves for the home of one key, whatever their clocks say and however long either was paused.
+type Shard struct {
+	Epochs []Epoch `json:"epochs"`
+}
+
+// Renewal is what a leader knows when it renews a shard. Times are in Unix milliseconds.
+type Renewal struct {
+	// Until is where the last epoch shall end.
+	Until int64
+	// Keep is the time before which epochs are dropped.
+	Keep    int64
+	Zone    string
+	Members []Member
+}
+
+// Renew returns the successor of the shard. It reports false where nothing would change.
+func (s Shard) Renew(r Renewal) (Shard, bool) {
+	if len(r.Members) == 0 {
+		return s, false
+	}
+	if len(s.Epochs) == 0 {
+		first := Epoch{Start: r.Keep, Until: r.Until, Zone: r.Zone, Members: r.Members}
+		return Shard{Epochs: []Epoch{first}}, true
+	}
+	kept := s.since(r.Keep)
+	last := kept[len(kept)-1]
+	if last.Zone == r.Zone && slices.Equal(last.Members, r.Members) {
+		if r.Until <= last.Until {
+			return s, false
+		}
+		kept[len(kept)-1].Until = r.Until
+		return Shard{Epochs: kept}, true
+	}
+	next := Epoch{Start: last.Until, Until: max(r.Until, last.Until+1), Zone: r.Zone, Members: r.Members}
+	return Shard{Epochs: append(kept, next)}, true
+}
+
+// since returns a copy of the epochs that end after the time, and always the last.
+func (s Shard) since(keep int64) []Epoch {
+	first := 0
+	for first < len(s.Epochs)-1 && s.Epochs[first].Until <= keep {
+		first++
+	}
+	return slices.Clone(s.Epochs[first:])
+}
+
+// Last returns the newest epoch, or the zero Epoch.
+func (s Shard) Last() Epoch {
+	if len(s.Epochs) == 0 {
+		return Epoch{}
+	}
+	return s.Epochs[len(s.Epochs)-1]
+}
+
+// Home returns the only node that may run the key of the service at the key's own time.
+func (s Shard) Home(service, key string, unixMillis int64) (Node, bool) {
+	for _, e := range s.Epochs {
+		if unixMillis >= e.Start && unixMillis < e.Until {
+			return e.winner(service, key)
+		}
+	}
+	return Node{}, false
+}
+
+// Settled returns the home of a key without a time. There is one only where no other node can have been its home
+// since the given time; now must lie in the last epoch. All times are in Unix milliseconds.
+func (s Shard) Settled(service, key string, now, since int64) (Node, bool) {
+	if now >= s.Last().Until {
+		return Node{}, false
+	}
+	home, ok := s.Last().winner(service, key)
+	for _, e := range s.Epochs {
+		if earlier, _ := e.winner(service, key); e.Until > since && earlier != home {
+			return Node{}, false
+		}
+	}
+	return home, ok
+}
+
+// winner returns the member with the highest hash for the key, among those of the service where there are any.
+func (e Epoch) winner(service, key string) (Node, bool) {
+	best, found := highest(e.Members, service, key)
+	if !found {
+		best, found = highest(e.Members, "", key)
+	}
+	return best, found
+}
+
+func highest(members []Member, service, key string) (Node, bool) {
+	var best Node
+	var bestHash uint64
+	found := false
+	for _, m := range members {
+		if service != "" && m.Service != service {
+			continue
+		}
+		if h := rendezvous(m.Name, key); !found || h > bestHash {
+			best, bestHash, found = m.Node, h, true
+		}
+	}
+	return best, found
+}
+
+func rendezvous(name, key string) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(name)
+	_, _ = h.WriteString("\x00")
+	_, _ = h.WriteString(key)
+	return h.Sum64()
+}
+
+// ShardOf returns the availability zone whose shard the key belongs to.
+func ShardOf(zones []string, key string) string {
+	best := ""
+	var bestHash uint64
+	for _, z := range zones {
+		if h := rendezvous(z, key); best == "" || h > bestHash {
+			best, bestHash = z, h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/decide/outcome/table.go
@@ -0,0 +1,313 @@
+// Package outcome decides who may run a non-idempotent request, and remembers what became of it, so that it runs at
+// most once and nobody is told that it was not run when it was or still can be.
+//
+// Each request has a Key. A minted key names the one process that may run it. A caller's key has a home that a
+// Shard, agreed through the platform, gives for the time in the key. The home keeps a Table of its keys.
+//
+// # Usage
+//
+//	k, err := outcome.ParseKey(text)
+//	home, ok := shard.Home(service, k.Text, k.UnixMillis)
+//	verdict := table.Begin(now, outcome.Ask{ID: id, UnixMillis: k.UnixMillis, Timed: k.Timed, Fingerprint: sum})
+//	table.Settle(now, id, outcome.Done, reply, size)
+//
+// The package does no I/O and reads no clock.
+package outcome
+
+import "time"
+
+// State is what is known of one key.
+type State int
+
+// The states.
+const (
+	// Absent means that the key has not been seen.
+	Absent State = iota
+	// Running means that the request may be running.
+	Running
+	// Done means that there is an answer for good.
+	Done
+	// NotRun means that the request has not run, and that nothing that was sent before may still run.
+	NotRun
+)
+
+// Action is what to do with a request.
+type Action int
+
+// The actions.
+const (
+	// Run says that the request is to be run, and Settle to be called.
+	Run Action = iota
+	// Attach says to wait for the run that goes on.
+	Attach
+	// Answer says to give the remembered reply.
+	Answer
+	// Challenge says to ask the source whether its caller still waits, with the token of the verdict.
+	Challenge
+	// RefuseNotRun says that the request entered before another copy was told that the key has not run.
+	RefuseNotRun
+	// RefuseReused says that the key belongs to another request.
+	RefuseReused
+	// RefuseTime says that the key's own time is too far from the present.
+	RefuseTime
+	// RefuseFull says that no further key can be remembered.
+	RefuseFull
+	// RefuseClosed says that the keys have been handed over.
+	RefuseClosed
+)
+
+// Ask is one copy of a request that arrived.
+type Ask struct {
+	ID string
+	// UnixMillis is the time in the key, where it is Timed.
+	UnixMillis  int64
+	Timed       bool
+	Fingerprint uint64
+	// Confirm is the token of the challenge that this copy answers, and Age how long the source has held the request.
+	Confirm string
+	Age     time.Duration
+	// Token is unused so far; a challenge takes it.
+	Token string
+	// Single says that there is no other copy of the request anywhere, so that a refusal needs no memory.
+	Single bool
+}
+
+// Verdict is the decision about one copy.
+type Verdict[R any] struct {
+	Action Action
+	// Reply is set with Answer.
+	Reply R
+	// Token is set with Challenge.
+	Token string
+}
+
+// TableConfig sets a Table up.
+type TableConfig struct {
+	// Window is how long a key is remembered, counted from its own time. Older keys are refused.
+	Window time.Duration
+	// Ahead is how far a key's time may lie in the future.
+	Ahead time.Duration
+	// MaxKeys and MaxBytes bound the memory. At the bound new keys are refused; none is forgotten early. Replies to
+	// requests that were let in before the bound was reached may exceed MaxBytes.
+	MaxKeys  int
+	MaxBytes int
+}
+
+// Entry is what is remembered of one key.
+type Entry[R any] struct {
+	ID          string
+	UnixMillis  int64
+	Fingerprint uint64
+	State       State
+	Reply       R
+	Bytes       int
+
+	// decided is when it was last told that the key has not run.
+	decided time.Time
+	token   string
+	issued  time.Time
+	// single says that no other copy can exist.
+	single bool
+}
+
+// tell notes that somebody is told now that the key has not run, if that is so. What entered before must not run.
+func (e *Entry[R]) tell(now time.Time) {
+	if e.State == NotRun {
+		e.decided = now
+	}
+}
+
+// entryBytes is what a key costs without its reply.
+const entryBytes = 256
+
+// Table remembers keys. R is the type of replies.
+type Table[R any] struct {
+	config  TableConfig
+	entries map[string]*Entry[R]
+	bytes   int
+	running int
+	// floor only grows, so that a key that was forgotten is refused for good, even if the clock is set back.
+	floor  int64
+	closed bool
+}
+
+// NewTable returns an empty table.
+func NewTable[R any](config TableConfig) *Table[R] {
+	return &Table[R]{config: config, entries: map[string]*Entry[R]{}}
+}
+
+// Begin decides about one copy of a request.
+func (t *Table[R]) Begin(now time.Time, a Ask) Verdict[R] {
+	t.raiseFloor(now)
+	if a.Timed && t.outOfTime(now, a.UnixMillis) {
+		return Verdict[R]{Action: RefuseTime}
+	}
+	e, ok := t.entries[a.ID]
+	if t.closed && (!ok || e.State == NotRun) {
+		return Verdict[R]{Action: RefuseClosed}
+	}
+	if !ok {
+		return t.admit(now, a)
+	}
+	if e.Fingerprint != a.Fingerprint && e.Fingerprint != 0 {
+		return Verdict[R]{Action: RefuseReused}
+	}
+	return t.again(now, e, a)
+}
+
+// Settle ends a run. Done remembers the reply of the given size in bytes; NotRun only that it was so, and not even
+// that where all copies have been answered by it.
+func (t *Table[R]) Settle(now time.Time, id string, state State, reply R, bytes int) {
+	e, ok := t.entries[id]
+	if !ok || e.State != Running {
+		return
+	}
+	t.running--
+	e.State = state
+	if state == Done {
+		e.Reply = reply
+		e.Bytes += bytes
+		t.bytes += bytes
+		return
+	}
+	e.decided = now
+	if e.single {
+		t.remove(e)
+	}
+}
+
+// Resolve tells what became of a key. With fence, a key that has not been seen is decided not to have run.
+func (t *Table[R]) Resolve(now time.Time, a Ask, fence bool) (State, R) {
+	var none R
+	t.raiseFloor(now)
+	e, ok := t.entries[a.ID]
+	if ok {
+		e.tell(now)
+		return e.State, e.Reply
+	}
+	if a.Timed && a.UnixMillis < t.floor {
+		return NotRun, none
+	}
+	if !fence || t.closed || t.full() {
+		return Absent, none
+	}
+	e = t.insert(now, a)
+	e.Fingerprint = 0
+	e.State = NotRun
+	e.decided = now
+	return NotRun, none
+}
+
+// Close lets nothing run from now on but what runs already. Answers are still given.
+func (t *Table[R]) Close() {
+	t.closed = true
+}
+
+// Entries returns what is remembered, to be handed over once the table is closed and nothing runs.
+func (t *Table[R]) Entries() []Entry[R] {
+	entries := make([]Entry[R], 0, len(t.entries))
+	for _, e := range t.entries {
+		entries = append(entries, *e)
+	}
+	return entries
+}
+
+// Restore takes in an entry that another node handed over.
+func (t *Table[R]) Restore(now time.Time, e Entry[R]) {
+	if _, ok := t.entries[e.ID]; ok {
+		return
+	}
+	e.decided = now
+	t.entries[e.ID] = &e
+	t.bytes += e.Bytes
+}
+
+// Expire forgets the keys that are older than the window. It is called regularly.
+func (t *Table[R]) Expire(now time.Time) {
+	t.raiseFloor(now)
+	for _, e := range t.entries {
+		if e.State != Running && e.UnixMillis < t.floor {
+			t.remove(e)
+		}
+	}
+}
+
+// Size is the memory in use.
+type Size struct {
+	Keys    int
+	Bytes   int
+	Running int
+}
+
+// Size returns the memory in use.
+func (t *Table[R]) Size() Size {
+	return Size{Keys: len(t.entries), Bytes: t.bytes, Running: t.running}
+}
+
+func (t *Table[R]) raiseFloor(now time.Time) {
+	t.floor = max(t.floor, now.Add(-t.config.Window).UnixMilli())
+}
+
+func (t *Table[R]) outOfTime(now time.Time, unixMillis int64) bool {
+	return unixMillis < t.floor || unixMillis > now.Add(t.config.Ahead).UnixMilli()
+}
+
+func (t *Table[R]) full() bool {
+	return len(t.entries) >= t.config.MaxKeys || t.bytes+entryBytes > t.config.MaxBytes
+}
+
+func (t *Table[R]) admit(now time.Time, a Ask) Verdict[R] {
+	if t.full() {
+		return Verdict[R]{Action: RefuseFull}
+	}
+	e := t.insert(now, a)
+	e.State = Running
+	t.running++
+	return Verdict[R]{Action: Run}
+}
+
+func (t *Table[R]) again(now time.Time, e *Entry[R], a Ask) Verdict[R] {
+	switch e.State {
+	case Running:
+		e.single = e.single && a.Single
+		return Verdict[R]{Action: Attach}
+	case Done:
+		return Verdict[R]{Action: Answer, Reply: e.Reply}
+	}
+	if a.Confirm == "" || a.Confirm != e.token {
+		e.token, e.issued = a.Token, now
+		return Verdict[R]{Action: Challenge, Token: a.Token}
+	}
+	return t.confirmed(now, e, a)
+}
+
+// confirmed runs a request whose source still holds it, if the request entered after it was last told that the key
+// has not run. The source computed the age after the challenge was issued, so the request entered later than
+// issued-age; no two clocks are compared.
+func (t *Table[R]) confirmed(now time.Time, e *Entry[R], a Ask) Verdict[R] {
+	e.token = ""
+	if !e.issued.Add(-a.Age).After(e.decided) {
+		e.tell(now)
+		return Verdict[R]{Action: RefuseNotRun}
+	}
+	e.State = Running
+	e.Fingerprint = a.Fingerprint
+	t.running++
+	return Verdict[R]{Action: Run}
+}
+
+func (t *Table[R]) insert(now time.Time, a Ask) *Entry[R] {
+	millis := a.UnixMillis
+	if !a.Timed {
+		millis = now.UnixMilli()
+	}
+	e := &Entry[R]{ID: a.ID, UnixMillis: millis, Fingerprint: a.Fingerprint, Bytes: entryBytes, single: a.Single}
+	t.entries[e.ID] = e
+	t.bytes += e.Bytes
+	return e
+}
+
+func (t *Table[R]) remove(e *Entry[R]) {
+	delete(t.entries, e.ID)
+	t.bytes -= e.Bytes
+}
--- /dev/null
+++ b/internal/lab/once/caller.go
@@ -0,0 +1,197 @@
+// Package once sends non-idempotent requests, resends them hard through other nodes while faults go on, and compares
+// what callers were told with what the backend servers' ledgers hold.
+//
+// # Usage
+//
+//	report := once.Run(ctx, once.Config{Fleet: f, Service: "bookings", Duration: time.Minute, Seed: 7})
+//	for _, v := range report.Violations { ... }
+package once
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
+)
+
+// KeyKind is where the key of a request comes from.
+type KeyKind string
+
+// The kinds.
+const (
+	// Timed keys are UUIDv7 of the caller.
+	Timed KeyKind = "timed"
+	// Opaque keys are of the caller and carry no time.
+	Opaque KeyKind = "opaque"
+	// Minted keys are made by the entry node. The caller sends one again once it has been told.
+	Minted KeyKind = "minted"
+)
+
+var keyKinds = []KeyKind{Timed, Opaque, Minted}
+
+// Send is one request as its caller saw it.
+type Send struct {
+	Begin   time.Time
+	End     time.Time
+	Key     string
+	Status  int
+	Outcome string
+	Reason  string
+	Body    string
+}
+
+// Answered reports whether the caller got a whole answer.
+func (s Send) Answered() bool {
+	return s.Status != 0
+}
+
+// Booking is one piece of work that a caller wants done once.
+type Booking struct {
+	ID    string
+	Kind  KeyKind
+	Begin time.Time
+	Sends []Send
+}
+
+// Ran reports whether the caller was told that the booking ran.
+func (b Booking) Ran() bool {
+	for _, s := range b.Sends {
+		if s.Outcome == "ran" {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// patience is how long a caller waits for one answer.
+	patience = 1500 * time.Millisecond
+	// maxRounds is how often a caller sends one booking.
+	maxRounds = 12
+	// maxCopies is how many copies a caller sends at the same moment.
+	maxCopies = 3
+	// roundPause is the most that a caller waits between rounds.
+	roundPause = 400 * time.Millisecond
+)
+
+// callers sends bookings from many goroutines.
+type callers struct {
+	service string
+	targets []string
+	client  *http.Client
+
+	mu       sync.Mutex
+	bookings []Booking
+}
+
+func newCallers(service string, targets []string) *callers {
+	return &callers{service: service, targets: targets, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+}
+
+// run keeps sending bookings, one after the other, until the context ends.
+func (c *callers) run(ctx context.Context, name string, random *rand.Rand) {
+	for number := 0; ctx.Err() == nil; number++ {
+		b := Booking{ID: fmt.Sprintf("%s-%d", name, number), Kind: keyKinds[random.IntN(len(keyKinds))], Begin: time.Now()}
+		c.book(ctx, &b, random)
+		c.mu.Lock()
+		c.bookings = append(c.bookings, b)
+		c.mu.Unlock()
+	}
+}
+
+// book sends the booking in rounds until it is told to have run, and once more now and then.
+func (c *callers) book(ctx context.Context, b *Booking, random *rand.Rand) {
+	key := firstKey(b)
+	again := random.IntN(4) == 0
+	for round := 0; round < maxRounds && ctx.Err() == nil; round++ {
+		copies := 1
+		if key != "" {
+			copies += random.IntN(maxCopies)
+		}
+		sends := c.round(b.ID, key, copies, random)
+		b.Sends = append(b.Sends, sends...)
+		key = keyAfter(key, sends)
+		if key == "" || (b.Ran() && !again) {
+			return
+		}
+		again = again && !b.Ran()
+		time.Sleep(time.Duration(random.Int64N(int64(roundPause))))
+	}
+}
+
+func firstKey(b *Booking) string {
+	switch b.Kind {
+	case Timed:
+		return uuid.Must(uuid.NewV7()).String()
+	case Opaque:
+		return "booking-" + uuid.NewString()
+	default:
+		return ""
+	}
+}
+
+// keyAfter returns the key to send again under. Without one that was told, a booking can't be sent again.
+func keyAfter(key string, sends []Send) string {
+	if key == "" {
+		return sends[0].Key
+	}
+	return key
+}
+
+// round sends copies at the same moment and waits for all of their answers.
+func (c *callers) round(id, key string, copies int, random *rand.Rand) []Send {
+	sends := make([]Send, copies)
+	targets := make([]string, copies)
+	for i := range targets {
+		targets[i] = c.targets[random.IntN(len(c.targets))]
+	}
+	var group conc.WaitGroup
+	for i := range sends {
+		group.Go(func() { sends[i] = c.send(id, key, targets[i]) })
+	}
+	group.Wait()
+	return sends
+}
+
+// send sends one copy. It keeps net/http from sending it again by itself.
+func (c *callers) send(id, key, target string) (s Send) {
+	s = Send{Begin: time.Now(), Key: key}
+	defer func() { s.End = time.Now() }()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	address := "http://" + target + "/call/" + c.service + "/bookings"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, strings.NewReader(id))
+	if err != nil {
+		return s
+	}
+	request.GetBody = nil
+	if key != "" {
+		request.Header.Set(backend.KeyHeader, key)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return s
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return s
+	}
+	s.Status, s.Body = response.StatusCode, string(body)
+	s.Outcome = response.Header.Get(caller.OutcomeHeader)
+	s.Reason = response.Header.Get(caller.ReasonHeader)
+	if told := response.Header.Get(backend.KeyHeader); told != "" {
+		s.Key = told
+	}
+	return s
+}
--- /dev/null
+++ b/internal/lab/once/check.go
@@ -0,0 +1,125 @@
+package once
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
+)
+
+// Report is the result of a run.
+type Report struct {
+	Bookings int `json:"bookings"`
+	Sends    int `json:"sends"`
+	// Outcomes counts what callers were told; "" stands for no answer.
+	Outcomes map[string]int `json:"outcomes"`
+	Reasons  map[string]int `json:"reasons"`
+	// Kinds says how each kind of key fared.
+	Kinds map[KeyKind]KindCount `json:"kinds"`
+	// Violations are the promises that were broken; none are expected.
+	Violations []string `json:"violations"`
+}
+
+// KindCount counts the bookings of one kind of key.
+type KindCount struct {
+	Bookings int `json:"bookings"`
+	// Ran counts those that were told to have run.
+	Ran int `json:"ran"`
+	// FirstRan counts those whose first send was told so.
+	FirstRan int `json:"first_ran"`
+}
+
+// start is one key in the ledgers.
+type start struct {
+	count int
+	first time.Time
+}
+
+// Check compares what callers were told with the ledgers.
+func Check(bookings []Booking, runs []server.Run) Report {
+	report := Report{
+		Bookings: len(bookings),
+		Outcomes: map[string]int{},
+		Reasons:  map[string]int{},
+		Kinds:    map[KeyKind]KindCount{},
+	}
+	starts := startsByKey(runs)
+	for key, s := range starts {
+		if s.count > 1 {
+			report.violate("key %s ran %d times", key, s.count)
+		}
+	}
+	for _, b := range bookings {
+		report.count(b)
+		report.check(b, starts)
+	}
+	return report
+}
+
+func startsByKey(runs []server.Run) map[string]start {
+	starts := map[string]start{}
+	for _, r := range runs {
+		s := starts[r.Key]
+		if s.first.IsZero() || r.First.Before(s.first) {
+			s.first = r.First
+		}
+		s.count += r.Started
+		starts[r.Key] = s
+	}
+	return starts
+}
+
+func (r *Report) violate(format string, values ...any) {
+	r.Violations = append(r.Violations, fmt.Sprintf(format, values...))
+}
+
+func (r *Report) count(b Booking) {
+	kind := r.Kinds[b.Kind]
+	kind.Bookings++
+	if b.Ran() {
+		kind.Ran++
+	}
+	if len(b.Sends) > 0 && b.Sends[0].Outcome == "ran" {
+		kind.FirstRan++
+	}
+	r.Kinds[b.Kind] = kind
+	for _, s := range b.Sends {
+		r.Sends++
+		r.Outcomes[s.Outcome]++
+		r.Reasons[s.Reason]++
+	}
+}
+
+// check looks at every answer of one booking.
+func (r *Report) check(b Booking, starts map[string]start) {
+	first := ""
+	for _, s := range b.Sends {
+		ran, started := starts[s.Key]
+		switch s.Outcome {
+		case "ran":
+			if s.Status == http.StatusOK && !started {
+				r.violate("booking %s was told ran under %s, which is in no ledger", b.ID, s.Key)
+			}
+			if first != "" && s.Body != first {
+				r.violate("booking %s got two answers: %q and %q", b.ID, first, s.Body)
+			}
+			first = s.Body
+		case "not_run":
+			if started && !explained(b, s, ran.first) {
+				r.violate("booking %s was told not_run (%s) under %s, which ran %s after the send began",
+					b.ID, s.Reason, s.Key, ran.first.Sub(s.Begin))
+			}
+		}
+	}
+}
+
+// explained reports whether a later send of the caller can have run what an earlier one was told not to have run.
+func explained(b Booking, told Send, ran time.Time) bool {
+	for _, s := range b.Sends {
+		if s.Key == told.Key && s.Begin.After(told.Begin) && s.Begin.Before(ran) && s.End.After(ran) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/lab/server/ledger.go
+++ b/internal/lab/server/ledger.go
@@ -1,6 +1,9 @@
 package server
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // RequestHeader carries the load generator's name of a request down the chain.
 const RequestHeader = "X-Lab-Request"
@@ -11,6 +14,8 @@
 	Key     string `json:"key,omitempty"`
 	Started int    `json:"started"`
 	Ended   int    `json:"ended"`
+	// First is when the request first started here.
+	First time.Time `json:"first"`
 }
 
 // Ledger counts how often each request ran here.
@@ -30,7 +35,7 @@
 	id := request + " " + key
 	r, ok := l.runs[id]
 	if !ok {
-		r = &Run{Request: request, Key: key}
+		r = &Run{Request: request, Key: key, First: time.Now()}
 		l.runs[id] = r
 	}
 	r.Started++
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/control/homes"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
@@ -16,8 +18,8 @@
 	gateTick = 10 * time.Millisecond
 	// controlTimeout bounds one control message.
 	controlTimeout = time.Second
-	// drainSettle is how long a leaving node waits for others to learn of it.
-	drainSettle = time.Second
+	// drainSettle is how long a leaving node waits for others to learn of it. New work that comes later is refused.
+	drainSettle = 1500 * time.Millisecond
 	// drainTimeout bounds the wait for requests in flight.
 	drainTimeout = 30 * time.Second
 	// peerMaxIdle is how long an unused connection between nodes is trusted.
@@ -30,6 +32,14 @@
 	highestLimit = 1000
 )
 
+// keyTable bounds the memory of keys. The window is the one of the shards.
+var keyTable = outcome.TableConfig{
+	Window:   homes.DefaultTiming.Window,
+	Ahead:    30 * time.Second,
+	MaxKeys:  200_000,
+	MaxBytes: 128 << 20,
+}
+
 var retryBudget = retry.BudgetConfig{PerSuccess: 0.1, Max: 20}
 
 var ejection = flow.EjectionConfig{Failures: 3, Time: 2 * time.Second, SheddingTime: 100 * time.Millisecond}
--- /dev/null
+++ b/internal/process/node/drain.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
+)
+
+// work counts what is in flight on the listeners, until each answer is written.
+type work struct {
+	inFlight atomic.Int64
+	// closing tells callers on open connections to make new ones elsewhere.
+	closing atomic.Bool
+	// closed refuses new root requests.
+	closed atomic.Bool
+}
+
+// countCalls counts the requests of callers and of the local backend server.
+func (w *work) countCalls(next http.Handler, chains *call.Chains) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.inFlight.Add(1)
+		defer w.inFlight.Add(-1)
+		if w.closing.Load() {
+			rw.Header().Set("Connection", "close")
+		}
+		if w.closed.Load() && chains.Find(r.Header.Get(backend.ChainHeader)) == nil {
+			refuseDraining(rw, r)
+			return
+		}
+		next.ServeHTTP(rw, r)
+	})
+}
+
+// refuseDraining answers a root request that came too late. With a caller's key, an earlier attempt may have run.
+func refuseDraining(rw http.ResponseWriter, r *http.Request) {
+	outcome := call.NotRun
+	if r.Header.Get(backend.KeyHeader) != "" {
+		outcome = call.NotAdmitted
+	}
+	rw.Header().Set(caller.OutcomeHeader, outcome.String())
+	rw.Header().Set(caller.ReasonHeader, string(call.ReasonDraining))
+	rw.Header().Set("Retry-After", "1")
+	rw.WriteHeader(call.ReasonDraining.Entry().Status)
+}
+
+// countRPCs counts the requests of other nodes.
+func (w *work) countRPCs(next drpc.Handler) drpc.Handler {
+	return &countingHandler{work: w, next: next}
+}
+
+type countingHandler struct {
+	work *work
+	next drpc.Handler
+}
+
+// HandleRPC passes an RPC on and returns when its answer is written.
+func (h *countingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	h.work.inFlight.Add(1)
+	defer h.work.inFlight.Add(-1)
+	return h.next.HandleRPC(stream, rpc)
+}
+
+const (
+	// leavePoll is the time between looks at whether the node is to leave.
+	leavePoll = 50 * time.Millisecond
+	// quietTime is how long nothing may be in flight before the listeners close.
+	quietTime = 250 * time.Millisecond
+	// shutdownTimeout bounds the writing of the last answers.
+	shutdownTimeout = 5 * time.Second
+)
+
+// waitForLeave returns when the process is asked to stop, when an operator drains the node, or when the backend
+// server announces that it leaves.
+func (n *Node) waitForLeave(ctx context.Context) {
+	ticker := time.NewTicker(leavePoll)
+	defer ticker.Stop()
+	for {
+		if b := n.loop.Snapshot(); b.Self.Draining || b.Backend.Leaving {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// drain tells the others, hands the keys over, and waits until nothing is in flight. For the first moments, while
+// others still learn of it, the node goes on as an entry and as a home, and passes the work on.
+func (n *Node) drain(ctx context.Context) {
+	n.config.Log.Emit(events.DrainStarted, nil)
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	n.work.closing.Store(true)
+	n.loop.Do(ctx, func(b *board.Board) {
+		b.Self.Draining = true
+		if successor, ok := flow.Successor(b); ok {
+			b.Self.Successor = successor.Node
+		}
+	})
+	pause(ctx, drainSettle)
+	n.work.closed.Store(true)
+	n.handOver(ctx)
+	n.waitQuiet(ctx)
+	n.config.Log.Emit(events.DrainFinished, nil)
+}
+
+// handOver gives the keys to the successor, or to another node where that one leaves too.
+func (n *Node) handOver(ctx context.Context) {
+	for ctx.Err() == nil {
+		b := n.loop.Snapshot()
+		successor, ok := b.Members.ByNode[b.Self.Successor]
+		if !ok {
+			successor, ok = flow.Successor(b)
+		}
+		if !ok {
+			return
+		}
+		keys, result := n.home.HandOver(ctx, n.peers, successor)
+		fields := events.Fields{"successor": successor.Node, "keys": keys}
+		switch result {
+		case flow.HandoverTaken:
+			n.config.Log.Emit(events.KeysHandedOver, fields)
+			return
+		case flow.HandoverUnclear:
+			n.config.Log.Emit(events.KeysLost, fields)
+			return
+		}
+		n.chooseSuccessor(ctx, successor.Node)
+	}
+}
+
+// chooseSuccessor names another successor in the place of one that takes nothing.
+func (n *Node) chooseSuccessor(ctx context.Context, refused string) {
+	n.loop.Do(ctx, func(b *board.Board) {
+		b.Self.Successor = ""
+		if next, ok := flow.Successor(b); ok && next.Node != refused {
+			b.Self.Successor = next.Node
+		}
+	})
+	pause(ctx, leavePoll)
+}
+
+// waitQuiet returns when nothing has been in flight for a moment.
+func (n *Node) waitQuiet(ctx context.Context) {
+	quiet := time.Now()
+	for ctx.Err() == nil && time.Since(quiet) < quietTime {
+		if n.work.inFlight.Load() > 0 || n.gate.Load().InFlight > 0 {
+			quiet = time.Now()
+		}
+		pause(ctx, gateTick)
+	}
+}
+
+// shutdown closes the listener and idle connections, and waits for the last answers to be written.
+func shutdown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -21,9 +21,11 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/homes"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
@@ -50,12 +52,18 @@
 	sender     *flow.Sender
 	controller *zone.Controller
 	chains     *call.Chains
+	home       *flow.Home
+	homes      *homes.Controller
+	keyed      *flow.KeyedSender
+	peers      *peer.Client
+	work       work
 	listeners  listeners
 }
 
 // New builds a node without starting it.
 func New(config Config) *Node {
 	s := config.Settings
+	self := outcome.Node{Name: s.Node.Name, Incarnation: uint64(time.Now().UnixNano())}
 	n := &Node{config: config, chains: call.NewChains()}
 	n.loop = board.NewLoop(board.Board{Self: board.Self{
 		Node:          s.Node.Name,
@@ -63,25 +71,51 @@
 		Region:        s.Node.Region,
 		PeerAddress:   s.Peer.AdvertisedAddress(),
 		CallerAddress: s.Caller.Address,
+		Incarnation:   self.Incarnation,
 	}})
 	n.gate = backend.NewGate(gateConfig(s))
 	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody}, n.chains)
 	n.pool = peer.NewPool(poolConfig(s))
 	n.receiver = flow.NewReceiver(flow.ReceiverConfig{Board: n.loop, Gate: n.gate, Backend: n.client})
+	n.peers = peer.NewClient(n.pool, s.Node.Name)
+	n.home = flow.NewHome(flow.HomeConfig{
+		Board:    n.loop,
+		Self:     self,
+		Zones:    s.Node.ZoneList(),
+		Local:    n.receiver,
+		Delegate: func(ctx context.Context, r *call.Request) call.Reply { return n.sender.Delegate(ctx, r) },
+		Load:     n.gate.Load,
+		Table:    keyTable,
+	})
 	n.sender = flow.NewSender(flow.SenderConfig{
 		Board:    n.loop,
-		Peers:    peer.NewClient(n.pool, s.Node.Name),
-		Receiver: n.receiver,
+		Peers:    n.peers,
+		Receiver: n.home,
 		Budget:   retryBudget,
 		Ejection: ejection,
 	})
+	n.keyed = flow.NewKeyedSender(flow.KeyedConfig{
+		Board:  n.loop,
+		Sender: n.sender,
+		Zones:  s.Node.ZoneList(),
+		Window: keyTable.Window,
+	})
+	client := platform.NewClient(platformConfig(s))
+	n.homes = homes.NewController(homes.Config{
+		Board:    n.loop,
+		Platform: client,
+		Log:      config.Log,
+		Zones:    s.Node.ZoneList(),
+		Timing:   homes.DefaultTiming,
+	})
 	n.controller = zone.NewController(zone.Config{
 		Board:       n.loop,
-		Platform:    platform.NewClient(platformConfig(s)),
+		Platform:    client,
 		Peers:       zone.NewClient(n.pool, s.Node.Name, s.Node.Zone, controlTimeout),
 		Log:         config.Log,
 		Timing:      zone.DefaultTiming,
-		Incarnation: uint64(time.Now().UnixNano()),
+		Incarnation: self.Incarnation,
+		Sections:    map[string]zone.Section{homes.Prefix: n.homes.Section()},
 	})
 	return n
 }
@@ -98,7 +132,7 @@
 	var group conc.WaitGroup
 	n.start(working, &group)
 	config.Log.Emit(events.NodeStarted, events.Fields{"settings": config.Settings.Node.Name})
-	<-ctx.Done()
+	n.waitForLeave(ctx)
 	n.drain(working)
 	stop()
 	n.listeners.close()
@@ -143,9 +177,11 @@
 func (n *Node) start(ctx context.Context, group *conc.WaitGroup) {
 	group.Go(func() { n.loop.Run(ctx) })
 	group.Go(func() { n.controller.Run(ctx) })
+	group.Go(func() { n.homes.Run(ctx, n.controller) })
+	group.Go(func() { n.home.Run(ctx) })
 	group.Go(func() { n.advanceGate(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
-	group.Go(func() { n.serveHTTP(ctx, n.listeners.caller, n.callerRouter()) })
+	group.Go(func() { n.serveHTTP(ctx, n.listeners.caller, n.work.countCalls(n.callerRouter(), n.chains)) })
 	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
 }
 
@@ -153,7 +189,7 @@
 	router := httprouter.New()
 	caller.Register(router, caller.Config{
 		Board:   n.loop,
-		Sender:  n.sender,
+		Sender:  n.keyed,
 		Chains:  n.chains,
 		MaxBody: n.config.Settings.Caller.MaxBody,
 	})
@@ -205,7 +241,7 @@
 
 func (n *Node) servePeers(ctx context.Context) {
 	mux := drpcmux.New()
-	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.receiver))
+	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.home, n.home))
 	if err == nil {
 		err = zonepb.DRPCRegisterZone(mux, zone.NewServer(n.controller))
 	}
@@ -213,7 +249,7 @@
 		n.config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+	server := drpcserver.NewWithOptions(n.work.countRPCs(mux), drpcserver.Options{
 		Log: func(err error) { n.config.Log.Emit(events.PeerGarbage, events.Fields{"error": err.Error()}) },
 	})
 	_ = server.Serve(ctx, n.listeners.peer)
@@ -225,22 +261,13 @@
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
 		ReadTimeout:       n.config.Settings.Caller.BodyTimeout,
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		shutdown(server)
+	})
 	_ = server.Serve(l)
-}
-
-// drain refuses new work and waits until nothing is in flight.
-func (n *Node) drain(ctx context.Context) {
-	n.config.Log.Emit(events.DrainStarted, nil)
-	n.loop.Do(ctx, func(b *board.Board) { b.Self.Draining = true })
-	deadline := time.Now().Add(drainTimeout)
-	settled := time.Now().Add(drainSettle)
-	for time.Now().Before(deadline) {
-		if time.Now().After(settled) && n.gate.Load().InFlight == 0 {
-			break
-		}
-		time.Sleep(gateTick)
+	if !stop() {
+		<-ended
 	}
-	n.config.Log.Emit(events.DrainFinished, nil)
 }
--- /dev/null
+++ b/internal/proof/once/once_test.go
@@ -0,0 +1,39 @@
+package once_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/once"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(harness.Main(m))
+}
+
+// The seeds give schedules of kills, freezes, planned stops, cuts and platform faults, some at the same time.
+func TestAtMostOnceUnderFaults(t *testing.T) {
+	for name, seed := range map[string]uint64{"seed 1": 1, "seed 2": 2} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := harness.Start(t, fleet.Config{Deployment: once.Deployment(), Seed: seed})
+			report := once.Run(t.Context(), once.Config{
+				Fleet:    f,
+				Service:  "bookings",
+				Duration: 9 * time.Second,
+				Seed:     seed,
+				Callers:  8,
+				Output:   t.Output(),
+			})
+			for _, v := range report.Violations {
+				t.Error(v)
+			}
+			is.True(report.Outcomes["ran"] > 0) // some bookings ran in spite of the faults
+		})
+	}
+}
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -121,6 +121,9 @@
 		return call.Reply{}, &exchangeError{cause: err}
 	}
 	setHeaders(request, r, token)
+	if !r.Idempotent {
+		sendOnce(request)
+	}
 	response, err := c.client().Do(request)
 	if err != nil {
 		return call.Reply{}, &exchangeError{sent: sent, cause: err}
@@ -136,6 +139,14 @@
 	return call.Reply{Outcome: call.Ran, Status: response.StatusCode, Header: EndToEnd(response.Header), Body: body}, nil
 }
 
+// sendOnce keeps net/http from sending the request again by itself. It does so on a kept-alive connection that
+// breaks, for every request with a key, whether or not the backend server has begun it, unless the body can't be had
+// a second time. An empty body is wrapped as well, because net/http takes http.NoBody for one that can.
+func sendOnce(request *http.Request) {
+	request.Body = io.NopCloser(request.Body)
+	request.GetBody = nil
+}
+
 func (c *Client) client() *http.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -77,6 +77,14 @@
 	SourceNode string
 	// Delegated says that the key's home passed the request on to be run.
 	Delegated bool
+	// Entered is when the sending node took the request, by this node's clock and without the time on the way.
+	Entered time.Time
+	// Confirm is the token of the challenge that this copy answers.
+	Confirm string
+	// Resent says that an earlier copy was sent whose fate is open.
+	Resent bool
+	// TargetIncarnation is the process that the attempt is meant for; 0 for any.
+	TargetIncarnation uint64
 }
 
 // Load is what a node reports about its own backend server with each reply.
@@ -101,6 +109,8 @@
 	// Final forbids further attempts by anybody up the chain.
 	Final bool
 	Load  Load
+	// Confirm is the token of a challenge: the request runs only if it is sent again with it.
+	Confirm string
 }
 
 // Refused returns the reply to a request that was given up for the reason.
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -74,7 +74,7 @@
 func (h *handler) serve(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	request, chain, refused := h.request(r, p)
 	if refused != nil {
-		reply := call.Refused(call.NotRun, refused.reason, 0)
+		reply := call.Refused(refusedOutcome(r), refused.reason, 0)
 		reply.Body = []byte(refused.text + "\n")
 		h.write(w, nil, reply)
 		return
@@ -88,6 +88,15 @@
 	h.write(w, request, h.send(ctx, request, chain))
 }
 
+// refusedOutcome returns the outcome of a request that was sent nowhere. Under a caller's key, an earlier attempt may
+// have run.
+func refusedOutcome(r *http.Request) call.Outcome {
+	if r.Header.Get(backend.KeyHeader) != "" {
+		return call.NotAdmitted
+	}
+	return call.NotRun
+}
+
 // send charges the attempts to the chain that the call belongs to.
 func (h *handler) send(ctx context.Context, request *call.Request, chain *call.Chain) call.Reply {
 	if chain == nil {
--- /dev/null
+++ b/internal/traffic/flow/keyed.go
@@ -0,0 +1,203 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
+)
+
+// KeyedConfig sets a KeyedSender up.
+type KeyedConfig struct {
+	Board  *board.Loop
+	Sender *Sender
+	// Zones are all availability zones; the same list everywhere.
+	Zones []string
+	// Window is how long callers may send a key again.
+	Window time.Duration
+}
+
+// KeyedSender is where requests enter a node. It gives a key to each non-idempotent request without one, and sends
+// a request with a caller's key to the home of the key. Idempotent requests go straight to the Sender.
+type KeyedSender struct {
+	config KeyedConfig
+}
+
+// NewKeyedSender returns a sender.
+func NewKeyedSender(config KeyedConfig) *KeyedSender {
+	return &KeyedSender{config: config}
+}
+
+// Send sends the request on and returns the reply.
+func (k *KeyedSender) Send(ctx context.Context, r *call.Request) call.Reply {
+	if r.Idempotent {
+		return k.config.Sender.Send(ctx, r)
+	}
+	r.Entered = time.Now()
+	if r.Key == "" {
+		r.KeyMinted = true
+		return k.config.Sender.Send(ctx, r)
+	}
+	key, err := outcome.ParseKey(r.Key)
+	if err != nil {
+		return call.Refused(call.NotAdmitted, call.ReasonBadKey, 0)
+	}
+	return k.sendHome(ctx, r, key)
+}
+
+// relocatePause is the time before another look at who decides about a key, while that changes hands.
+const relocatePause = 25 * time.Millisecond
+
+// sendHome sends the request to the node that decides about its key, and follows the key while it changes hands.
+func (k *KeyedSender) sendHome(ctx context.Context, r *call.Request, key outcome.Key) call.Reply {
+	attempt := *r
+	patience := time.Now().Add(relocatePatience)
+	useSuccessor := false
+	for {
+		target, refusal, ok := k.locate(r.Service, key, useSuccessor)
+		if !ok {
+			return openly(refusal, attempt.Resent)
+		}
+		reply, err := k.config.Sender.toHome(ctx, target, &attempt)
+		if err == nil && !moved(reply) {
+			return openly(reply, attempt.Resent)
+		}
+		useSuccessor = !useSuccessor
+		if time.Now().After(patience) || !wait(ctx, relocatePause) {
+			return openly(unreached(reply, err), attempt.Resent)
+		}
+	}
+}
+
+// relocatePatience is how long a key that changes hands is followed.
+const relocatePatience = 2 * time.Second
+
+// moved reports whether the node refused because it does not, or no longer, decide about the key.
+func moved(r call.Reply) bool {
+	return r.Outcome == call.NotAdmitted && (r.Reason == call.ReasonDraining || r.Reason == call.ReasonHomeUnknown)
+}
+
+// openly turns a refusal into unknown where an earlier copy was sent whose fate is open.
+func openly(r call.Reply, open bool) call.Reply {
+	if r.Outcome == call.NotAdmitted && open {
+		return call.Refused(call.Unknown, call.ReasonPeerSilent, 0)
+	}
+	return r
+}
+
+func unreached(r call.Reply, err error) call.Reply {
+	if err == nil {
+		return r
+	}
+	var failure *peer.Error
+	if errors.As(err, &failure) && failure.Sent {
+		return call.Refused(call.Unknown, failure.Reason, 0)
+	}
+	return call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry)
+}
+
+// locate returns the node that decides about the key, or the reply where there is none. While the home of a key
+// leaves, its successor is asked in turn with it.
+func (k *KeyedSender) locate(service string, key outcome.Key, useSuccessor bool) (membership.Member, call.Reply, bool) {
+	b := k.config.Board.Snapshot()
+	home, ok := homeOf(b, k.config.Zones, service, key, k.config.Window)
+	if !ok {
+		return membership.Member{}, noHome(key, time.Now(), k.config.Window), false
+	}
+	if m, ok := heir(b, home); ok {
+		return m, call.Reply{}, true
+	}
+	m, known := b.Members.ByNode[home.Name]
+	if known && m.Incarnation == home.Incarnation {
+		if successor, ok := b.Members.ByNode[m.Successor]; ok && useSuccessor {
+			return successor, call.Reply{}, true
+		}
+		return m, call.Reply{}, true
+	}
+	if known {
+		return m, call.Refused(call.Unknown, call.ReasonHomeUnknown, 0), false
+	}
+	return m, call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry), false
+}
+
+// noHome tells a key whose time can never be right from one whose home is not agreed yet.
+func noHome(key outcome.Key, now time.Time, window time.Duration) call.Reply {
+	ahead := time.UnixMilli(key.UnixMillis).Sub(now)
+	if key.Timed && (ahead < -window || ahead > keyAhead) {
+		return call.Refused(call.NotAdmitted, call.ReasonKeyTime, 0)
+	}
+	return call.Refused(call.NotAdmitted, call.ReasonHomeUnknown, homeRetry)
+}
+
+// keyAhead is how far ahead of the node's clock the time of a key may lie and still be worth another try.
+const keyAhead = 30 * time.Second
+
+// heir returns the member to which the keys of the node were handed over.
+func heir(b *board.Board, home outcome.Node) (membership.Member, bool) {
+	name := homeName(home)
+	for _, m := range b.Members.ByNode {
+		if m.AnswersFor != "" && strings.Contains(" "+m.AnswersFor+" ", " "+name+" ") {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+// toHome sends the attempt to the node that decides about its key.
+func (s *Sender) toHome(ctx context.Context, target membership.Member, attempt *call.Request) (call.Reply, error) {
+	start := time.Now()
+	s.views.begin(target.Node)
+	reply, err := s.exchange().call(ctx, target, attempt)
+	s.views.end(target.Node, start, time.Now(), attempt.Root.Rank, reply)
+	return reply, err
+}
+
+// Delegate passes a request on from the home of its key to another instance.
+func (s *Sender) Delegate(ctx context.Context, r *call.Request) call.Reply {
+	target, ok := s.choose(r, []string{s.config.Board.Snapshot().Self.Node})
+	if !ok {
+		return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
+	}
+	passed := *r
+	passed.Delegated = true
+	passed.Resent = false
+	return s.decided(ctx, target, &passed)
+}
+
+// mint gives the request a key that names the target as its home. Each attempt gets its own, because the caller has
+// not seen the earlier ones.
+func mint(r *call.Request, target membership.Member) {
+	home := outcome.Node{Name: target.Node, Incarnation: target.Incarnation}
+	r.Key = outcome.Mint(home, uuid.Must(uuid.NewV7()))
+}
+
+// decided sends an attempt that nobody else can have sent, and returns what became of it.
+func (s *Sender) decided(ctx context.Context, target membership.Member, attempt *call.Request) call.Reply {
+	reply, err := s.toHome(ctx, target, attempt)
+	if err != nil {
+		return failedReply(err, attempt)
+	}
+	if reply.Outcome != call.NotAdmitted {
+		return reply
+	}
+	if attempt.Resent {
+		return call.Refused(call.Unknown, call.ReasonPeerSilent, 0)
+	}
+	refusal := call.Refused(call.NotRun, reply.Reason, reply.RetryAfter)
+	if reply.Reason == call.ReasonKeyTime {
+		refusal = call.Refused(call.NotRun, call.ReasonHomeUnknown, homeRetry)
+	}
+	return refusal
+}
+
+func (s *Sender) exchange() *exchange {
+	return &exchange{peers: s.config.Peers, local: s.config.Receiver, self: s.config.Board.Snapshot().Self.Node}
+}
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -29,7 +29,7 @@
 type SenderConfig struct {
 	Board    *board.Loop
 	Peers    *peer.Client
-	Receiver *Receiver
+	Receiver Runner
 	Budget   retry.BudgetConfig
 	Ejection EjectionConfig
 }
@@ -90,6 +90,11 @@
 	attempt := *r
 	attempt.AttemptID = uuid.NewString()
 	attempt.AttemptsLeft = max(attemptsLeft, 0)
+	if r.KeyMinted {
+		mint(&attempt, target)
+		r.Key = attempt.Key
+		return s.decided(ctx, target, &attempt)
+	}
 	start := time.Now()
 	s.views.begin(target.Node)
 	reply := s.transmit(ctx, target, &attempt)
--- /dev/null
+++ b/internal/traffic/peer/handover.go
@@ -0,0 +1,94 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
+)
+
+// RememberedKey is one key that a leaving node hands over.
+type RememberedKey struct {
+	ID          string
+	Fingerprint uint64
+	UnixMillis  int64
+	Bytes       int
+	// NotRun says that the key has not run; else Reply is its answer.
+	NotRun bool
+	Reply  call.Reply
+}
+
+// HandoverPart is a part of what a leaving node hands over.
+type HandoverPart struct {
+	ID    string
+	Part  int
+	Parts int
+	Keys  []RememberedKey
+	// Homes are the nodes for whose keys the receiver answers once it has all parts.
+	Homes []outcome.Node
+}
+
+// HandOver sends one part and reports whether the receiver took it; false says that it will never take any.
+func (c *Client) HandOver(ctx context.Context, address string, p HandoverPart, timeout time.Duration) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request := &peerpb.HandoverRequest{SourceNode: c.node, HandoverId: p.ID, Part: int32(p.Part), Parts: int32(p.Parts)}
+	for _, k := range p.Keys {
+		request.Keys = append(request.Keys, keyMessage(k))
+	}
+	for _, h := range p.Homes {
+		request.Homes = append(request.Homes, &peerpb.HomeNode{Node: h.Name, Incarnation: h.Incarnation})
+	}
+	var answer *peerpb.HandoverReply
+	err := c.pool.UseNew(ctx, address, func(conn *drpcconn.Conn) (err error) {
+		answer, err = peerpb.NewDRPCPeerClient(conn).Handover(ctx, request)
+		return err
+	})
+	if err != nil {
+		return false, &Error{Address: address, Sent: true, Reason: reasonOf(ctx), Cause: err}
+	}
+	return !answer.GetRefused(), nil
+}
+
+// Handover takes in a part of a leaving node's keys.
+func (s *Server) Handover(ctx context.Context, m *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	p := HandoverPart{ID: m.GetHandoverId(), Part: int(m.GetPart()), Parts: int(m.GetParts())}
+	for _, k := range m.GetKeys() {
+		p.Keys = append(p.Keys, keyOf(k))
+	}
+	for _, h := range m.GetHomes() {
+		p.Homes = append(p.Homes, outcome.Node{Name: h.GetNode(), Incarnation: h.GetIncarnation()})
+	}
+	taken := s.keeper.TakeOver(ctx, p)
+	return &peerpb.HandoverReply{Accepted: int32(len(p.Keys)), Refused: !taken}, nil
+}
+
+func keyMessage(k RememberedKey) *peerpb.RememberedKey {
+	m := &peerpb.RememberedKey{
+		Key:           k.ID,
+		Fingerprint:   k.Fingerprint,
+		KeyUnixMillis: k.UnixMillis,
+		Bytes:         int64(k.Bytes),
+		Reply:         replyMessage("", k.Reply),
+	}
+	if k.NotRun {
+		m.Reply = &peerpb.CallReply{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, BodyChecksum: xxhash.Sum64(nil)}
+	}
+	return m
+}
+
+func keyOf(m *peerpb.RememberedKey) RememberedKey {
+	return RememberedKey{
+		ID:          m.GetKey(),
+		Fingerprint: m.GetFingerprint(),
+		UnixMillis:  m.GetKeyUnixMillis(),
+		Bytes:       int(m.GetBytes()),
+		NotRun:      m.GetReply().GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN,
+		Reply:       replyOf(m.GetReply()),
+	}
+}
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -49,6 +49,10 @@
 		Caller:              r.Root.Caller,
 		SourceNode:          node,
 		Delegated:           r.Delegated,
+		Confirm:             r.Confirm,
+		AgeMicros:           now.Sub(r.Entered).Microseconds(),
+		Resent:              r.Resent,
+		TargetIncarnation:   r.TargetIncarnation,
 	}
 }
 
@@ -88,6 +92,11 @@
 		AttemptsLeft: int(m.GetAttemptsLeft()),
 		SourceNode:   m.GetSourceNode(),
 		Delegated:    m.GetDelegated(),
+		Entered:      now.Add(-time.Duration(m.GetAgeMicros()) * time.Microsecond),
+		Confirm:      m.GetConfirm(),
+		Resent:       m.GetResent(),
+
+		TargetIncarnation: m.GetTargetIncarnation(),
 	}, nil
 }
 
@@ -109,6 +118,7 @@
 			Limit:        int32(r.Load.Limit),
 			SheddingRank: int32(r.Load.SheddingRank),
 		},
+		Confirm: r.Confirm,
 	}
 }
 
@@ -128,6 +138,7 @@
 			Limit:        int(m.GetLoad().GetLimit()),
 			SheddingRank: int(m.GetLoad().GetSheddingRank()),
 		},
+		Confirm: m.GetConfirm(),
 	}
 }
 
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -39,6 +39,14 @@
 	open int
 }
 
+func (c *peerConns) closeIdle() {
+	for _, i := range c.idle {
+		_ = i.conn.Close()
+	}
+	c.open -= len(c.idle)
+	c.idle = nil
+}
+
 type idleConn struct {
 	conn  *drpcconn.Conn
 	since time.Time
@@ -66,16 +74,19 @@
 	return f(conn)
 }
 
+// Drop closes the idle connections to a node that was found silent, so that none of them is trusted again.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peer(address).closeIdle()
+}
+
 // Close closes all idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, peer := range p.peers {
-		for _, i := range peer.idle {
-			_ = i.conn.Close()
-		}
-		peer.open -= len(peer.idle)
-		peer.idle = nil
+		peer.closeIdle()
 	}
 }
 
--- a/internal/traffic/peer/server.go
+++ b/internal/traffic/peer/server.go
@@ -13,16 +13,24 @@
 	Receive(ctx context.Context, r *call.Request) call.Reply
 }
 
+// Keeper remembers attempts and keys.
+type Keeper interface {
+	Resolve(q Question) Resolution
+	// TakeOver takes in a part of a leaving node's keys. False says that no part will ever be taken.
+	TakeOver(ctx context.Context, p HandoverPart) bool
+}
+
 // Server answers the RPCs of other nodes.
 type Server struct {
 	peerpb.DRPCPeerUnimplementedServer
 
 	receiver Receiver
+	keeper   Keeper
 }
 
-// NewServer returns a server that hands requests to the receiver.
-func NewServer(receiver Receiver) *Server {
-	return &Server{receiver: receiver}
+// NewServer returns a server that hands requests to the receiver and questions about them to the keeper.
+func NewServer(receiver Receiver, keeper Keeper) *Server {
+	return &Server{receiver: receiver, keeper: keeper}
 }
 
 // Call runs one attempt.
