--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -38,6 +38,7 @@
 	DocumentAccepted   Number = 1401
 	DocumentRefused    Number = 1402
 	DocumentInForce    Number = 1403
+	DocumentReinstated Number = 1404
 	KeysHandedOver     Number = 1501
 	HomesChanged       Number = 1502
 	KeysLost           Number = 1503
@@ -64,19 +65,20 @@
 	BackendLeaving:     {Name: "backend_leaving", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server announced that it leaves."},
 	BackendFailed:      {Name: "backend_failed", Level: zerolog.WarnLevel, Since: "0.1", Text: "The backend server broke a connection in the middle of a request.", Action: "If it repeats, look for a crash of the backend server."},
 	RequestQuarantined: {Name: "request_quarantined", Level: zerolog.WarnLevel, Since: "0.1", Text: "A request that crashed backend servers is refused for a time.", Action: "Find the request by its fingerprint in the dump and mend the backend server."},
-	PeerUnreachable:    {Name: "peer_unreachable", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node failed."},
-	PeerSilent:         {Name: "peer_silent", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node went silent and was closed."},
+	PeerUnreachable:    {Name: "peer_unreachable", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node failed.", Action: "If it lasts, check the network between the two nodes and whether the other one runs."},
+	PeerSilent:         {Name: "peer_silent", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node went silent and was closed.", Action: "If it repeats, look for a device between the two nodes that loses track of connections."},
 	PeerGarbage:        {Name: "peer_garbage", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to the peer address sent something that isn't drpc.", Action: "Find out who connects to the peer address."},
-	CallerRejected:     {Name: "caller_rejected", Level: zerolog.DebugLevel, Since: "0.1", Text: "A caller's request was malformed."},
+	CallerRejected:     {Name: "caller_rejected", Level: zerolog.InfoLevel, Since: "0.1", Text: "A caller's request was malformed; at most one a second is logged, with the number left out."},
 	PlatformLost:       {Name: "platform_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "The platform's store does not answer; the node goes on with what it has.", Action: "See the page on platform outages in docs/OPERATORS.md."},
 	PlatformBack:       {Name: "platform_back", Level: zerolog.InfoLevel, Since: "0.1", Text: "The platform's store answers again."},
 	LeaderElected:      {Name: "leader_elected", Level: zerolog.InfoLevel, Since: "0.1", Text: "This node leads its availability zone."},
-	LeaderLost:         {Name: "leader_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "This node no longer leads its availability zone."},
-	MemberDown:         {Name: "member_down", Level: zerolog.WarnLevel, Since: "0.1", Text: "A node missed its heartbeats and gets no new work."},
+	LeaderLost:         {Name: "leader_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "This node no longer leads its availability zone.", Action: "Nothing for one; if it repeats, the platform is slow or the instance pauses."},
+	MemberDown:         {Name: "member_down", Level: zerolog.WarnLevel, Since: "0.1", Text: "A node missed its heartbeats and gets no new work.", Action: "Look whether the instance or its network is down; nothing is to be done for a replaced instance."},
 	MemberUp:           {Name: "member_up", Level: zerolog.InfoLevel, Since: "0.1", Text: "A node joined or came back."},
 	DocumentAccepted:   {Name: "document_accepted", Level: zerolog.InfoLevel, Since: "0.1", Text: "A team's document was written to the platform."},
 	DocumentRefused:    {Name: "document_refused", Level: zerolog.WarnLevel, Since: "0.1", Text: "A document has faults or lost a race and was not written.", Action: "The answer names each fault; mend the document and send it again."},
 	DocumentInForce:    {Name: "document_in_force", Level: zerolog.InfoLevel, Since: "0.1", Text: "A document's revision is in force on this node."},
+	DocumentReinstated: {Name: "document_reinstated", Level: zerolog.WarnLevel, Since: "0.2", Text: "The platform had an older document than the nodes, and the newer one was written back.", Action: "Find out why the platform went back to older content."},
 	KeysHandedOver:     {Name: "keys_handed_over", Level: zerolog.InfoLevel, Since: "0.1", Text: "A leaving node's remembered keys went to its successor."},
 	KeysLost:           {Name: "keys_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "A leaving node could not hand its keys over for certain; callers that send them again are told unknown or not_admitted."},
 	HomesChanged:       {Name: "homes_changed", Level: zerolog.InfoLevel, Since: "0.1", Text: "Another set of nodes remembers the keys from a given time on."},
