--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -80,7 +80,7 @@
 	DocumentInForce:    {Name: "document_in_force", Level: zerolog.InfoLevel, Since: "0.1", Text: "A document's revision is in force on this node."},
 	DocumentReinstated: {Name: "document_reinstated", Level: zerolog.WarnLevel, Since: "0.2", Text: "The platform had an older document than the nodes, and the newer one was written back.", Action: "Find out why the platform went back to older content."},
 	KeysHandedOver:     {Name: "keys_handed_over", Level: zerolog.InfoLevel, Since: "0.1", Text: "A leaving node's remembered keys went to its successor."},
-	KeysLost:           {Name: "keys_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "A leaving node could not hand its keys over for certain; callers that send them again are told unknown or not_admitted."},
+	KeysLost:           {Name: "keys_lost", Level: zerolog.WarnLevel, Since: "0.2", Text: "A leaving node could not hand its keys over for certain; callers that send them again are told unknown or not_admitted.", Action: "Look for what kept the successor from answering; let callers of the last minutes check their orders."},
 	HomesChanged:       {Name: "homes_changed", Level: zerolog.InfoLevel, Since: "0.1", Text: "Another set of nodes remembers the keys from a given time on."},
 }
 
--- /dev/null
+++ b/internal/decide/outcome/table_test.go
@@ -0,0 +1,155 @@
+package outcome_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+)
+
+var start = time.UnixMilli(1_800_000_000_000)
+
+var config = outcome.TableConfig{Window: time.Minute, Ahead: 10 * time.Second, MaxKeys: 3, MaxBytes: 1 << 20}
+
+func askAt(id string, at time.Time) outcome.Ask {
+	return outcome.Ask{ID: id, UnixMillis: at.UnixMilli(), Timed: true, Fingerprint: 7, Token: "token-of-" + id}
+}
+
+func TestParseKey(t *testing.T) {
+	home := outcome.Node{Name: "access.0", Incarnation: 99}
+	id := uuid.MustParse("01a23f1d-16fa-75fd-80e0-13ed2775fc37")
+	for name, tc := range map[string]struct {
+		text   string
+		millis int64
+		timed  bool
+		home   outcome.Node
+		fault  bool
+	}{
+		"UUIDv7":      {text: id.String(), millis: 0x01a23f1d16fa, timed: true},
+		"ULID":        {text: "01ARZ3NDEKTSV4RRFFQ69G5FAV", millis: 1469922850259, timed: true},
+		"minted":      {text: outcome.Mint(home, id), millis: 0x01a23f1d16fa, timed: true, home: home},
+		"UUIDv4":      {text: "1b4e28ba-2fa1-41d2-883f-0016d3cca427"},
+		"opaque":      {text: "booking-17"},
+		"half minted": {text: "m.2r.nonsense.access"},
+		"empty":       {fault: true},
+		"with space":  {text: "booking 17", fault: true},
+		"not ASCII":   {text: "lüster", fault: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			k, err := outcome.ParseKey(tc.text)
+			is.Equal(err != nil, tc.fault)
+			is.Equal(k.Timed, tc.timed)
+			is.Equal(k.UnixMillis, tc.millis)
+			is.Equal(k.Home, tc.home)
+		})
+	}
+}
+
+func TestCopiesOfOneKey(t *testing.T) {
+	is := is.New(t)
+	table := outcome.NewTable[string](config)
+	is.Equal(table.Begin(start, askAt("k", start)).Action, outcome.Run)
+	is.Equal(table.Begin(start, askAt("k", start)).Action, outcome.Attach)
+	table.Settle(start, "k", outcome.Done, "booked", 6)
+	again := table.Begin(start.Add(time.Second), askAt("k", start))
+	is.Equal(again.Action, outcome.Answer)
+	is.Equal(again.Reply, "booked")
+	other := askAt("k", start)
+	other.Fingerprint = 8
+	is.Equal(table.Begin(start, other).Action, outcome.RefuseReused)
+}
+
+// A key that was told not to have run must not be run for a copy that entered before.
+func TestLateCopyAfterNotRun(t *testing.T) {
+	for name, tc := range map[string]struct {
+		age  time.Duration
+		want outcome.Action
+	}{
+		"entered before it was told":             {age: 3 * time.Second, want: outcome.RefuseNotRun},
+		"entered in the moment that it was told": {age: 2 * time.Second, want: outcome.RefuseNotRun},
+		"entered afterwards":                     {age: time.Second, want: outcome.Run},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := outcome.NewTable[string](config)
+			table.Begin(start, askAt("k", start))
+			table.Settle(start, "k", outcome.NotRun, "", 0)
+			challenge := table.Begin(start.Add(2*time.Second), askAt("k", start))
+			is.Equal(challenge.Action, outcome.Challenge)
+			confirmed := askAt("k", start)
+			confirmed.Confirm, confirmed.Age = challenge.Token, tc.age
+			is.Equal(table.Begin(start.Add(9*time.Second), confirmed).Action, tc.want)
+			is.True(table.Begin(start.Add(9*time.Second), confirmed).Action != outcome.Run) // a token holds once
+		})
+	}
+}
+
+func TestFencedBeforeItArrived(t *testing.T) {
+	is := is.New(t)
+	table := outcome.NewTable[string](config)
+	state, _ := table.Resolve(start, askAt("k", start), false)
+	is.Equal(state, outcome.Absent)
+	state, _ = table.Resolve(start, askAt("k", start), true)
+	is.Equal(state, outcome.NotRun)
+	is.Equal(table.Begin(start, askAt("k", start)).Action, outcome.Challenge)
+}
+
+func TestSingleCopyNeedsNoMemory(t *testing.T) {
+	is := is.New(t)
+	table := outcome.NewTable[string](config)
+	single := askAt("k", start)
+	single.Single = true
+	table.Begin(start, single)
+	table.Settle(start, "k", outcome.NotRun, "", 0)
+	is.Equal(table.Size(), outcome.Size{})
+	table.Begin(start, single)
+	table.Begin(start, askAt("k", start)) // a second copy came while the first was waiting
+	table.Settle(start, "k", outcome.NotRun, "", 0)
+	is.Equal(table.Size().Keys, 1)
+}
+
+func TestKeysAreForgottenOnlyWhenRefused(t *testing.T) {
+	is := is.New(t)
+	table := outcome.NewTable[string](config)
+	table.Begin(start, askAt("k", start))
+	table.Settle(start, "k", outcome.Done, "booked", 6)
+	table.Expire(start.Add(config.Window))
+	is.Equal(table.Size().Keys, 1)
+	table.Expire(start.Add(config.Window + time.Second))
+	is.Equal(table.Size(), outcome.Size{})
+	is.Equal(table.Begin(start, askAt("k", start)).Action, outcome.RefuseTime) // also after the clock was set back
+	is.Equal(table.Begin(start, askAt("f", start.Add(time.Minute))).Action, outcome.RefuseTime)
+}
+
+func TestFullTableRefusesNewKeys(t *testing.T) {
+	is := is.New(t)
+	table := outcome.NewTable[string](config)
+	for _, id := range []string{"a", "b", "c"} {
+		is.Equal(table.Begin(start, askAt(id, start)).Action, outcome.Run)
+	}
+	is.Equal(table.Begin(start, askAt("d", start)).Action, outcome.RefuseFull)
+	is.Equal(table.Begin(start, askAt("a", start)).Action, outcome.Attach)
+}
+
+func TestClosedTableOnlyAnswers(t *testing.T) {
+	is := is.New(t)
+	table, successor := outcome.NewTable[string](config), outcome.NewTable[string](config)
+	table.Begin(start, askAt("running", start))
+	table.Begin(start, askAt("refused", start))
+	table.Settle(start, "refused", outcome.NotRun, "", 0)
+	table.Close()
+	is.Equal(table.Begin(start, askAt("new", start)).Action, outcome.RefuseClosed)
+	is.Equal(table.Begin(start, askAt("refused", start)).Action, outcome.RefuseClosed)
+	is.Equal(table.Begin(start, askAt("running", start)).Action, outcome.Attach)
+	table.Settle(start, "running", outcome.Done, "booked", 6)
+	for _, e := range table.Entries() {
+		successor.Restore(start, e)
+	}
+	is.Equal(successor.Begin(start, askAt("running", start)).Action, outcome.Answer)
+	is.Equal(successor.Begin(start, askAt("refused", start)).Action, outcome.Challenge)
+	is.Equal(successor.Size().Bytes, table.Size().Bytes)
+}
