--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -27,6 +27,7 @@
 		ShortUsage: "hoistlab <command> [flags]",
 		Subcommands: []*ffcli.Command{
 			demoCommand(),
+			onceCommand(),
 			overloadCommand(),
 			latencyCommand(),
 			capacityCommand(),
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -20,7 +20,9 @@
 
 // Member is one node with its backend server, as others know it.
 type Member struct {
-	Node          string `json:"node"`
+	Node string `json:"node"`
+	// Incarnation is the start of the node's process, which tells it from earlier ones of the same name.
+	Incarnation   uint64 `json:"incarnation,omitempty"`
 	Zone          string `json:"zone"`
 	Region        string `json:"region,omitempty"`
 	PeerAddress   string `json:"peer_address"`
@@ -32,6 +34,10 @@
 	State       State  `json:"state"`
 	// DownSince is when a leader marked the member down, in seconds of Unix time.
 	DownSince int64 `json:"down_since,omitempty"`
+	// Successor answers for the keys of a member that leaves; empty for none.
+	Successor string `json:"successor,omitempty"`
+	// AnswersFor lists the earlier nodes, with their incarnations, whose keys the member took over.
+	AnswersFor string `json:"answers_for,omitempty"`
 }
 
 // Record returns the member as a record.
--- a/internal/traffic/flow/entry.go
+++ b/internal/traffic/flow/entry.go
@@ -48,7 +48,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	// A request with a key is answered from memory when it is sent again, which costs little.
-	resent := r.Key == "" && (r.Resends > 0 || e.failures.Has(now, fingerprint(r)))
+	resent := r.Key == "" && (r.Resends > 0 || e.failures.Has(now, senderFingerprint(r)))
 	verdict := e.throttle(now, r).Offer(now, globalRandom{}, throttle.Offer{Caller: r.Root.Caller, Resent: resent})
 	if verdict.Admitted {
 		return call.Reply{}, true
@@ -66,10 +66,10 @@
 	defer e.mu.Unlock()
 	e.throttle(now, r).Learn(now, resultOf(reply))
 	if reply.Failure() == call.ReasonNone {
-		e.failures.Remove(fingerprint(r))
+		e.failures.Remove(senderFingerprint(r))
 		return
 	}
-	e.failures.Add(now, fingerprint(r))
+	e.failures.Add(now, senderFingerprint(r))
 }
 
 func (e *entry) throttle(now time.Time, r *call.Request) *throttle.Throttle {
@@ -105,8 +105,8 @@
 	return throttle.Neutral
 }
 
-// fingerprint is the same for a request that its caller sends again.
-func fingerprint(r *call.Request) uint64 {
+// senderFingerprint is the same for a request that its caller sends again.
+func senderFingerprint(r *call.Request) uint64 {
 	h := xxhash.New()
 	for _, part := range []string{r.Root.Caller, r.Service, r.Method, r.Path} {
 		_, _ = h.WriteString(part)
