--- a/internal/process/node/table.go
+++ b/internal/process/node/table.go
@@ -17,6 +17,7 @@
 	d.writeNode(t)
 	d.writeDocuments(t, now)
 	d.writeMembers(t)
+	d.writeHomes(t, now)
 	d.writeAdmission(t)
 	d.writeQuarantine(t, now)
 	d.writeConnections(t)
@@ -102,6 +103,20 @@
 	return milliseconds(silent).String()
 }
 
+func (d Dump) writeHomes(t *tables, now time.Time) {
+	t.section("HOMES", "SHARD", "KEPT BY", "FROM", "UNTIL", "MEMBERS")
+	for _, name := range slices.Sorted(maps.Keys(d.Board.Homes.Shards)) {
+		for _, e := range d.Board.Homes.Shards[name].Epochs {
+			t.row(name, e.Zone, since(now, e.Start), since(now, e.Until), len(e.Members))
+		}
+	}
+}
+
+// since shows a time in Unix milliseconds by its distance from now.
+func since(now time.Time, at int64) string {
+	return fmt.Sprintf("%+.1fs", time.UnixMilli(at).Sub(now).Seconds())
+}
+
 func (d Dump) writeAdmission(t *tables) {
 	title := fmt.Sprintf("ADMISSION: %d in flight, %d queued, limit %d", d.Load.InFlight, d.Load.Queued, d.Load.Limit)
 	t.section(title, "RANK", "QUEUED", "OFFERED", "STARTED", "SHED", "LATE", "WITHDRAWN")
--- a/internal/proof/control/session_test.go
+++ b/internal/proof/control/session_test.go
@@ -20,7 +20,6 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/store"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/node"
-	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
 
 const (
@@ -87,7 +86,7 @@
 	deployment.Services = deployment.Services[1:]
 	deployment.Services[0].Instances = 1
 	tokens := "*:" + fleet.OperatorToken + ",access-team:" + teamToken + ",bookings-team:" + otherToken
-	f := harness.Start(t, fleet.Config{Deployment: deployment, Settings: []string{"-operator.tokens", tokens}})
+	f := start(t, fleet.Config{Deployment: deployment, Settings: []string{"-operator.tokens", tokens}})
 	s := &session{t: t, node: f.Nodes[0]}
 	const path = "/v1/documents/access"
 	faulty := strings.NewReplacer("rank = 2", "rank = 12", "idempotent = true", "idempotent = perhaps").Replace(string(document(900)))
@@ -119,7 +118,7 @@
 // TestDumpAndMetrics reads the state of a node in each way in which operators can.
 func TestDumpAndMetrics(t *testing.T) {
 	is := is.New(t)
-	f := harness.Start(t, fleet.Config{Deployment: fleet.Chain()})
+	f := start(t, fleet.Config{Deployment: fleet.Chain()})
 	is.True(serves(t, f.Nodes))
 	for _, n := range f.Nodes {
 		encoded, err := client(n).Dump(t.Context())
@@ -133,7 +132,7 @@
 		for _, other := range f.Nodes {
 			is.True(strings.Contains(table.String(), other.Name))
 		}
-		for _, title := range []string{"DOCUMENTS", "MEMBERS", "ADMISSION", "QUARANTINE", "CONNECTIONS"} {
+		for _, title := range []string{"DOCUMENTS", "MEMBERS", "HOMES", "ADMISSION", "QUARANTINE", "CONNECTIONS"} {
 			is.True(strings.Contains(table.String(), "\n"+title))
 		}
 	}
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -83,6 +83,14 @@
 	SourceNode string
 	// Delegated says that the key's home passed the request on to be run.
 	Delegated bool
+	// Entered is when the sending node took the request, by this node's clock and without the time on the way.
+	Entered time.Time
+	// Confirm is the token of the challenge that this copy answers.
+	Confirm string
+	// Resent says that an earlier copy was sent whose fate is open.
+	Resent bool
+	// TargetIncarnation is the process that the attempt is meant for; 0 for any.
+	TargetIncarnation uint64
 }
 
 // Load is what a node reports about its own backend server with each reply.
@@ -110,6 +118,8 @@
 	// to a failure may try again, so such a reply is passed up.
 	Deeper Reason
 	Load   Load
+	// Confirm is the token of a challenge: the request runs only if it is sent again with it.
+	Confirm string
 }
 
 // Failure returns why the reply is no good answer, or ReasonNone. An answer of the backend server is judged by its
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -97,16 +97,20 @@
 	if h.config.Rejected != nil {
 		h.config.Rejected(r, refused.reason, refused.text)
 	}
-	outcome := call.NotRun
-	if r.Header.Get(backend.KeyHeader) != "" {
-		// An earlier attempt under the key may have run.
-		outcome = call.NotAdmitted
-	}
-	reply := call.Refused(outcome, refused.reason, 0)
+	reply := call.Refused(refusedOutcome(r), refused.reason, 0)
 	reply.Body = []byte(refused.text + "\n")
 	h.write(w, nil, reply)
 }
 
+// refusedOutcome returns the outcome of a request that was sent nowhere. Under a caller's key, an earlier attempt may
+// have run.
+func refusedOutcome(r *http.Request) call.Outcome {
+	if r.Header.Get(backend.KeyHeader) != "" {
+		return call.NotAdmitted
+	}
+	return call.NotRun
+}
+
 // send sends the request on. A call of a chain spends the chain's attempts and waits on the chain's behalf.
 func (h *handler) send(ctx context.Context, request *call.Request, chain *call.Chain) call.Reply {
 	if chain == nil {
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -50,6 +50,10 @@
 		SourceNode:          node,
 		Delegated:           r.Delegated,
 		Crashes:             int32(r.Crashes),
+		Confirm:             r.Confirm,
+		AgeMicros:           now.Sub(r.Entered).Microseconds(),
+		Resent:              r.Resent,
+		TargetIncarnation:   r.TargetIncarnation,
 	}
 }
 
@@ -90,6 +94,11 @@
 		SourceNode:   m.GetSourceNode(),
 		Delegated:    m.GetDelegated(),
 		Crashes:      int(m.GetCrashes()),
+		Entered:      now.Add(-time.Duration(m.GetAgeMicros()) * time.Microsecond),
+		Confirm:      m.GetConfirm(),
+		Resent:       m.GetResent(),
+
+		TargetIncarnation: m.GetTargetIncarnation(),
 	}, nil
 }
 
@@ -112,6 +121,7 @@
 			Limit:        int32(r.Load.Limit),
 			SheddingRank: int32(r.Load.SheddingRank),
 		},
+		Confirm: r.Confirm,
 	}
 }
 
@@ -132,6 +142,7 @@
 			Limit:        int(m.GetLoad().GetLimit()),
 			SheddingRank: int(m.GetLoad().GetSheddingRank()),
 		},
+		Confirm: m.GetConfirm(),
 	}
 }
 
