--- a/cmd/comfreyhoist/document.go
+++ b/cmd/comfreyhoist/document.go
@@ -30,7 +30,7 @@
 const operatorTimeout = 10 * time.Second
 
 func (t *target) register(flags *flag.FlagSet) {
-	flags.StringVar(&t.address, "address", "127.0.0.1:7004", "IP and port of a node's administration API")
+	flags.StringVar(&t.address, "address", "127.0.0.1:7003", "IP and port of a node's administration API")
 	flags.StringVar(&t.token, "token", "", "bearer token; better set as COMFREYHOIST_TOKEN, which other users can't see")
 	flags.DurationVar(&t.timeout, "timeout", operatorTimeout, "time for one call")
 	flags.BoolVar(&t.json, "json", false, "print JSON instead of a table")
@@ -59,7 +59,7 @@
 		Name:        "document",
 		ShortUsage:  "comfreyhoist document get|put|list|history [flags] [service] [file]",
 		ShortHelp:   "read and write the teams' documents",
-		LongHelp:    "Example:\n  comfreyhoist document list -address 10.1.0.7:7004",
+		LongHelp:    "Example:\n  comfreyhoist document list -address 10.0.1.21:7003",
 		FlagSet:     flag.NewFlagSet("comfreyhoist document", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{getCommand(), putCommand(), listCommand(), historyCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
@@ -69,7 +69,7 @@
 func getCommand() *ffcli.Command {
 	var t target
 	flags := flag.NewFlagSet("comfreyhoist document get", flag.ContinueOnError)
-	usage := "comfreyhoist document get -address 10.1.0.7:7004 bookings"
+	usage := "comfreyhoist document get -address 10.0.1.21:7003 bookings"
 	return clientCommand("get", usage, "print a document; its tag goes to standard error", flags, &t, func(ctx context.Context, arguments []string) error {
 		if len(arguments) != 1 {
 			return flag.ErrHelp
@@ -125,7 +125,7 @@
 func listCommand() *ffcli.Command {
 	var t target
 	flags := flag.NewFlagSet("comfreyhoist document list", flag.ContinueOnError)
-	usage := "comfreyhoist document list -address 10.1.0.7:7004"
+	usage := "comfreyhoist document list -address 10.0.1.21:7003"
 	return clientCommand("list", usage, "list the documents in force on a node", flags, &t, func(ctx context.Context, _ []string) error {
 		summaries, err := t.client().List(ctx)
 		if err != nil {
--- a/cmd/comfreyhoist/drain.go
+++ b/cmd/comfreyhoist/drain.go
@@ -12,7 +12,7 @@
 func drainCommand() *ffcli.Command {
 	var t target
 	flags := flag.NewFlagSet("comfreyhoist drain", flag.ContinueOnError)
-	usage := "comfreyhoist drain -address 10.1.0.7:7004"
+	usage := "comfreyhoist drain -address 10.0.1.21:7003"
 	help := "begin the planned stop of a node: it takes no new work, finishes what it has and ends"
 	return clientCommand("drain", usage, help, flags, &t, func(ctx context.Context, _ []string) error {
 		if err := t.client().Drain(ctx); err != nil {
--- a/cmd/comfreyhoist/dump.go
+++ b/cmd/comfreyhoist/dump.go
@@ -16,7 +16,7 @@
 func dumpCommand() *ffcli.Command {
 	var t target
 	flags := flag.NewFlagSet("comfreyhoist dump", flag.ContinueOnError)
-	usage := "comfreyhoist dump -address 10.1.0.7:7004"
+	usage := "comfreyhoist dump -address 10.0.1.21:7003"
 	return clientCommand("dump", usage, "print the state of a node", flags, &t, func(ctx context.Context, _ []string) error {
 		encoded, err := t.client().Dump(ctx)
 		if err != nil {
--- a/internal/control/operator/server.go
+++ b/internal/control/operator/server.go
@@ -9,7 +9,7 @@
 //	router := httprouter.New()
 //	operator.Register(router, operator.Config{Editor: operator.NewEditor(...), Tokens: operator.NewTokens(byTeam), ...})
 //
-//	client := operator.NewClient(operator.ClientConfig{Address: "10.1.0.7:7004", Token: token})
+//	client := operator.NewClient(operator.ClientConfig{Address: "10.0.1.21:7003", Token: token})
 //	stored, err := client.Get(ctx, "bookings")
 //
 // Errors are of type *Error, on both sides.
