--- a/internal/lab/scenario/measure.go
+++ b/internal/lab/scenario/measure.go
@@ -53,6 +53,8 @@
 const (
 	// SeriesWindow is the length of one window of a series.
 	SeriesWindow = 500 * time.Millisecond
+	// lastAnswers is left out before a trigger, because it still meets the requests sent then.
+	lastAnswers = time.Second
 	// recovered is the part of the earlier goodput that counts as recovered.
 	recovered = 0.95
 	// steadyWindows is how many windows in a row must have recovered.
@@ -62,7 +64,7 @@
 func measure(config Config, results []load.Result, started map[string]int) Result {
 	spans := config.Scenario.spans()
 	last := spans[len(spans)-1]
-	before := span{settle, Before}
+	before := span{settle, Before - lastAnswers}
 	during := span{spans[0].start + settle, spans[0].end}
 	after := span{last.end + After/2, last.end + After}
 	r := Result{
@@ -188,7 +190,7 @@
 // recovery returns how long after the end of the trigger the share of good answers was back for good. Shares are
 // compared, not rates, because random arrivals make the rate of single windows waver.
 func recovery(results []load.Result, end, duration time.Duration) time.Duration {
-	wanted := recovered * share(results, span{settle, Before})
+	wanted := recovered * share(results, span{settle, Before - lastAnswers})
 	steady := 0
 	for start := end; start+SeriesWindow <= duration; start += SeriesWindow {
 		if share(results, span{start, start + SeriesWindow}) < wanted {
