--- /dev/null
+++ b/internal/proof/shell/damage_test.go
@@ -0,0 +1,65 @@
+package shell_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/proxy"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+// damagedRequests are sent, one after the other, with one bit of each chunk flipped.
+const damagedRequests = 150
+
+// TestDamagedRequestIsNoFaultOfTheCaller damages requests between nodes. The caller sent a good one.
+func TestDamagedRequestIsNoFaultOfTheCaller(t *testing.T) {
+	is := is.New(t)
+	f := harness.Start(t, fleet.Config{Deployment: deployment(1)})
+	f.Network.Set("access_0", "bookings_0", proxy.Fault{Corrupt: true})
+	for i := range 20 {
+		a := answer{id: fmt.Sprintf("damaged-%d", i), path: bookingPath, body: bytes.Repeat([]byte("ballroom"), 1000)}
+		send(t.Context(), f.Nodes[0].Caller, &a)
+		is.NoErr(a.err)
+		is.True(a.status >= http.StatusInternalServerError)
+	}
+}
+
+// TestDamagedFieldsAreFound damages small messages between nodes, in which the flipped bit is as often in a header, a
+// name or a number as in the body, in each direction.
+func TestDamagedFieldsAreFound(t *testing.T) {
+	f := harness.Start(t, fleet.Config{Deployment: deployment(1)})
+	for _, direction := range [][2]string{{"access_0", "bookings_0"}, {"bookings_0", "access_0"}} {
+		t.Run(direction[0]+" to "+direction[1], func(t *testing.T) {
+			f.Network.Clear()
+			f.Network.Set(direction[0], direction[1], proxy.Fault{Corrupt: true})
+			var answers []answer
+			for i := range damagedRequests {
+				a := answer{id: fmt.Sprintf("%s-%d", direction[0], i), path: bookingPath, body: bytes.Repeat([]byte("x"), i)}
+				send(t.Context(), f.Nodes[0].Caller, &a)
+				answers = append(answers, a)
+			}
+			f.Network.Clear()
+			harness.Eventually(t, 20*time.Second, func() bool { return wholeAgain(t, f) })
+			started := startedByRequest(f)
+			for _, a := range answers {
+				is := is.New(t)
+				is.NoErr(a.err)
+				is.True(a.outcome != "ran" || started[a.id] == 1 && bytes.Equal(a.got, a.body)) // ran as it was sent
+				is.True(a.outcome != "not_run" || started[a.id] == 0)                           // what was not run was not run
+			}
+		})
+	}
+}
+
+func wholeAgain(t *testing.T, f *fleet.Fleet) bool {
+	t.Helper()
+	a := answer{id: "whole", path: bookingPath, body: []byte("whole")}
+	send(t.Context(), f.Nodes[0].Caller, &a)
+	return a.err == nil && a.outcome == "ran"
+}
