--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -9,6 +9,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
 )
@@ -21,6 +22,7 @@
 	Admission    admission.Totals
 	Receiver     flow.ReceiverStats
 	Connections  map[string]int
+	Quarantine   []quarantine.Entry
 }
 
 func (n *Node) registerHealth(router *httprouter.Router) {
@@ -57,5 +59,6 @@
 		Admission:    n.gate.Totals(),
 		Receiver:     n.receiver.Stats(),
 		Connections:  n.pool.Open(),
+		Quarantine:   n.quarantine.Entries(),
 	})
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -22,9 +22,12 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/homes"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
@@ -51,9 +54,15 @@
 	controlPool *peer.Pool
 	receiver    *flow.Receiver
 	sender      *flow.Sender
+	quarantine  *flow.Quarantine
 	controller  *zone.Controller
 	platform    *platform.Client
 	chains      *call.Chains
+	home        *flow.Home
+	homes       *homes.Controller
+	keyed       *flow.KeyedSender
+	peers       *peer.Client
+	work        work
 	listeners   listeners
 	limiter     *events.Limiter
 	stop        context.CancelFunc
@@ -62,6 +71,7 @@
 // New builds a node without starting it.
 func New(config Config) *Node {
 	s := config.Settings
+	self := outcome.Node{Name: s.Node.Name, Incarnation: uint64(time.Now().UnixNano())}
 	n := &Node{config: config, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, limitedEvery)}
 	n.loop = board.NewLoop(board.Board{Self: board.Self{
 		Node:          s.Node.Name,
@@ -69,20 +79,56 @@
 		Region:        s.Node.Region,
 		PeerAddress:   s.Peer.AdvertisedAddress(),
 		CallerAddress: s.Caller.Address,
+		Incarnation:   self.Incarnation,
 	}})
 	n.gate = backend.NewGate(gateConfig(s))
 	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody}, n.chains)
 	n.pool = peer.NewPool(poolConfig(s))
 	n.controlPool = peer.NewPool(poolConfig(s))
-	n.receiver = flow.NewReceiver(flow.ReceiverConfig{Board: n.loop, Gate: n.gate, Backend: n.client})
+	n.peers = peer.NewClient(n.pool, s.Node.Name)
+	n.quarantine = flow.NewQuarantine(flow.QuarantineConfig{
+		Table: quarantineConfig(s),
+		Board: n.loop,
+		Peers: n.peers,
+		Log:   config.Log,
+	})
+	n.receiver = flow.NewReceiver(flow.ReceiverConfig{
+		Board:      n.loop,
+		Gate:       n.gate,
+		Backend:    n.client,
+		Quarantine: n.quarantine,
+	})
+	n.home = flow.NewHome(flow.HomeConfig{
+		Board:    n.loop,
+		Self:     self,
+		Zones:    s.Node.ZoneList(),
+		Local:    n.receiver,
+		Delegate: func(ctx context.Context, r *call.Request) call.Reply { return n.sender.Delegate(ctx, r) },
+		Load:     n.gate.Load,
+		Table:    keyTable,
+	})
 	n.sender = flow.NewSender(flow.SenderConfig{
 		Board:    n.loop,
-		Peers:    peer.NewClient(n.pool, s.Node.Name),
-		Receiver: n.receiver,
+		Peers:    n.peers,
+		Receiver: n.home,
 		Budget:   retryBudget,
 		Ejection: ejection,
+		Throttle: throttle.DefaultConfig,
+	})
+	n.keyed = flow.NewKeyedSender(flow.KeyedConfig{
+		Board:  n.loop,
+		Sender: n.sender,
+		Zones:  s.Node.ZoneList(),
+		Window: keyTable.Window,
 	})
 	n.platform = platform.NewClient(platformConfig(s))
+	n.homes = homes.NewController(homes.Config{
+		Board:    n.loop,
+		Platform: n.platform,
+		Log:      config.Log,
+		Zones:    s.Node.ZoneList(),
+		Timing:   homes.DefaultTiming,
+	})
 	n.controller = zone.NewController(zone.Config{
 		Board:    n.loop,
 		Platform: n.platform,
@@ -96,7 +142,8 @@
 		Seeds:       s.Peer.SeedList(),
 		Log:         config.Log,
 		Timing:      zone.DefaultTiming,
-		Incarnation: uint64(time.Now().UnixNano()),
+		Incarnation: self.Incarnation,
+		Sections:    map[string]zone.Section{homes.Prefix: n.homes.Section()},
 	})
 	return n
 }
@@ -115,7 +162,7 @@
 	var group conc.WaitGroup
 	n.start(working, &group)
 	config.Log.Emit(events.NodeStarted, events.Fields{"settings": config.Settings.Node.Name})
-	<-ctx.Done()
+	n.waitForLeave(ctx)
 	n.drain(working)
 	stop()
 	n.listeners.close()
@@ -170,9 +217,12 @@
 func (n *Node) start(ctx context.Context, group *conc.WaitGroup) {
 	group.Go(func() { n.loop.Run(ctx) })
 	group.Go(func() { n.controller.Run(ctx) })
+	group.Go(func() { n.homes.Run(ctx, n.controller) })
+	group.Go(func() { n.home.Run(ctx) })
 	group.Go(func() { n.advanceGate(ctx) })
+	group.Go(func() { n.quarantine.Run(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
-	group.Go(func() { n.serveHTTP(ctx, n.listeners.caller, n.callerRouter()) })
+	group.Go(func() { n.serveHTTP(ctx, n.listeners.caller, n.work.countCalls(n.callerRouter(), n.chains)) })
 	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
 	if n.listeners.operator != nil {
 		group.Go(func() { n.serveHTTP(ctx, n.listeners.operator, n.operatorRouter()) })
@@ -183,7 +233,7 @@
 	router := httprouter.New()
 	caller.Register(router, caller.Config{
 		Board:   n.loop,
-		Sender:  n.sender,
+		Sender:  n.keyed,
 		Chains:  n.chains,
 		MaxBody: n.config.Settings.Caller.MaxBody,
 
@@ -237,7 +287,10 @@
 
 func (n *Node) servePeers(ctx context.Context) {
 	mux := drpcmux.New()
-	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.receiver))
+	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.home, n.home))
+	if err == nil {
+		err = peerpb.DRPCRegisterQuarantine(mux, peer.NewQuarantineServer(n.quarantine))
+	}
 	if err == nil {
 		err = zonepb.DRPCRegisterZone(mux, zone.NewServer(n.controller))
 	}
@@ -245,7 +298,7 @@
 		n.config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+	server := drpcserver.NewWithOptions(n.work.countRPCs(mux), drpcserver.Options{
 		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
 		Log:     n.peerFailed,
 	})
@@ -260,22 +313,13 @@
 		ErrorLog:          n.httpLog(),
 	}
 	caller.WatchConns(server, n.endedEarly)
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		shutdown(server)
+	})
 	_ = server.Serve(l)
-}
-
-// drain refuses new work and waits until nothing is in flight.
-func (n *Node) drain(ctx context.Context) {
-	n.config.Log.Emit(events.DrainStarted, nil)
-	n.loop.Do(ctx, func(b *board.Board) { b.Self.Draining = true })
-	deadline := time.Now().Add(drainTimeout)
-	settled := time.Now().Add(drainSettle)
-	for time.Now().Before(deadline) {
-		if time.Now().After(settled) && n.gate.Load().InFlight == 0 {
-			break
-		}
-		time.Sleep(gateTick)
+	if !stop() {
+		<-ended
 	}
-	n.config.Log.Emit(events.DrainFinished, nil)
 }
--- a/internal/traffic/caller/headers.go
+++ b/internal/traffic/caller/headers.go
@@ -108,3 +108,16 @@
 	}
 	return "/" + path, nil
 }
+
+// resendsOf returns how often the caller says that it has sent the request before.
+func resendsOf(r *http.Request) (int, *rejection) {
+	text := r.Header.Get(ResendHeader)
+	if text == "" {
+		return 0, nil
+	}
+	resends, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return 0, &rejection{call.ReasonBadRequest, ResendHeader + " is not a small whole number"}
+	}
+	return int(resends), nil
+}
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -49,6 +49,11 @@
 		Caller:              r.Root.Caller,
 		SourceNode:          node,
 		Delegated:           r.Delegated,
+		Crashes:             int32(r.Crashes),
+		Confirm:             r.Confirm,
+		AgeMicros:           now.Sub(r.Entered).Microseconds(),
+		Resent:              r.Resent,
+		TargetIncarnation:   r.TargetIncarnation,
 	}
 }
 
@@ -60,8 +65,8 @@
 	if m.GetRank() < 0 || m.GetRank() >= admission.Ranks {
 		return nil, fmt.Errorf("rank %d is out of range", m.GetRank())
 	}
-	if m.GetAttemptsLeft() < 0 || m.GetDepth() < 0 {
-		return nil, fmt.Errorf("attempts or depth is negative")
+	if m.GetAttemptsLeft() < 0 || m.GetDepth() < 0 || m.GetCrashes() < 0 {
+		return nil, fmt.Errorf("attempts, depth or crashes is negative")
 	}
 	if m.GetBodyChecksum() != xxhash.Sum64(m.GetBody()) {
 		return nil, fmt.Errorf("body does not match its checksum")
@@ -88,6 +93,12 @@
 		AttemptsLeft: int(m.GetAttemptsLeft()),
 		SourceNode:   m.GetSourceNode(),
 		Delegated:    m.GetDelegated(),
+		Crashes:      int(m.GetCrashes()),
+		Entered:      now.Add(-time.Duration(m.GetAgeMicros()) * time.Microsecond),
+		Confirm:      m.GetConfirm(),
+		Resent:       m.GetResent(),
+
+		TargetIncarnation: m.GetTargetIncarnation(),
 	}, nil
 }
 
@@ -103,12 +114,14 @@
 		BodyChecksum:     xxhash.Sum64(r.Body),
 		AttemptsUsed:     int32(r.AttemptsUsed),
 		Final:            r.Final,
+		Deeper:           string(r.Deeper),
 		Load: &peerpb.Load{
 			InFlight:     int32(r.Load.InFlight),
 			Queued:       int32(r.Load.Queued),
 			Limit:        int32(r.Load.Limit),
 			SheddingRank: int32(r.Load.SheddingRank),
 		},
+		Confirm: r.Confirm,
 	}
 }
 
@@ -122,12 +135,14 @@
 		Body:         m.GetBody(),
 		AttemptsUsed: int(m.GetAttemptsUsed()),
 		Final:        m.GetFinal(),
+		Deeper:       call.Reason(m.GetDeeper()),
 		Load: call.Load{
 			InFlight:     int(m.GetLoad().GetInFlight()),
 			Queued:       int(m.GetLoad().GetQueued()),
 			Limit:        int(m.GetLoad().GetLimit()),
 			SheddingRank: int(m.GetLoad().GetSheddingRank()),
 		},
+		Confirm: m.GetConfirm(),
 	}
 }
 
