--- a/internal/decide/admission/latency.go
+++ b/internal/decide/admission/latency.go
@@ -11,6 +11,8 @@
 	baseline time.Duration
 	// lastSeen is when a whole answer was last seen.
 	lastSeen time.Time
+	// held is the least time for which requests with a whole answer lately held a slot.
+	held recentLeast
 
 	count int
 	total time.Duration
@@ -41,6 +43,7 @@
 	k.cut = k.cut || s.Cut
 	if !s.Cut {
 		k.lastSeen = now
+		k.held.observe(now, s.Held)
 	}
 }
 
@@ -99,13 +102,36 @@
 // evidenceTime is how long the last answers of a kind say what the next one will take.
 const evidenceTime = time.Second
 
-// least returns the least time that a request of the kind takes; 0 where too little is known lately.
+// recentLeast is the least of the values seen in the last evidenceTime, or up to twice that.
+type recentLeast struct {
+	present  time.Duration
+	previous time.Duration
+	turnAt   time.Time
+}
+
+func (r *recentLeast) observe(now time.Time, value time.Duration) {
+	if !now.Before(r.turnAt) {
+		r.previous, r.present = r.present, 0
+		r.turnAt = now.Add(evidenceTime)
+	}
+	r.present = lowest(r.present, value)
+}
+
+func (r *recentLeast) value() time.Duration {
+	if r.previous == 0 {
+		return r.present
+	}
+	return lowest(r.present, r.previous)
+}
+
+// least returns the least time that a request of the kind takes, with its calls down the chain; 0 where too little is
+// known lately.
 func (l *latencies) least(now time.Time, kind string) time.Duration {
 	k, ok := l.kinds[kind]
 	if !ok || now.Sub(k.lastSeen) > evidenceTime {
 		return 0
 	}
-	return k.baseline
+	return k.held.value()
 }
 
 func (l *latencies) kind(name string) *kindLatency {
--- a/internal/decide/admission/limit.go
+++ b/internal/decide/admission/limit.go
@@ -15,8 +15,10 @@
 	Tolerance float64
 	// LatencySlack is added to each baseline, so that noise of quick requests counts little.
 	LatencySlack time.Duration
-	// Backoff is the factor by which the limit shrinks at most in one window.
+	// Backoff is the factor by which the limit shrinks at most in one window in which the backend server shed.
 	Backoff float64
+	// LatencyBackoff is the factor by which the limit shrinks in a trial whether that lowers the latency.
+	LatencyBackoff float64
 	// Growth is the part of the limit added after the first clean window; each further clean window adds one more part.
 	Growth float64
 	// Window is the least time for which samples are gathered before the limit moves.
@@ -35,7 +37,7 @@
 // well, and shrinks when the backend server sheds or its latency rises.
 //
 // High latency alone does not tell too much concurrency from slow work: shrinking cures the first and makes the second
-// worse. So a limit that shrank for latency is on trial. Where fewer requests then end in the same time, the old value
+// worse. So a limit shrinks for latency only on trial. Where fewer requests then end in the same time, the old value
 // comes back and the latency is taken as normal until the next trial. In the same way the limit goes above the
 // announced slots only on trial, and stays there only where more requests end.
 type Limit struct {
@@ -76,30 +78,22 @@
 	heldTotal time.Duration
 }
 
-// trial is a change of the limit that throughput has to bear out.
-type trial struct {
-	on bool
-	// settling says that requests of the time before the change still end.
-	settling bool
-	raised   bool
-	// before, rate and excess are the limit, the requests ended in a second and the latency before the change.
-	before float64
-	rate   float64
+// seen is what a window showed.
+type seen struct {
+	window
+	// used says that most of the limit was in flight, or that requests had to wait.
+	used bool
+	// excess is the mean of the latencies over their baselines; 0 where there was none.
 	excess float64
+	// rate is how many requests ended in a second.
+	rate float64
 }
 
 const (
 	// usedShare of the limit must be in flight for the limit to count as used.
 	usedShare = 0.8
-	// firstRaiseWait and maxRaiseWait bound the time between trials above the ceiling.
-	firstRaiseWait = time.Second
-	maxRaiseWait   = time.Minute
-	// raiseFactor is how far a trial goes above the ceiling.
-	raiseFactor = 1.25
-	// raiseLatency is how far latency may rise in a trial above the ceiling.
-	raiseLatency = 1.1
-	// raiseWindows is how many times longer than others the windows before and in a trial above the ceiling are.
-	raiseWindows = 5
+	// coldClean is how many clean windows a new limit counts as past, so that it grows fast from the start.
+	coldClean = 4
 	// shedValueMemory is how long the limit stays below a value at which the backend server shed.
 	shedValueMemory = time.Second
 )
@@ -111,6 +105,7 @@
 		latency:     newLatencies(config.KindMemory, config.LatencySlack),
 		value:       float64(config.Initial),
 		ceiling:     float64(config.Max),
+		clean:       coldClean,
 		normal:      1,
 		retrialTime: config.RetrialTime,
 		raiseWait:   firstRaiseWait,
@@ -127,7 +122,7 @@
 	return l.held
 }
 
-// LeastTime returns the least time that a request of the kind takes in the backend server; 0 where that isn't known.
+// LeastTime returns the least time that a request of the kind lately held its slot; 0 where that isn't known.
 func (l *Limit) LeastTime(now time.Time, kind string) time.Duration {
 	return l.latency.least(now, kind)
 }
@@ -139,8 +134,8 @@
 	if slots != l.announced && slots > 0 {
 		l.announced = slots
 		l.ceiling = float64(slots)
-		l.trial.on = false
-		l.raiseWait = firstRaiseWait
+		l.trial = trial{}
+		l.raiseAfter, l.raiseWait = time.Time{}, firstRaiseWait
 	}
 	l.clamp()
 }
@@ -153,7 +148,7 @@
 // Observe learns from one sample.
 func (l *Limit) Observe(now time.Time, s Sample) {
 	w := &l.window
-	if now.Sub(w.start) > 2*l.config.MaxWindow {
+	if now.Sub(w.start) > 2*l.longestWindow() {
 		*w = window{start: now, value: l.value, wanted: w.wanted}
 	}
 	w.peak = max(w.peak, s.inFlight)
@@ -173,22 +168,27 @@
 	}
 }
 
-// windowOver reports whether the window is long enough to hold about one request for each slot.
+// windowOver reports whether the window is long enough to hold about one request for each slot, or more in a trial.
 func (l *Limit) windowOver(now time.Time) bool {
 	length := now.Sub(l.window.start)
-	least := l.config.Window
-	if l.value >= l.ceiling && l.mayRaise(now) || l.trial.on && l.trial.raised {
+	least, requests := l.config.Window, l.Value()
+	if l.trial.raised {
 		least *= raiseWindows
 	}
+	if l.trial.compares() {
+		requests = max(2*requests, leastTrialRequests)
+	}
 	if length < least {
 		return false
 	}
-	return l.window.ended+l.window.shed >= l.Value() || length >= l.config.MaxWindow
+	return l.window.ended+l.window.shed >= requests || length >= l.longestWindow()
 }
 
-// mayRaise reports whether it is time for a trial above the ceiling.
-func (l *Limit) mayRaise(now time.Time) bool {
-	return l.announced > 0 && l.ceiling < l.highest() && !now.Before(l.raiseAfter)
+func (l *Limit) longestWindow() time.Duration {
+	if l.trial.compares() {
+		return 2 * l.config.MaxWindow
+	}
+	return l.config.MaxWindow
 }
 
 func (l *Limit) closeWindow(now time.Time) {
@@ -196,10 +196,14 @@
 	if w.ended > 0 {
 		l.held = w.heldTotal / time.Duration(w.ended)
 	}
-	excess := l.latency.closeWindow(now)
-	l.learnNormal(now, excess)
-	rate := float64(w.ended) / now.Sub(w.start).Seconds()
-	l.move(now, w, excess, rate)
+	s := seen{
+		window: w,
+		used:   w.wanted || float64(w.peak) >= l.value*usedShare,
+		excess: l.latency.closeWindow(now),
+		rate:   float64(w.ended) / now.Sub(w.start).Seconds(),
+	}
+	l.learnNormal(now, s.excess)
+	l.move(now, s)
 	l.clamp()
 	l.window = window{start: now, value: l.value}
 }
@@ -218,88 +222,52 @@
 	}
 }
 
-func (l *Limit) move(now time.Time, w window, excess, rate float64) {
-	used := w.wanted || float64(w.peak) >= l.value*usedShare
+func (l *Limit) move(now time.Time, s seen) {
 	switch {
-	case w.shed > 0:
+	case s.shed > 0:
+		l.clean = 0
+	case l.trial.phase != noTrial:
+		l.continueTrial(now, s)
+	case l.slow(s):
 		l.clean = 0
-	case l.trial.on && l.trial.settling:
-		l.trial.settling = false
-	case l.trial.on:
-		l.judge(now, used, excess, rate)
-	case used && excess > l.config.Tolerance*l.normal:
-		l.shrink(excess, rate)
-	case used && excess < (1+l.config.Tolerance)/2*l.normal:
-		l.grow(now, excess, rate)
+		l.trial = trial{phase: measuring}
+	case s.used && s.excess < (1+l.config.Tolerance)/2*l.normal:
+		l.grow(now, s)
 	}
 }
 
+// slow reports whether the limit is used and the latency too high.
+func (l *Limit) slow(s seen) bool {
+	return s.used && s.excess > l.config.Tolerance*l.normal
+}
+
 // backOff goes below the requests with which the backend server shed one, at once but not far in one window, because
 // a single answer may have other causes.
 func (l *Limit) backOff(now time.Time, s Sample) {
-	if l.trial.on && l.trial.raised {
-		l.endRaise(now)
+	if l.trial.raised && l.trial.phase > measuring {
+		l.endRaise(now, l.trial)
 	}
-	l.trial.on = false
+	l.trial = trial{}
 	l.clean = 0
 	l.shedValue, l.shedUntil = float64(s.inFlight), now.Add(shedValueMemory)
 	l.value = math.Max(math.Min(l.value, l.shedValue-1), l.window.value*l.config.Backoff)
 	l.clamp()
 }
 
-// shrink begins a trial of a lower limit.
-func (l *Limit) shrink(excess, rate float64) {
-	l.clean = 0
-	l.trial = trial{on: true, settling: true, before: l.value, rate: rate}
-	l.value *= math.Max(l.config.Tolerance*l.normal/excess, l.config.Backoff)
-}
-
-func (l *Limit) grow(now time.Time, excess, rate float64) {
+func (l *Limit) grow(now time.Time, s seen) {
 	l.clean++
-	if l.value < l.ceiling {
-		before := l.value
-		part := math.Min(l.config.Growth*float64(l.clean), 1)
-		l.value += math.Max(l.value*part, 1)
-		if now.Before(l.shedUntil) {
-			l.value = math.Min(l.value, math.Max(l.shedValue-1, before))
-		}
+	if l.value >= l.ceiling {
+		l.planRaise(now, s)
 		return
 	}
-	if l.mayRaise(now) {
-		l.trial = trial{on: true, settling: true, raised: true, before: l.value, rate: rate, excess: excess}
-		l.ceiling = math.Min(math.Max(l.ceiling*raiseFactor, l.ceiling+1), l.highest())
-		l.value = l.ceiling
+	before := l.value
+	part := math.Min(l.config.Growth*float64(l.clean), 1)
+	l.value += math.Max(l.value*part, 1)
+	if now.Before(l.shedUntil) {
+		l.value = math.Min(l.value, math.Max(l.shedValue-1, before))
 	}
 }
 
-// judge ends a trial: half of the change of the limit must show in the throughput.
-func (l *Limit) judge(now time.Time, used bool, excess, rate float64) {
-	t := l.trial
-	l.trial.on = false
-	expected := t.rate * (1 + l.value/t.before) / 2
-	switch {
-	case t.raised && (!used || rate < expected || excess > raiseLatency*t.excess):
-		l.endRaise(now)
-	case t.raised:
-		l.raiseWait = firstRaiseWait
-	case used && rate < expected:
-		l.value = t.before
-		l.normal = math.Max(excess, 1)
-		l.normalUntil = now.Add(l.retrialTime)
-		l.retrialTime = min(2*l.retrialTime, l.config.MaxRetrialTime)
-	case used && excess > l.config.Tolerance*l.normal:
-		l.shrink(excess, rate)
-	}
-}
-
-// endRaise goes back below the ceiling that did not help.
-func (l *Limit) endRaise(now time.Time) {
-	l.ceiling = l.trial.before
-	l.value = l.trial.before
-	l.raiseAfter = now.Add(l.raiseWait)
-	l.raiseWait = min(2*l.raiseWait, maxRaiseWait)
-}
-
 func (l *Limit) clamp() {
 	l.value = math.Min(l.value, math.Min(l.ceiling, l.highest()))
 	l.value = math.Max(l.value, float64(l.config.Min))
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -45,6 +45,7 @@
 			Tolerance:      2,
 			LatencySlack:   5 * time.Millisecond,
 			Backoff:        0.7,
+			LatencyBackoff: 0.9,
 			Growth:         0.1,
 			Window:         100 * time.Millisecond,
 			MaxWindow:      time.Second,
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -96,12 +96,14 @@
 	defer c.chains.End(token)
 	start := time.Now()
 	reply, err := c.exchange(ctx, address, r, token)
-	result := Result{Reply: reply, Took: time.Since(start) - chain.ChildTime(), Held: time.Since(start)}
+	end := time.Now()
+	below := chain.ChildTime(end)
+	result := Result{Reply: reply, Took: end.Sub(start) - below, Held: end.Sub(start)}
 	if err != nil {
 		result.Reply = failedReply(ctx, r, err)
 		result.Broken = ctx.Err() == nil && err.sent
 	}
-	result.Overloaded = err == nil && result.Reply.Status == http.StatusServiceUnavailable && chain.ChildTime() == 0
+	result.Overloaded = err == nil && result.Reply.Status == http.StatusServiceUnavailable && below == 0
 	result.Reply.AttemptsUsed = chain.AttemptsUsed()
 	return result
 }
--- a/internal/traffic/call/chain.go
+++ b/internal/traffic/call/chain.go
@@ -68,11 +68,14 @@
 	}
 }
 
-// ChildTime returns how long the request has waited for calls down the chain, which says nothing about the backend
-// server that made them.
-func (c *Chain) ChildTime() time.Duration {
+// ChildTime returns how long the request has waited for calls down the chain until now, also for one that hasn't
+// ended. That says nothing about the backend server that made them.
+func (c *Chain) ChildTime(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.children > 0 {
+		return c.childTime + now.Sub(c.childStart)
+	}
 	return c.childTime
 }
 
