--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -27,8 +27,10 @@
 		ShortUsage: "hoistlab <command> [flags]",
 		Subcommands: []*ffcli.Command{
 			demoCommand(),
+			onceCommand(),
 			overloadCommand(),
 			latencyCommand(),
+			capacityCommand(),
 			storeCommand(),
 			backendCommand(),
 			loadCommand(),
--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -12,11 +12,14 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 )
 
 // Board is the whole blackboard.
@@ -27,6 +30,7 @@
 	Documents Documents
 	Leader    Leader
 	Platform  Platform
+	Homes     Homes
 }
 
 // Self says who the node is and whether it leaves. Written by the node.
@@ -36,7 +40,13 @@
 	Region        string
 	PeerAddress   string
 	CallerAddress string
-	Draining      bool
+	// Incarnation is the start of the node's process.
+	Incarnation uint64
+	Draining    bool
+	// Successor is the node that gets the remembered keys of this one when it leaves.
+	Successor string
+	// AnswersFor lists the earlier nodes, with their incarnations, whose keys were handed over to this one.
+	AnswersFor string
 }
 
 // Backend is the local backend server, as it announced itself. Written by the backend listener.
@@ -57,6 +67,29 @@
 	ByService map[string][]membership.Member
 }
 
+// InZone counts the members of the zone.
+func (m Members) InZone(zone string) int {
+	count := 0
+	for _, member := range m.ByNode {
+		if member.Zone == zone {
+			count++
+		}
+	}
+	return count
+}
+
+// SortedInZone returns the members of the zone by name.
+func (m Members) SortedInZone(zone string) []membership.Member {
+	var members []membership.Member
+	for _, member := range m.ByNode {
+		if member.Zone == zone {
+			members = append(members, member)
+		}
+	}
+	slices.SortFunc(members, func(a, b membership.Member) int { return strings.Compare(a.Node, b.Node) })
+	return members
+}
+
 // Documents are the documents in force. Written by the zone controller.
 type Documents struct {
 	ByService map[string]DocumentInForce
@@ -76,9 +109,17 @@
 
 // Leader is the leader of the node's availability zone. Written by the zone controller.
 type Leader struct {
+	// Node is empty while nobody is known to lead.
 	Node        string
 	PeerAddress string
-	IsSelf      bool
+	// IsSelf says that this node leads under a lease, and so may write to the platform for its zone.
+	IsSelf bool
+	// Leased says that the leader holds a lease; without one it only spreads what the zone holds.
+	Leased bool
+	// Role is this node's own part.
+	Role membership.Role
+	// Term is that of this node's own lease.
+	Term uint64
 }
 
 // Platform tells how the platform answers. Written by the zone controller.
@@ -87,6 +128,12 @@
 	Since     time.Time
 }
 
+// Homes say which nodes remember keys. Written by the homes controller.
+type Homes struct {
+	// Shards are the agreed epochs of each availability zone's shard.
+	Shards map[string]outcome.Shard
+}
+
 // Loop owns a Board.
 type Loop struct {
 	board    Board
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -1,6 +1,9 @@
 package membership
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // MemberPrefix begins the key of each member's record.
 const MemberPrefix = "member/"
@@ -17,7 +20,9 @@
 
 // Member is one node with its backend server, as others know it.
 type Member struct {
-	Node          string `json:"node"`
+	Node string `json:"node"`
+	// Incarnation is the start of the node's process, which tells it from earlier ones of the same name.
+	Incarnation   uint64 `json:"incarnation,omitempty"`
 	Zone          string `json:"zone"`
 	Region        string `json:"region,omitempty"`
 	PeerAddress   string `json:"peer_address"`
@@ -27,6 +32,12 @@
 	Slots       int    `json:"slots,omitempty"`
 	Connections int    `json:"connections,omitempty"`
 	State       State  `json:"state"`
+	// DownSince is when a leader marked the member down, in seconds of Unix time.
+	DownSince int64 `json:"down_since,omitempty"`
+	// Successor answers for the keys of a member that leaves; empty for none.
+	Successor string `json:"successor,omitempty"`
+	// AnswersFor lists the earlier nodes, with their incarnations, whose keys the member took over.
+	AnswersFor string `json:"answers_for,omitempty"`
 }
 
 // Record returns the member as a record.
@@ -44,3 +55,33 @@
 	err := json.Unmarshal(r.Value, &m)
 	return m, err
 }
+
+// OwnSequence returns the sequence by which a member's own record follows the one held: an even number.
+func OwnSequence(held uint64) uint64 {
+	return (held | 1) + 1
+}
+
+// MarkedDown returns the record by which a leader marks the member down. Its sequence is odd, so that it never meets
+// the member's own record with the same version; the member's next record refutes it.
+func (m Member) MarkedDown(held Version, now time.Time) Record {
+	m.State = Down
+	m.DownSince = now.Unix()
+	return m.Record(Version{Epoch: held.Epoch, Sequence: held.Sequence | 1})
+}
+
+// forgetAfter is how long the record of a member that is down is kept, so that no older record of it comes back.
+const forgetAfter = time.Hour
+
+// IsForgotten reports whether the member has been down for so long that its record is dropped, by every node alike.
+func (m Member) IsForgotten(now time.Time) bool {
+	return m.State == Down && now.Sub(time.Unix(m.DownSince, 0)) > forgetAfter
+}
+
+// beatsPerPeriod bounds the heartbeats that a leader takes in one period of a small zone.
+const beatsPerPeriod = 36
+
+// BeatPeriod returns the time between heartbeats in a zone of so many members. It grows with the zone, so that the
+// leader's work does not.
+func BeatPeriod(period time.Duration, members int) time.Duration {
+	return period * time.Duration(max(members, beatsPerPeriod)) / beatsPerPeriod
+}
--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -73,7 +73,15 @@
 		http.Error(w, "a call failed", status)
 		return
 	}
+	if rand.Float64() < b.FailRate {
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return
+	}
 	s.ledger.end(run)
+	if b.Echo {
+		_, _ = w.Write(body)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s ran %s %s\n", s.config.Service, r.Method, r.URL.Path)
 }
 
