Routing by a kept set of instances: zones with spill-over, errors as slowness, slow start, subsets

Cause: the choice built lists of all instances for every call. Latency never faded while an instance got no requests. Answers of 500 made an instance look quick; a caller that went away or was impatient counted against it; a node that could not be reached counted as shedding. What was known of instances that left stayed for good.

A set for each service is renewed only when its members change. Two different instances of the narrowest tier that holds any are compared by requests ahead, capacity, latency and error rate. Ruled out: to distrust ejection where more than half are ejected, since the last tier takes the ejected ones anyway and the gate protects the others.

Each rule's unit test was red with the rule taken out.

--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -1,14 +1,21 @@
 // Package routing chooses which instance of a service gets a request.
 //
-// It takes two candidates at random and sends to the one that is expected to answer sooner, judged by the sender's
-// own requests in flight, the latency that it saw, and the capacity that the instance reported with its replies.
-// Instances of the sender's own availability zone go first.
+// A Set holds what one sender knows of the instances of one service. It takes two of them at random and sends to the
+// one that is expected to answer sooner, judged by the requests ahead, the capacity, the latency and the errors that
+// the sender saw. Instances of the sender's own availability zone go first; requests spill over to the others before
+// the zone is full. New instances get their part of the work bit by bit. Where a service has many instances, the
+// sender keeps to a subset, which differs from sender to sender.
 //
 // # Usage
 //
-//	chosen, ok := routing.Choose(random, candidates, routing.Policy{Zone: "lisbon_1"})
+//	set := routing.NewSet(routing.DefaultConfig("node_1", "lisbon_1"))
+//	set.Update(now, members)
+//	instance, ok := set.Choose(now, random, routing.Request{Rank: 2})
+//	instance.Begin()
+//	instance.End(now, routing.Sample{...})
 //
-// The package does no I/O and reads no clock: the random source and the observations are arguments.
+// The package does no I/O and reads no clock: the random source, the time and the observations are arguments. A Set
+// and its instances are not safe for concurrent use.
 package routing
 
 import "time"
@@ -17,89 +24,69 @@
 type Source interface {
 	// IntN returns a number from 0 to n-1.
 	IntN(n int) int
+	// Float64 returns a number from 0 up to, but not including, 1.
+	Float64() float64
 }
 
-// Candidate is one instance and what the sender knows of it.
-type Candidate struct {
+// Config sets a Set up.
+type Config struct {
+	// Node is the sender, which decides its subset.
 	Node string
+	// Zone is preferred.
 	Zone string
-	// InFlight is how many of the sender's own requests the instance holds.
-	InFlight int
-	// Latency is the sender's own peak-weighted mean.
-	Latency time.Duration
-	// Capacity is the limit that the instance last reported; 0 if it has not.
-	Capacity int
-	// Reported is how many requests the instance last reported in flight and queued.
-	Reported int
-	// Ejected says that the sender lately saw it fail.
-	Ejected bool
-	// Shedding says that the instance lately shed requests of this rank.
-	Shedding bool
+	// SubsetSize bounds the instances that the sender uses.
+	SubsetSize int
+	// SubsetFar is how many of these are kept for other availability zones, where there are so many.
+	SubsetFar int
+	// SpillFrom is the utilization of the own zone from which requests go to the others too.
+	SpillFrom float64
+	// SlowStart is the time in which a new instance comes up to its whole part.
+	SlowStart time.Duration
+	// Failures in a row eject an instance for EjectionTime.
+	Failures     int
+	EjectionTime time.Duration
+	// SheddingTime is how long a shed request keeps others of its rank away.
+	SheddingTime time.Duration
+	// Fade is the time constant with which latency and errors are forgotten.
+	Fade time.Duration
+	// FailureCost is the latency that a certain failure counts as.
+	FailureCost time.Duration
 }
 
-// Policy varies the choice.
-type Policy struct {
-	// Zone is preferred while an instance there isn't ejected or shedding.
-	Zone string
-	// Tried are nodes that already refused this request.
-	Tried []string
-}
-
-// Choose picks a candidate. It reports false only where there is none that was not tried.
-func Choose(random Source, candidates []Candidate, p Policy) (Candidate, bool) {
-	untried := filter(candidates, func(c Candidate) bool { return !contains(p.Tried, c.Node) })
-	if len(untried) == 0 {
-		return Candidate{}, false
-	}
-	pool := preferred(untried, p.Zone)
-	a := pool[random.IntN(len(pool))]
-	b := pool[random.IntN(len(pool))]
-	if cost(b) < cost(a) {
-		return b, true
-	}
-	return a, true
-}
-
-// preferred narrows the candidates as far as some are left: first the healthy ones near, then the healthy ones,
-// then all.
-func preferred(candidates []Candidate, zone string) []Candidate {
-	healthy := filter(candidates, func(c Candidate) bool { return !c.Ejected && !c.Shedding })
-	near := filter(healthy, func(c Candidate) bool { return c.Zone == zone })
-	if len(near) > 0 {
-		return near
-	}
-	if len(healthy) > 0 {
-		return healthy
+// DefaultConfig returns the values that hold where nothing else is set.
+func DefaultConfig(node, zone string) Config {
+	return Config{
+		Node:         node,
+		Zone:         zone,
+		SubsetSize:   16,
+		SubsetFar:    4,
+		SpillFrom:    0.7,
+		SlowStart:    5 * time.Second,
+		Failures:     3,
+		EjectionTime: 2 * time.Second,
+		SheddingTime: 100 * time.Millisecond,
+		Fade:         2 * time.Second,
+		FailureCost:  time.Second,
 	}
-	alive := filter(candidates, func(c Candidate) bool { return !c.Ejected })
-	if len(alive) > 0 {
-		return alive
-	}
-	return candidates
 }
 
-// cost is the expected time to answer: the requests ahead, over the capacity, times the latency.
-func cost(c Candidate) float64 {
-	ahead := float64(max(c.InFlight, c.Reported) + 1)
-	capacity := float64(max(c.Capacity, 1))
-	return ahead / capacity * float64(max(c.Latency, minLatency))
+// Member is one instance as the membership knows it.
+type Member struct {
+	Node  string
+	Zone  string
+	Slots int
 }
 
-const minLatency = 100 * time.Microsecond
-
-func filter(candidates []Candidate, keep func(Candidate) bool) []Candidate {
-	var kept []Candidate
-	for _, c := range candidates {
-		if keep(c) {
-			kept = append(kept, c)
-		}
-	}
-	return kept
+// Request is what the choice depends on.
+type Request struct {
+	Rank int
+	// Tried are nodes that already refused the request.
+	Tried []string
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
+func (r Request) hasTried(node string) bool {
+	for _, n := range r.Tried {
+		if n == node {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/decide/routing/routing_test.go
@@ -0,0 +1,260 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const slots = 10
+
+// members returns instances in turn in the zones z0 to z2.
+func members(count int) []routing.Member {
+	var list []routing.Member
+	for i := range count {
+		list = append(list, routing.Member{Node: fmt.Sprint("node_", i), Zone: fmt.Sprint("z", i%3), Slots: slots})
+	}
+	return list
+}
+
+func newSet(count int) *routing.Set {
+	s := routing.NewSet(routing.DefaultConfig("sender", "z0"))
+	s.Update(start, members(count))
+	return s
+}
+
+// behaviour is how a model instance answers.
+type behaviour struct {
+	took   time.Duration
+	result routing.Result
+	// failEvery is the number of requests of which one fails; 0 for none.
+	failEvery int
+}
+
+// answer returns how the instance answers the request with the number.
+func (b behaviour) answer(number int) routing.Sample {
+	if b.failEvery > 0 && number%b.failEvery == 0 {
+		return routing.Sample{Result: routing.Failed, Took: b.took}
+	}
+	return routing.Sample{Result: b.result, Took: b.took}
+}
+
+type pending struct {
+	at       time.Time
+	instance *routing.Instance
+	sample   routing.Sample
+}
+
+// drive sends requests one after the other with the gap between them and returns how many each node got.
+func drive(s *routing.Set, from time.Time, count int, gap time.Duration, nodes map[string]behaviour) map[string]int {
+	random := rand.New(rand.NewPCG(1, 1))
+	got := map[string]int{}
+	var open []pending
+	now := from
+	for range count {
+		now = now.Add(gap)
+		var left []pending
+		for _, p := range open {
+			if p.at.After(now) {
+				left = append(left, p)
+				continue
+			}
+			p.instance.End(now, p.sample)
+		}
+		open = left
+		i, ok := s.Choose(now, random, routing.Request{})
+		if !ok {
+			continue
+		}
+		b := nodes[i.Member.Node]
+		i.Begin()
+		got[i.Member.Node]++
+		open = append(open, pending{now.Add(b.took), i, b.answer(got[i.Member.Node])})
+	}
+	for _, p := range open {
+		p.instance.End(now, p.sample)
+	}
+	return got
+}
+
+func same(count int, b behaviour) map[string]behaviour {
+	nodes := map[string]behaviour{}
+	for _, m := range members(count) {
+		nodes[m.Node] = b
+	}
+	return nodes
+}
+
+func TestShares(t *testing.T) {
+	good := behaviour{took: 20 * time.Millisecond, result: routing.Good}
+	slow := behaviour{took: 200 * time.Millisecond, result: routing.Good}
+	failing := behaviour{took: time.Millisecond, result: routing.Failed}
+	erring := behaviour{took: time.Millisecond, result: routing.Good, failEvery: 3}
+	for name, test := range map[string]struct {
+		instances int
+		changed   behaviour
+		gap       time.Duration
+		// Bounds of the part of node_0, the only instance of the sender's zone where there are three.
+		least, most float64
+	}{
+		"own zone first":              {3, good, 5 * time.Millisecond, 0.95, 1},
+		"spills over before it fills": {3, good, time.Millisecond, 0.3, 0.7},
+		"slow gets less":              {9, slow, 5 * time.Millisecond, 0.001, 0.15},
+		"fast with errors":            {9, erring, 5 * time.Millisecond, 0.001, 0.1},
+		"fast failing":                {9, failing, 5 * time.Millisecond, 0.001, 0.1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			nodes := same(test.instances, good)
+			nodes["node_0"] = test.changed
+			s := newSet(test.instances)
+			drive(s, start, 1000, test.gap, nodes)
+			part := float64(drive(s, start.Add(time.Minute), 4000, test.gap, nodes)["node_0"]) / 4000
+			if part < test.least || part > test.most {
+				t.Errorf("node_0 got %.3f of the requests, not %.3f to %.3f", part, test.least, test.most)
+			}
+			is.Equal(s.Len(), test.instances)
+		})
+	}
+}
+
+func TestNeverEjectsAll(t *testing.T) {
+	is := is.New(t)
+	got := drive(newSet(3), start, 300, 10*time.Millisecond, same(3, behaviour{took: time.Millisecond, result: routing.Failed}))
+	total := 0
+	for _, count := range got {
+		total += count
+	}
+	is.Equal(total, 300)  // every request goes somewhere
+	is.Equal(len(got), 3) // and no instance is left out for good
+}
+
+func TestEjectedAreAvoided(t *testing.T) {
+	is := is.New(t)
+	s := newSet(3)
+	for _, node := range []string{"node_0", "node_1"} {
+		for range 3 {
+			s.Find(node).End(start, routing.Sample{Result: routing.Failed})
+		}
+	}
+	got := drive(s, start, 100, 10*time.Millisecond, same(3, behaviour{took: time.Millisecond, result: routing.Good}))
+	is.Equal(got["node_2"], 100)
+}
+
+func TestFailingLosesThePreferenceOfItsZone(t *testing.T) {
+	is := is.New(t)
+	s := newSet(3)
+	for _, result := range []routing.Result{routing.Failed, routing.Failed, routing.Good} {
+		s.Find("node_0").End(start, routing.Sample{Result: result, Took: time.Millisecond})
+	}
+	i, ok := s.Choose(start, rand.New(rand.NewPCG(1, 1)), routing.Request{})
+	is.True(ok)
+	is.True(i.Member.Node != "node_0")
+}
+
+func TestEjectionEnds(t *testing.T) {
+	is := is.New(t)
+	s := newSet(9)
+	nodes := same(9, behaviour{took: 20 * time.Millisecond, result: routing.Good})
+	nodes["node_0"] = behaviour{took: time.Millisecond, result: routing.Failed}
+	drive(s, start, 1000, 5*time.Millisecond, nodes)
+	nodes["node_0"] = nodes["node_3"]
+	later := start.Add(10 * time.Second)
+	drive(s, later, 1000, 5*time.Millisecond, nodes)
+	is.True(drive(s, later.Add(5*time.Second), 1000, 5*time.Millisecond, nodes)["node_0"] > 250) // of three in the zone
+}
+
+func TestNewInstanceStartsSlowly(t *testing.T) {
+	is := is.New(t)
+	nodes := same(9, behaviour{took: 20 * time.Millisecond, result: routing.Good})
+	s := newSet(6)
+	drive(s, start, 500, 2*time.Millisecond, nodes)
+	s.Update(start.Add(time.Second), members(9))
+	first := drive(s, start.Add(time.Second), 500, 2*time.Millisecond, nodes)
+	last := drive(s, start.Add(8*time.Second), 500, 2*time.Millisecond, nodes)
+	is.True(first["node_6"] < first["node_0"]/2)
+	is.True(last["node_6"] > last["node_0"]/2)
+}
+
+func TestShedAndTriedAreAvoided(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	s := newSet(2)
+	s.Find("node_0").End(start, routing.Sample{Result: routing.Shed, Rank: 5})
+	choose := func(r routing.Request) string {
+		i, ok := s.Choose(start, random, r)
+		is.True(ok)
+		return i.Member.Node
+	}
+	is.Equal(choose(routing.Request{Rank: 5}), "node_1")
+	is.Equal(choose(routing.Request{Rank: 4}), "node_0") // more urgent than what was shed, and near
+	is.Equal(choose(routing.Request{Rank: 4, Tried: []string{"node_0"}}), "node_1")
+	_, ok := s.Choose(start, random, routing.Request{Tried: []string{"node_0", "node_1"}})
+	is.True(!ok)
+	s.Update(start, members(1))
+	is.Equal(choose(routing.Request{Rank: 5}), "node_0") // the other left
+	is.True(s.Find("node_1") == nil)
+}
+
+func TestSubsets(t *testing.T) {
+	is := is.New(t)
+	const instances, senders = 300, 240
+	users := map[string]int{}
+	for i := range senders {
+		config := routing.DefaultConfig(fmt.Sprint("sender_", i), fmt.Sprint("z", i%3))
+		s, again := routing.NewSet(config), routing.NewSet(config)
+		s.Update(start, members(instances))
+		again.Update(start, members(instances-1))
+		is.Equal(s.Len(), config.SubsetSize)
+		far, kept := 0, 0
+		for _, m := range members(instances) {
+			if s.Find(m.Node) == nil {
+				continue
+			}
+			users[m.Node]++
+			if m.Zone != config.Zone {
+				far++
+			}
+			if again.Find(m.Node) != nil {
+				kept++
+			}
+		}
+		is.Equal(far, config.SubsetFar)
+		is.True(kept >= config.SubsetSize-1) // one that leaves changes no more than its own place
+	}
+	is.Equal(len(users), instances) // none is left without work
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, count := range []int{12, 300, 2100} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			s := newSet(count)
+			random := rand.New(rand.NewPCG(1, 1))
+			b.ReportAllocs()
+			for b.Loop() {
+				i, _ := s.Choose(start, random, routing.Request{Rank: 3})
+				i.Begin()
+				i.End(start, routing.Sample{Result: routing.Good, Took: time.Millisecond})
+			}
+		})
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	for _, count := range []int{12, 300, 2100} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			s, list := newSet(count), members(count)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Update(start, list)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/routing/set.go
@@ -0,0 +1,167 @@
+package routing
+
+import "time"
+
+// Set is what one sender knows of the instances of one service.
+type Set struct {
+	config    Config
+	instances []*Instance
+	byNode    map[string]*Instance
+	started   bool
+	// tiers holds the tier of each instance while one choice is made.
+	tiers []tier
+}
+
+// NewSet returns a set without instances.
+func NewSet(config Config) *Set {
+	return &Set{config: config, byNode: map[string]*Instance{}}
+}
+
+// Update takes in the members. What is known of those that left is dropped.
+func (s *Set) Update(now time.Time, members []Member) {
+	chosen := subset(s.config, members)
+	byNode := make(map[string]*Instance, len(chosen))
+	instances := make([]*Instance, 0, len(chosen))
+	for _, m := range chosen {
+		i, ok := s.byNode[m.Node]
+		if !ok {
+			i = s.join(now, m)
+		}
+		i.Member = m
+		byNode[m.Node] = i
+		instances = append(instances, i)
+	}
+	s.instances, s.byNode = instances, byNode
+	s.tiers = make([]tier, len(instances))
+	s.started = s.started || len(instances) > 0
+}
+
+// join returns a new instance, which starts slowly unless all others are new too.
+func (s *Set) join(now time.Time, m Member) *Instance {
+	i := &Instance{Member: m, config: &s.config}
+	if s.started {
+		i.joined = now
+	}
+	return i
+}
+
+// Len returns the number of instances in use.
+func (s *Set) Len() int {
+	return len(s.instances)
+}
+
+// Find returns the instance of the node, or nil.
+func (s *Set) Find(node string) *Instance {
+	return s.byNode[node]
+}
+
+// tier narrows a choice: the first tier that holds an instance is used.
+type tier int
+
+const (
+	// near are the healthy instances of the own zone that seldom fail.
+	near tier = iota
+	// healthy are all that are neither ejected nor shedding.
+	healthy
+	// alive may be shedding.
+	alive
+	// untried are all: where every one is ejected, none is.
+	untried
+	tiers
+)
+
+// Choose picks an instance. It reports false only where there is none that was not tried.
+func (s *Set) Choose(now time.Time, random Source, r Request) (*Instance, bool) {
+	c := s.survey(now, r)
+	for t := c.first(s.config.SpillFrom, random); t < tiers; t++ {
+		if c.counts[t] > 0 {
+			return s.pick(now, random, t, c.counts[t]), true
+		}
+	}
+	return nil, false
+}
+
+// survey sums up one look at the instances.
+type survey struct {
+	// counts are the instances in each tier, with those of the narrower ones.
+	counts       [tiers]int
+	nearAhead    float64
+	nearCapacity float64
+}
+
+func (s *Set) survey(now time.Time, r Request) survey {
+	var c survey
+	for number, i := range s.instances {
+		own := s.tierOf(now, r, i)
+		s.tiers[number] = own
+		for t := own; t < tiers; t++ {
+			c.counts[t]++
+		}
+		if own == near {
+			c.nearAhead += i.ahead()
+			c.nearCapacity += i.capacity(now)
+		}
+	}
+	return c
+}
+
+// tierOf returns the narrowest tier that holds the instance.
+func (s *Set) tierOf(now time.Time, r Request, i *Instance) tier {
+	switch {
+	case r.hasTried(i.Member.Node):
+		return tiers
+	case i.isEjected(now):
+		return untried
+	case i.sheds(now, r.Rank):
+		return alive
+	case i.Member.Zone != s.config.Zone || i.isFailing(now):
+		return healthy
+	}
+	return near
+}
+
+// first returns the tier to begin with: past the own zone for a part of the requests that grows as the zone fills.
+func (c *survey) first(spillFrom float64, random Source) tier {
+	if c.counts[near] == 0 {
+		return healthy
+	}
+	utilization := (c.nearAhead + 1) / c.nearCapacity
+	if utilization <= spillFrom {
+		return near
+	}
+	if random.Float64() < (utilization-spillFrom)/(1-spillFrom) {
+		return healthy
+	}
+	return near
+}
+
+// pick takes two different ones of the tier's instances at random and returns the cheaper.
+func (s *Set) pick(now time.Time, random Source, t tier, count int) *Instance {
+	if count == 1 {
+		return s.nth(t, 0)
+	}
+	first := random.IntN(count)
+	second := random.IntN(count - 1)
+	if second >= first {
+		second++
+	}
+	a, b := s.nth(t, first), s.nth(t, second)
+	if b.isCheaper(now, a) {
+		return b
+	}
+	return a
+}
+
+// nth returns the instance of the tier with the number, from 0.
+func (s *Set) nth(t tier, number int) *Instance {
+	for k, i := range s.instances {
+		if s.tiers[k] > t {
+			continue
+		}
+		if number == 0 {
+			return i
+		}
+		number--
+	}
+	return nil
+}
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -8,7 +8,6 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
-	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
 
@@ -33,8 +32,6 @@
 
 var retryBudget = retry.BudgetConfig{PerSuccess: 0.1, Max: 20}
 
-var ejection = flow.EjectionConfig{Failures: 3, Time: 2 * time.Second, SheddingTime: 100 * time.Millisecond}
-
 func gateConfig(s *settings.Settings) admission.GateConfig {
 	return admission.GateConfig{
 		Limit: admission.LimitConfig{
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -89,7 +90,7 @@
 		Peers:    peers,
 		Receiver: n.receiver,
 		Budget:   retryBudget,
-		Ejection: ejection,
+		Routing:  routing.DefaultConfig(s.Node.Name, s.Node.Zone),
 		Throttle: throttle.DefaultConfig,
 	})
 	n.platform = platform.NewClient(platformConfig(s))
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -32,7 +32,7 @@
 	Peers    *peer.Client
 	Receiver *Receiver
 	Budget   retry.BudgetConfig
-	Ejection EjectionConfig
+	Routing  routing.Config
 	Throttle throttle.Config
 }
 
@@ -50,7 +50,7 @@
 func NewSender(config SenderConfig) *Sender {
 	return &Sender{
 		config:  config,
-		views:   newViews(config.Ejection),
+		views:   newViews(config.Routing),
 		entry:   newEntry(config.Throttle),
 		budgets: map[string]*retry.Budget{},
 	}
@@ -122,14 +122,11 @@
 func (s *Sender) choose(r *call.Request, tried []string) (membership.Member, bool) {
 	b := s.config.Board.Snapshot()
 	members := b.Members.ByService[r.Service]
-	chosen, ok := routing.Choose(globalRandom{}, s.views.candidates(members, r.Root.Rank, time.Now()), routing.Policy{
-		Zone:  b.Self.Zone,
-		Tried: tried,
-	})
+	node, ok := s.views.choose(r.Service, members, time.Now(), routing.Request{Rank: r.Root.Rank, Tried: tried})
 	if !ok {
 		return membership.Member{}, false
 	}
-	return b.Members.ByNode[chosen.Node], true
+	return b.Members.ByNode[node], true
 }
 
 func (s *Sender) attempt(ctx context.Context, target membership.Member, r *call.Request, attemptsLeft int) call.Reply {
@@ -180,7 +177,7 @@
 		budget.Earn()
 		return false
 	}
-	candidates := len(s.config.Board.Snapshot().Members.ByService[r.Service]) - len(t.tried)
+	candidates := s.views.count(r.Service) - len(t.tried)
 	if reply.Outcome == call.NotRun && reply.Reason == call.ReasonDraining {
 		return candidates > 0 // a leaving instance has started nothing, and each instance is asked once
 	}
--- a/internal/traffic/flow/views.go
+++ b/internal/traffic/flow/views.go
@@ -9,107 +9,136 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
-// EjectionConfig sets when an instance that fails is passed over.
-type EjectionConfig struct {
-	// Failures in a row that eject an instance.
-	Failures int
-	// Time for which it stays ejected.
-	Time time.Duration
-	// SheddingTime is how long a shed request keeps others of its rank away.
-	SheddingTime time.Duration
-}
+// views are what this node knows of the instances of each service. The members of a service are taken in anew only
+// when the board has another list of them.
+type views struct {
+	config routing.Config
 
-// view is what this node has seen of one instance.
-type view struct {
-	inFlight     int
-	latency      time.Duration
-	load         call.Load
-	failures     int
-	ejectedUntil time.Time
-	sheddingRank int
-	shedUntil    time.Time
+	mu        sync.Mutex
+	byService map[string]*serviceView
+	// byNode holds the instances of all services.
+	byNode map[string]*routing.Instance
 }
 
-// views are the views of all instances.
-type views struct {
-	config EjectionConfig
+type serviceView struct {
+	set     *routing.Set
+	members []membership.Member
+}
 
-	mu     sync.Mutex
-	byNode map[string]*view
+func newViews(config routing.Config) *views {
+	return &views{config: config, byService: map[string]*serviceView{}, byNode: map[string]*routing.Instance{}}
 }
 
-func newViews(config EjectionConfig) *views {
-	return &views{config: config, byNode: map[string]*view{}}
+// choose returns the node that gets a request of the rank.
+func (v *views) choose(service string, members []membership.Member, now time.Time, r routing.Request) (string, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	instance, ok := v.set(service, members, now).Choose(now, globalRandom{}, r)
+	if !ok {
+		return "", false
+	}
+	return instance.Member.Node, true
 }
 
-func (v *views) candidates(members []membership.Member, rank int, now time.Time) []routing.Candidate {
+// count returns how many instances of the service are in use.
+func (v *views) count(service string) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	candidates := make([]routing.Candidate, 0, len(members))
-	for _, m := range members {
-		w := v.view(m.Node)
-		capacity := w.load.Limit
-		if capacity == 0 {
-			capacity = m.Slots
-		}
-		candidates = append(candidates, routing.Candidate{
-			Node:     m.Node,
-			Zone:     m.Zone,
-			InFlight: w.inFlight,
-			Latency:  w.latency,
-			Capacity: capacity,
-			Reported: w.load.InFlight + w.load.Queued,
-			Ejected:  now.Before(w.ejectedUntil),
-			Shedding: now.Before(w.shedUntil) && rank >= w.sheddingRank,
-		})
+	w, ok := v.byService[service]
+	if !ok {
+		return 0
 	}
-	return candidates
+	return w.set.Len()
 }
 
 func (v *views) begin(node string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.view(node).inFlight++
+	if i, ok := v.byNode[node]; ok {
+		i.Begin()
+	}
 }
 
+// end takes in the reply to an attempt that began at the start.
 func (v *views) end(node string, start, now time.Time, rank int, reply call.Reply) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	w := v.view(node)
-	w.inFlight--
-	switch reply.Outcome {
-	case call.Ran:
-		w.failures = 0
-		w.load = reply.Load
-		w.learn(now.Sub(start))
-	case call.NotRun, call.NotAdmitted:
-		w.load = reply.Load
-		w.sheddingRank = rank
-		w.shedUntil = now.Add(v.config.SheddingTime)
-	default:
-		w.failures++
-		if w.failures >= v.config.Failures {
-			w.ejectedUntil = now.Add(v.config.Time)
-		}
+	i, ok := v.byNode[node]
+	if !ok {
+		return
 	}
+	took := now.Sub(start)
+	i.End(now, routing.Sample{
+		Result: shown(&reply, took),
+		Took:   took,
+		Rank:   shedRank(rank, &reply),
+		Load:   routing.Load{InFlight: reply.Load.InFlight, Queued: reply.Load.Queued, Limit: reply.Load.Limit},
+	})
 }
 
-// latencyWeight is the part that a sample below the mean has in it; a sample above counts at once.
-const latencyWeight = 0.1
+// leastSilence is the shortest wait without a reply that is held against an instance: the patience of a caller may be
+// shorter than any answer takes.
+const leastSilence = 250 * time.Millisecond
 
-func (w *view) learn(took time.Duration) {
-	if took > w.latency {
-		w.latency = took
-		return
+// shown returns what a reply says about the instance. Failures further down the chain are not its own.
+func shown(reply *call.Reply, took time.Duration) routing.Result {
+	if reply.Deeper != call.ReasonNone {
+		return routing.Neutral
 	}
-	w.latency += time.Duration(latencyWeight * float64(took-w.latency))
+	switch reply.Failure() {
+	case call.ReasonNone:
+		return routing.Good
+	case call.ReasonOverload, call.ReasonQueueTimeout, call.ReasonDraining, call.ReasonNoInstance:
+		return routing.Shed
+	case call.ReasonPeerSilent:
+		if took < leastSilence {
+			return routing.Neutral
+		}
+		return routing.Failed
+	case call.ReasonBackendFailed, call.ReasonPeerUnreachable, call.ReasonCorrupt:
+		return routing.Failed
+	}
+	return routing.Neutral
+}
+
+// shedRank is the most urgent rank that is turned away: all where the instance has no backend server that takes work.
+func shedRank(rank int, reply *call.Reply) int {
+	if reply.Reason == call.ReasonDraining || reply.Reason == call.ReasonNoInstance {
+		return 0
+	}
+	return rank
 }
 
-func (v *views) view(node string) *view {
-	w, ok := v.byNode[node]
+func (v *views) set(service string, members []membership.Member, now time.Time) *routing.Set {
+	w, ok := v.byService[service]
 	if !ok {
-		w = &view{}
-		v.byNode[node] = w
+		w = &serviceView{set: routing.NewSet(v.config)}
+		v.byService[service] = w
+	}
+	if !sameList(w.members, members) {
+		v.renew(w, members, now)
+	}
+	return w.set
+}
+
+// sameList reports whether both are one slice, which the board never changes in place.
+func sameList(a, b []membership.Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func (v *views) renew(w *serviceView, members []membership.Member, now time.Time) {
+	for _, m := range w.members {
+		delete(v.byNode, m.Node)
+	}
+	w.members = members
+	known := make([]routing.Member, 0, len(members))
+	for _, m := range members {
+		known = append(known, routing.Member{Node: m.Node, Zone: m.Zone, Slots: m.Slots})
+	}
+	w.set.Update(now, known)
+	for _, m := range members {
+		if i := w.set.Find(m.Node); i != nil {
+			v.byNode[m.Node] = i
+		}
 	}
-	return w
 }
