--- a/cmd/comfreyhoist/main_test.go
+++ b/cmd/comfreyhoist/main_test.go
@@ -44,8 +44,8 @@
 }
 
 func TestEveryCommandHasAnExample(t *testing.T) {
-	for _, c := range append(rootCommand().Subcommands, rootCommand()) {
-		t.Run(c.Name, func(t *testing.T) {
+	for _, c := range withSubcommands(rootCommand()) {
+		t.Run(c.ShortUsage, func(t *testing.T) {
 			is := is.New(t)
 			text := helpOf(c)
 			is.True(strings.Contains(text, "Example:\n  comfreyhoist ")) // the help has an example
@@ -54,6 +54,14 @@
 	}
 }
 
+func withSubcommands(c *ffcli.Command) []*ffcli.Command {
+	found := []*ffcli.Command{c}
+	for _, s := range c.Subcommands {
+		found = append(found, withSubcommands(s)...)
+	}
+	return found
+}
+
 func helpOf(c *ffcli.Command) string {
 	if c.UsageFunc != nil {
 		return c.UsageFunc(c)
@@ -61,11 +69,23 @@
 	return ffcli.DefaultUsageFunc(c)
 }
 
-func TestUnknownCommandFails(t *testing.T) {
-	is := is.New(t)
-	err := rootCommand().ParseAndRun(context.Background(), []string{"nodes"})
-	is.Equal(err.Error(), `unknown command "nodes"`)
-	is.Equal(report(err), 1)
+func TestExitCodes(t *testing.T) {
+	for arguments, want := range map[string]int{
+		"nodes":                  exitFailure,
+		"check testdata/absent":  exitFailure,
+		"check":                  exitFailure,
+		"document put":           exitUsage,
+		"":                       exitUsage,
+		"check -h":               0,
+		"document history -help": 0,
+	} {
+		t.Run(arguments, func(t *testing.T) {
+			is := is.New(t)
+			fields := strings.Fields(arguments)
+			err := rootCommand().ParseAndRun(context.Background(), fields)
+			is.Equal(report(err, fields), want)
+		})
+	}
 }
 
 func TestVersionNamesGo(t *testing.T) {
--- a/internal/lab/proxy/network.go
+++ b/internal/lab/proxy/network.go
@@ -14,6 +14,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,10 @@
 	TruncateAfter int64
 	// Corrupt flips a bit in every chunk.
 	Corrupt bool
+	// Duplicate passes every chunk on twice.
+	Duplicate bool
+	// Cross exchanges chunks between the connections that carry bytes at the same time.
+	Cross bool
 }
 
 type link struct {
@@ -50,6 +55,15 @@
 	faults  map[link]Fault
 	changed chan struct{}
 	pairs   map[*pair]bool
+	crossed map[link]chan []byte
+	traffic map[link]*Traffic
+}
+
+// Traffic is what has passed from one end to another.
+type Traffic struct {
+	Bytes int64
+	// Chunks are reads from the network, which come close to messages where these are small.
+	Chunks int64
 }
 
 // NewNetwork returns a network without faults. The seed drives its random delays.
@@ -60,6 +74,8 @@
 		faults:  map[link]Fault{},
 		changed: make(chan struct{}),
 		pairs:   map[*pair]bool{},
+		crossed: map[link]chan []byte{},
+		traffic: map[link]*Traffic{},
 	}
 }
 
@@ -130,6 +146,32 @@
 	return listener.Addr().String(), nil
 }
 
+// Traffic returns what has passed from one end to another so far, by the names of both.
+func (n *Network) Traffic() map[string]map[string]Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	traffic := map[string]map[string]Traffic{}
+	for l, t := range n.traffic {
+		if traffic[l.from] == nil {
+			traffic[l.from] = map[string]Traffic{}
+		}
+		traffic[l.from][l.to] = *t
+	}
+	return traffic
+}
+
+func (n *Network) count(l link, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t, ok := n.traffic[l]
+	if !ok {
+		t = &Traffic{}
+		n.traffic[l] = t
+	}
+	t.Bytes += int64(bytes)
+	t.Chunks++
+}
+
 // Wait returns when all proxies have ended, after their contexts did.
 func (n *Network) Wait() {
 	n.group.Wait()
@@ -186,6 +228,35 @@
 	return f.Delay + time.Duration(n.random.Int64N(int64(f.Spread)))
 }
 
+// crossWait is how long a chunk waits for another connection's.
+const crossWait = 20 * time.Millisecond
+
+// cross returns the chunk of another connection of the link, which gets this one, or this one where none comes.
+func (n *Network) cross(l link, chunk []byte) []byte {
+	own := slices.Clone(chunk)
+	exchange := n.exchange(l)
+	timer := time.NewTimer(crossWait)
+	defer timer.Stop()
+	select {
+	case other := <-exchange:
+		exchange <- own
+		return other
+	case exchange <- own:
+		return <-exchange
+	case <-timer.C:
+		return own
+	}
+}
+
+func (n *Network) exchange(l link) chan []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.crossed[l] == nil {
+		n.crossed[l] = make(chan []byte)
+	}
+	return n.crossed[l]
+}
+
 func (n *Network) wake() {
 	close(n.changed)
 	n.changed = make(chan struct{})
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -28,10 +28,12 @@
 	// NodeBackend is the local node's address for announcements.
 	NodeBackend string
 	// NodeCaller is the local node's address for calls to other services.
-	NodeCaller  string
-	Slots       int
-	Connections int
-	Behaviour   Behaviour
+	NodeCaller string
+	Slots      int
+	// AnnouncedSlots is what the server says of its slots, where that isn't the truth; 0 for the truth.
+	AnnouncedSlots int
+	Connections    int
+	Behaviour      Behaviour
 }
 
 // Behaviour is how the server works until it is changed.
@@ -52,6 +54,8 @@
 	CrashOn string `json:"crash_on"`
 	// RestartAfter is how long a crash lasts.
 	RestartAfter time.Duration `json:"restart_after"`
+	// Echo answers with the request's own body.
+	Echo bool `json:"echo"`
 	// Leaving is announced to the node.
 	Leaving bool `json:"leaving"`
 }
@@ -98,6 +102,11 @@
 	return s.config.Address
 }
 
+// Busy returns how many requests hold a slot.
+func (s *Server) Busy() int {
+	return len(s.slots)
+}
+
 // Ledger returns the server's ledger.
 func (s *Server) Ledger() *Ledger {
 	return s.ledger
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -43,25 +44,28 @@
 
 // Node is one node.
 type Node struct {
-	config     Config
-	loop       *board.Loop
-	gate       *backend.Gate
-	client     *backend.Client
-	pool       *peer.Pool
-	receiver   *flow.Receiver
-	sender     *flow.Sender
-	quarantine *flow.Quarantine
-	controller *zone.Controller
-	platform   *platform.Client
-	chains     *call.Chains
-	listeners  listeners
-	stop       context.CancelFunc
+	config Config
+	loop   *board.Loop
+	gate   *backend.Gate
+	client *backend.Client
+	pool   *peer.Pool
+	// controlPool is apart, so that a flood of requests takes no connection from the control plane.
+	controlPool *peer.Pool
+	receiver    *flow.Receiver
+	sender      *flow.Sender
+	quarantine  *flow.Quarantine
+	controller  *zone.Controller
+	platform    *platform.Client
+	chains      *call.Chains
+	listeners   listeners
+	limiter     *events.Limiter
+	stop        context.CancelFunc
 }
 
 // New builds a node without starting it.
 func New(config Config) *Node {
 	s := config.Settings
-	n := &Node{config: config, chains: call.NewChains()}
+	n := &Node{config: config, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, limitedEvery)}
 	n.loop = board.NewLoop(board.Board{Self: board.Self{
 		Node:          s.Node.Name,
 		Zone:          s.Node.Zone,
@@ -72,6 +76,7 @@
 	n.gate = backend.NewGate(gateConfig(s))
 	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody}, n.chains)
 	n.pool = peer.NewPool(poolConfig(s))
+	n.controlPool = peer.NewPool(poolConfig(s))
 	peers := peer.NewClient(n.pool, s.Node.Name)
 	n.quarantine = flow.NewQuarantine(flow.QuarantineConfig{
 		Table: quarantineConfig(s),
@@ -95,9 +100,16 @@
 	})
 	n.platform = platform.NewClient(platformConfig(s))
 	n.controller = zone.NewController(zone.Config{
-		Board:       n.loop,
-		Platform:    n.platform,
-		Peers:       zone.NewClient(n.pool, s.Node.Name, s.Node.Zone, controlTimeout),
+		Board:    n.loop,
+		Platform: n.platform,
+		Peers: zone.NewClient(zone.ClientConfig{
+			Pool:        n.controlPool,
+			Node:        s.Node.Name,
+			Zone:        s.Node.Zone,
+			BeatTimeout: beatTimeout,
+			Timeout:     controlTimeout,
+		}),
+		Seeds:       s.Peer.SeedList(),
 		Log:         config.Log,
 		Timing:      zone.DefaultTiming,
 		Incarnation: uint64(time.Now().UnixNano()),
@@ -124,6 +136,7 @@
 	stop()
 	n.listeners.close()
 	n.pool.Close()
+	n.controlPool.Close()
 	group.Wait()
 	config.Log.Emit(events.NodeStopped, nil)
 	return nil
@@ -190,6 +203,8 @@
 		Sender:  n.sender,
 		Chains:  n.chains,
 		MaxBody: n.config.Settings.Caller.MaxBody,
+
+		Rejected: n.rejected,
 	})
 	return router
 }
@@ -203,7 +218,7 @@
 
 // announced takes in what the local backend server says of itself.
 func (n *Node) announced(ctx context.Context, a backend.Announcement) {
-	n.gate.Announce(a.Slots)
+	n.gate.Announce(a.Slots, a.Connections)
 	n.client.SetConnections(a.Connections)
 	before := n.loop.Snapshot().Backend
 	n.loop.Do(ctx, func(b *board.Board) {
@@ -251,7 +266,8 @@
 		return
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
-		Log: func(err error) { n.config.Log.Emit(events.PeerGarbage, events.Fields{"error": err.Error()}) },
+		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
+		Log:     n.peerFailed,
 	})
 	_ = server.Serve(ctx, n.listeners.peer)
 }
@@ -261,7 +277,9 @@
 		Handler:           router,
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
 		ReadTimeout:       n.config.Settings.Caller.BodyTimeout,
+		ErrorLog:          n.httpLog(),
 	}
+	caller.WatchConns(server, n.endedEarly)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	_ = server.Serve(l)
