--- a/internal/proof/routing/chain_test.go
+++ b/internal/proof/routing/chain_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
@@ -98,6 +99,12 @@
 	is := is.New(t)
 	f := harness.Start(t, fleet.Config{Deployment: deepChain(2, 5*time.Millisecond)})
 	setAll(f, func(b *server.Behaviour) { b.FailRate = 0.4 })
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		time.Sleep(2 * time.Second)
+		f.Nodes[7].Kill() // a node of the fourth level, whose replies are lost
+	})
 	results := load.Run(t.Context(), load.Config{
 		Streams:  []load.Stream{lookups(60, 3)},
 		Targets:  f.Callers(),
--- a/internal/traffic/caller/handler_test.go
+++ b/internal/traffic/caller/handler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,3 +97,33 @@
 	is.Equal(s.sent.Root.Rank, 1) // the document's, not the caller's
 	is.Equal(s.sent.Header, http.Header{"Accept": {"text/plain"}})
 }
+
+func TestResends(t *testing.T) {
+	for name, c := range map[string]struct {
+		header []string
+		status int
+		want   int
+	}{
+		"none":     {nil, 200, 0},
+		"third":    {[]string{"2"}, 200, 2},
+		"negative": {[]string{"-1"}, 400, 0},
+		"empty":    {[]string{""}, 400, 0},
+		"huge":     {[]string{"99999999999"}, 400, 0},
+		"twice":    {[]string{"1", "2"}, 400, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &fixedSender{reply: call.Reply{Outcome: call.Ran, Status: 200}}
+			r := httptest.NewRequest(http.MethodGet, "/call/access/x", http.NoBody)
+			r.Header[caller.ResendHeader] = c.header
+			w := serve(t, s, r)
+			is.Equal(w.Code, c.status)
+			if c.status == 200 {
+				is.Equal(s.sent.Resends, c.want)
+				return
+			}
+			is.True(s.sent == nil)
+			is.True(strings.Contains(w.Body.String(), caller.ResendHeader)) // the field is named
+		})
+	}
+}
--- a/internal/traffic/caller/headers.go
+++ b/internal/traffic/caller/headers.go
@@ -24,7 +24,7 @@
 )
 
 // callerHeaders are the headers that a caller may set, each at most once.
-var callerHeaders = []string{backend.KeyHeader, DeadlineHeader, CallerHeader, backend.ChainHeader}
+var callerHeaders = []string{backend.KeyHeader, DeadlineHeader, CallerHeader, ResendHeader, backend.ChainHeader}
 
 // checkHeaders refuses a request whose headers for this system are malformed. The text names the header.
 func checkHeaders(h http.Header) *rejection {
@@ -111,11 +111,10 @@
 
 // resendsOf returns how often the caller says that it has sent the request before.
 func resendsOf(r *http.Request) (int, *rejection) {
-	text := r.Header.Get(ResendHeader)
-	if text == "" {
+	if len(r.Header.Values(ResendHeader)) == 0 {
 		return 0, nil
 	}
-	resends, err := strconv.ParseUint(text, 10, 16)
+	resends, err := strconv.ParseUint(r.Header.Get(ResendHeader), 10, 16)
 	if err != nil {
 		return 0, &rejection{call.ReasonBadRequest, ResendHeader + " is not a small whole number"}
 	}
