Idempotent requests leave silent connections

Cause: an attempt of an idempotent request on a silent connection waited until its deadline, and each idle connection that had gone silent cost another request.

The watch that non-idempotent attempts have now serves idempotent ones: after 250 ms the other node is asked on a new connection whether it works on the attempt; if not, the attempt is given up, idle connections are closed and the next attempt goes out on a new connection. Attempts lent to calls with a caller's key come out of the pool too: they were taken from the document of the called service, past the bound.

--- /dev/null
+++ b/internal/proof/routing/silent_test.go
@@ -0,0 +1,89 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+const (
+	// silentBound is how long docs/RETRIES.md says that a request may be held up by a silent connection, and
+	// aftermath the time after which none is.
+	silentBound = time.Second
+	aftermath   = 2 * time.Second
+)
+
+// twoServices are one service, and a node of another one through which its requests enter.
+func twoServices() fleet.Deployment {
+	d := fleet.Deployment{Zones: []string{"lisbon_1", "lisbon_2"}}
+	for level, instances := range []int{2, 1} {
+		name := fmt.Sprint("level", level)
+		d.Services = append(d.Services, fleet.Service{
+			Name: name, Document: levelDocument(name), Instances: instances, Slots: 10, Connections: 50,
+			Behaviour: server.Behaviour{ServiceTime: 20 * time.Millisecond, Queue: 10},
+		})
+	}
+	return d
+}
+
+func TestSilentConnectionsAreLeft(t *testing.T) {
+	is := is.New(t)
+	f := harness.Start(t, fleet.Config{Deployment: twoServices()})
+	entry := f.Nodes[2]
+	const silence = 1500 * time.Millisecond
+	silenced := 0
+	var group conc.WaitGroup
+	group.Go(func() {
+		time.Sleep(silence)
+		for _, n := range f.Nodes[:2] {
+			silenced += f.Network.SilenceOpen(entry.Name, n.Name)
+		}
+	})
+	// A rush opens many connections; after the silence few requests come, so that most connections lie idle.
+	rush, calm := lookups(500, 0), lookups(10, 0)
+	rush.Name, rush.Stop = "rush", silence-300*time.Millisecond
+	calm.Name, calm.Start = "calm", silence
+	results := load.Run(t.Context(), load.Config{
+		Streams:  []load.Stream{rush, calm},
+		Targets:  []string{entry.Caller},
+		Duration: 4 * time.Second,
+		Seed:     1,
+	})
+	group.Wait()
+	failed, late, delayed, slowest := 0, 0, 0, time.Duration(0)
+	for _, r := range results {
+		if r.Stream != calm.Name {
+			continue
+		}
+		slowest = max(slowest, r.Took)
+		if !r.OK() {
+			failed++
+		}
+		if r.Took > 250*time.Millisecond {
+			delayed++
+		}
+		if r.Sent > silence+aftermath && r.Took > silentBound {
+			late++
+		}
+	}
+	t.Logf("%d connections silenced, %d requests delayed; %d of %d failed, slowest %s, %d late",
+		silenced, delayed, failed, tallied(results, silence, time.Minute).sent, slowest, late)
+	is.True(silenced > 10)
+	is.True(2*delayed < silenced) // the first that notices closes the idle ones
+	is.Equal(failed, 0)
+	is.Equal(late, 0)
+	is.True(slowest < silentBound)
+	for request, byService := range runsByRequest(f) {
+		if byService["level0"] > 1+allowance {
+			t.Errorf("%s ran %d times", request, byService["level0"])
+		}
+	}
+}
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -77,6 +77,9 @@
 	Attempts *Attempts
 	// Resends is how often the caller says that it has sent the request before.
 	Resends int
+	// NewConnection says that an earlier attempt went out on a connection that was silent, so that no kept one is
+	// trusted; it is not passed on.
+	NewConnection bool
 	// Crashes is how many backend servers crashed, as far as the sender knows, while they ran the request.
 	Crashes int
 	// SourceNode is the node that sent the request here; empty at the entry.
--- a/internal/traffic/flow/exchange.go
+++ b/internal/traffic/flow/exchange.go
@@ -22,6 +22,8 @@
 	// progressBound is how long an answer may take before the other node is asked on a new connection. Each further
 	// question waits twice as long.
 	progressBound = 250 * time.Millisecond
+	// answerGrace is how long an answer may be on its way after the other node has ended the attempt.
+	answerGrace = 20 * time.Millisecond
 	// resolveTimeout bounds one such question.
 	resolveTimeout = 500 * time.Millisecond
 	// maxCopies is how often one attempt is sent while its fate is open. The receiver takes it once.
@@ -32,9 +34,9 @@
 	maxChallenges = 3
 )
 
-// exchange carries one attempt of a non-idempotent request to the node that decides about its key, and finds out
-// what became of it where the answer is lost. It sends further copies only to the same process, which takes the
-// attempt once.
+// exchange carries one attempt to another node and watches over it, so that a silent connection is noticed. For a
+// non-idempotent request it finds out what became of the attempt where the answer is lost, and sends further copies
+// only to the same process, which takes the attempt once.
 type exchange struct {
 	peers *peer.Client
 	local Runner
@@ -64,7 +66,7 @@
 	}
 	pause := copyPause
 	for copies := 1; ; copies++ {
-		reply, err := x.send(ctx, target.PeerAddress, attempt)
+		reply, err := x.send(ctx, target.PeerAddress, attempt, x.resolve)
 		if err == nil {
 			return reply, nil
 		}
@@ -91,8 +93,19 @@
 	return call.ReasonPeerUnreachable
 }
 
+// callIdempotent sends one attempt of an idempotent request. It gives up on it, so that another instance can be
+// tried, where the other node is not working on it or can't be asked.
+func (x *exchange) callIdempotent(ctx context.Context, target membership.Member, attempt *call.Request) (call.Reply, error) {
+	attempt.TargetIncarnation = target.Incarnation
+	return x.send(ctx, target.PeerAddress, attempt, x.isWorkedOn)
+}
+
+// resolver asks the node at the address about an attempt whose answer takes long. It reports false where waiting
+// goes on.
+type resolver func(ctx context.Context, address string, attempt *call.Request) (answer, bool)
+
 // send sends one copy and watches over it.
-func (x *exchange) send(ctx context.Context, address string, attempt *call.Request) (call.Reply, error) {
+func (x *exchange) send(ctx context.Context, address string, attempt *call.Request, resolve resolver) (call.Reply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var group conc.WaitGroup
 	defer group.Wait()
@@ -112,13 +125,28 @@
 			return a.reply, a.err
 		case <-timer.C:
 		}
-		if a, ok := x.resolve(ctx, address, &sent); ok {
-			return a.reply, a.err
+		if a, ok := resolve(ctx, address, &sent); ok {
+			return lastChance(answers, a)
 		}
 		patience *= 2
 	}
 }
 
+// lastChance prefers the answer itself where it comes while the other node is being asked about it.
+func lastChance(answers <-chan answer, resolved answer) (call.Reply, error) {
+	if resolved.err == nil {
+		return resolved.reply, nil
+	}
+	timer := time.NewTimer(answerGrace)
+	defer timer.Stop()
+	select {
+	case a := <-answers:
+		return a.reply, a.err
+	case <-timer.C:
+		return resolved.reply, resolved.err
+	}
+}
+
 // answer is the end of one exchange.
 type answer struct {
 	reply call.Reply
@@ -153,8 +181,23 @@
 	}
 }
 
-// errSilent says that an attempt did not arrive although it was sent.
-var errSilent = errors.New("the attempt did not arrive")
+// isWorkedOn asks whether the other node is working on the attempt of an idempotent request.
+func (x *exchange) isWorkedOn(ctx context.Context, address string, attempt *call.Request) (answer, bool) {
+	question := peer.Question{
+		AttemptID:   attempt.AttemptID,
+		Service:     attempt.Service,
+		Incarnation: attempt.TargetIncarnation,
+	}
+	resolution, err := x.peers.Resolve(ctx, address, question, resolveTimeout)
+	if err == nil && resolution.State == peer.Running {
+		return answer{}, false
+	}
+	x.peers.Drop(address)
+	return answer{err: &peer.Error{Address: address, Sent: true, Reason: call.ReasonPeerSilent, Cause: errSilent}}, true
+}
+
+// errSilent says that the other node is not working on an attempt although it was sent.
+var errSilent = errors.New("the other node is not working on the attempt")
 
 // wait pauses and reports false where the context ends before.
 func wait(ctx context.Context, d time.Duration) bool {
--- a/internal/traffic/flow/home.go
+++ b/internal/traffic/flow/home.go
@@ -35,6 +35,7 @@
 type Home struct {
 	config HomeConfig
 	group  conc.WaitGroup
+	open   *openAttempts
 
 	mu sync.Mutex
 	// keys are those that this node decides about; delegated are the attempts that other homes sent here.
@@ -55,6 +56,7 @@
 func NewHome(config HomeConfig) *Home {
 	return &Home{
 		config:    config,
+		open:      newOpenAttempts(),
 		keys:      outcome.NewTable[call.Reply](config.Table),
 		delegated: outcome.NewTable[call.Reply](config.Table),
 		runs:      map[string]*run{},
@@ -96,6 +98,8 @@
 // Receive runs the request, or answers with what became of an earlier copy.
 func (h *Home) Receive(ctx context.Context, r *call.Request) call.Reply {
 	if r.Idempotent {
+		h.open.begin(r.AttemptID)
+		defer h.open.end(r.AttemptID)
 		return h.config.Local.Receive(ctx, r)
 	}
 	reply := h.receive(ctx, r)
@@ -290,6 +294,9 @@
 	if q.Incarnation != 0 && q.Incarnation != h.config.Self.Incarnation {
 		return peer.Resolution{State: peer.Unknown}
 	}
+	if q.Key == "" {
+		return h.resolveIdempotent(q)
+	}
 	key, err := outcome.ParseKey(q.Key)
 	if err != nil {
 		return peer.Resolution{State: peer.Unknown}
@@ -304,6 +311,14 @@
 	return peer.Resolution{State: states[state], Reply: reply}
 }
 
+// resolveIdempotent tells whether an attempt of an idempotent request, which has no key, is still being worked on.
+func (h *Home) resolveIdempotent(q peer.Question) peer.Resolution {
+	if h.open.has(q.AttemptID) {
+		return peer.Resolution{State: peer.Running}
+	}
+	return peer.Resolution{State: peer.Absent}
+}
+
 var states = map[outcome.State]peer.State{
 	outcome.Absent:  peer.Absent,
 	outcome.Running: peer.Running,
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -56,17 +56,26 @@
 // relocatePause is the time before another look at who decides about a key, while that changes hands.
 const relocatePause = 25 * time.Millisecond
 
-// sendHome sends the request to the node that decides about its key, and follows the key while it changes hands.
+// sendHome sends the request to the node that decides about its key, with a part of its attempts.
 func (k *KeyedSender) sendHome(ctx context.Context, r *call.Request, key outcome.Key) call.Reply {
 	attempt := *r
+	attempt.AttemptsLeft = r.Attempts.Lend()
+	reply := k.follow(ctx, &attempt, key)
+	reply.AttemptsUsed = spent(&reply, attempt.AttemptsLeft)
+	r.Attempts.Return(attempt.AttemptsLeft, reply.AttemptsUsed)
+	return reply
+}
+
+// follow sends the attempt to the node that decides about its key, and follows the key while it changes hands.
+func (k *KeyedSender) follow(ctx context.Context, attempt *call.Request, key outcome.Key) call.Reply {
 	patience := time.Now().Add(relocatePatience)
 	useSuccessor := false
 	for {
-		target, refusal, ok := k.locate(r.Service, key, useSuccessor)
+		target, refusal, ok := k.locate(attempt.Service, key, useSuccessor)
 		if !ok {
 			return openly(refusal, attempt.Resent)
 		}
-		reply, err := k.config.Sender.toHome(ctx, target, &attempt)
+		reply, err := k.config.Sender.toHome(ctx, target, attempt)
 		if err == nil && !moved(reply) {
 			return openly(reply, attempt.Resent)
 		}
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -80,17 +80,27 @@
 		}
 		lent := r.Attempts.Lend()
 		reply := s.attempt(ctx, target, r, lent)
+		reply.AttemptsUsed = spent(&reply, lent)
 		r.Attempts.Return(lent, reply.AttemptsUsed)
 		t.note(target.Node, reply)
 		if crashed(&reply) {
 			r.Crashes++
 		}
+		r.NewConnection = r.NewConnection || reply.Reason == call.ReasonPeerSilent
 		if !s.again(r, reply, t) {
 			return t.end(reply)
 		}
 	}
 }
 
+// spent returns how many of the attempts lent to a call count as used: all, where its own reply was lost.
+func spent(reply *call.Reply, lent int) int {
+	if reply.Outcome == call.Unknown && !crashed(reply) {
+		return lent
+	}
+	return reply.AttemptsUsed
+}
+
 // trial is what the attempts of one Send have come to.
 type trial struct {
 	tried []string
@@ -149,7 +159,7 @@
 	if target.Node == s.config.Board.Snapshot().Self.Node {
 		return s.config.Receiver.Receive(ctx, attempt)
 	}
-	reply, err := s.config.Peers.Call(ctx, target.PeerAddress, attempt)
+	reply, err := s.exchange().callIdempotent(ctx, target, attempt)
 	if err != nil {
 		return failedReply(err, attempt)
 	}
--- a/internal/traffic/peer/client.go
+++ b/internal/traffic/peer/client.go
@@ -54,12 +54,20 @@
 	return &Client{pool: pool, node: node}
 }
 
+// use runs f on a kept connection, or on a new one where none that is kept is to be trusted.
+func (c *Client) use(ctx context.Context, address string, r *call.Request, f func(*drpcconn.Conn) error) error {
+	if r.NewConnection {
+		return c.pool.UseNew(ctx, address, f)
+	}
+	return c.pool.UseFor(ctx, address, r.Root.Rank, f)
+}
+
 // Call sends one attempt to the node at the address and returns its reply.
 func (c *Client) Call(ctx context.Context, address string, r *call.Request) (call.Reply, error) {
 	message := requestMessage(r, c.node, time.Now())
 	var answer *peerpb.CallReply
 	sent := false
-	err := c.pool.UseFor(ctx, address, r.Root.Rank, func(conn *drpcconn.Conn) error {
+	err := c.use(ctx, address, r, func(conn *drpcconn.Conn) error {
 		sent = true
 		var err error
 		answer, err = peerpb.NewDRPCPeerClient(conn).Call(ctx, message)
