--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -10,7 +10,6 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
-	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
 
@@ -49,8 +48,6 @@
 
 var retryBudget = retry.BudgetConfig{PerSuccess: 0.1, Max: 20}
 
-var ejection = flow.EjectionConfig{Failures: 3, Time: 2 * time.Second, SheddingTime: 100 * time.Millisecond}
-
 func gateConfig(s *settings.Settings) admission.GateConfig {
 	return admission.GateConfig{
 		Limit: admission.LimitConfig{
