Golden files of whole sessions on the caller's side

Seven sessions behind the fault-injecting proxy: whole, late, truncated, truncated request, corrupted, doubled and silenced. In each the caller ends with its own whole answer and the ledger shows one run a key.

Ruled out: damage that lasts for the whole step. Its sessions told 502 or 504, as the deadline or the resolution came first, and a golden file must have one answer.

A refusal without a text of its own carries its reason's.

--- a/internal/lab/proxy/network.go
+++ b/internal/lab/proxy/network.go
@@ -32,12 +32,23 @@
 	Spread time.Duration
 	// TruncateAfter closes the connection after so many bytes; 0 for never.
 	TruncateAfter int64
-	// Corrupt flips a bit in every chunk.
+	// Corrupt flips a bit in the middle of every chunk.
 	Corrupt bool
+	// Scatter flips a bit at a random place of every chunk.
+	Scatter bool
 	// Duplicate passes every chunk on twice.
 	Duplicate bool
 	// Cross exchanges chunks between the connections that carry bytes at the same time.
 	Cross bool
+	// AtLeast spares chunks of fewer bytes from damage: from TruncateAfter, Corrupt, Scatter, Duplicate and Cross.
+	AtLeast int
+	// Times is how many chunks are damaged in all; 0 for no bound.
+	Times int
+}
+
+// withoutDamage returns the fault as it is for chunks that are spared.
+func (f Fault) withoutDamage() Fault {
+	return Fault{Cut: f.Cut, Delay: f.Delay, Spread: f.Spread}
 }
 
 type link struct {
@@ -57,6 +68,8 @@
 	pairs   map[*pair]bool
 	crossed map[link]chan []byte
 	traffic map[link]*Traffic
+	// damaged counts the chunks that the fault in force has damaged.
+	damaged map[link]int
 }
 
 // Traffic is what has passed from one end to another.
@@ -76,6 +89,7 @@
 		pairs:   map[*pair]bool{},
 		crossed: map[link]chan []byte{},
 		traffic: map[link]*Traffic{},
+		damaged: map[link]int{},
 	}
 }
 
@@ -91,6 +105,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.faults[link{from, to}] = f
+	n.damaged[link{from, to}] = 0
 	n.wake()
 }
 
@@ -219,6 +234,26 @@
 	return n.faults[l], n.changed
 }
 
+// strike returns the fault in force for a chunk of so many bytes.
+func (n *Network) strike(l link, bytes int) Fault {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f := n.faults[l]
+	if bytes < f.AtLeast || f.Times > 0 && n.damaged[l] >= f.Times {
+		return f.withoutDamage()
+	}
+	n.damaged[l]++
+	return f
+}
+
+func (n *Network) flipAnywhere(chunk []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	chunk[n.random.IntN(len(chunk))] ^= 1 << n.random.IntN(bitsPerByte)
+}
+
+const bitsPerByte = 8
+
 func (n *Network) jitter(f Fault) time.Duration {
 	if f.Spread <= 0 {
 		return f.Delay
--- a/internal/lab/proxy/pair.go
+++ b/internal/lab/proxy/pair.go
@@ -79,13 +79,16 @@
 	if !p.passes(ctx, l) {
 		return false
 	}
-	f, _ := p.network.fault(l)
+	f := p.network.strike(l, len(chunk))
 	if !p.pause(ctx, p.network.jitter(f)) {
 		return false
 	}
 	if f.Corrupt {
 		chunk[len(chunk)/2] ^= 1
 	}
+	if f.Scatter {
+		p.network.flipAnywhere(chunk)
+	}
 	if f.Cross {
 		chunk = p.network.cross(l, chunk)
 	}
--- a/internal/proof/shell/answers_test.go
+++ b/internal/proof/shell/answers_test.go
@@ -84,6 +84,7 @@
 type answer struct {
 	id      string
 	path    string
+	key     string
 	body    []byte
 	status  int
 	outcome string
@@ -127,6 +128,9 @@
 		return
 	}
 	request.Header.Set(server.RequestHeader, a.id)
+	if a.key != "" {
+		request.Header.Set(keyHeader, a.key)
+	}
 	request.Header.Set("Comfreyhoist-Deadline-Ms", "1000")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
--- /dev/null
+++ b/internal/proof/shell/session_test.go
@@ -0,0 +1,274 @@
+package shell_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/proxy"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+// step is one request of a session, sent while a fault is on the link between the entry and the instance.
+type step struct {
+	title string
+	// toInstance and toEntry are the faults of the two directions.
+	toInstance proxy.Fault
+	toEntry    proxy.Fault
+	// silence makes the open connections between the two silent for good.
+	silence bool
+	method  string
+	path    string
+	header  map[string]string
+	body    string
+}
+
+const (
+	keyHeader      = "Idempotency-Key"
+	deadlineHeader = "Comfreyhoist-Deadline-Ms"
+)
+
+// book returns a step that sends a booking under a key; "key 1" and so on stand for keys of the run.
+func book(title, key, body string) step {
+	return step{
+		title:  title,
+		method: http.MethodPost,
+		path:   "/call/bookings/bookings",
+		header: map[string]string{keyHeader: key},
+		body:   body,
+	}
+}
+
+func with(s step, toInstance, toEntry proxy.Fault) step {
+	s.toInstance, s.toEntry = toInstance, toEntry
+	return s
+}
+
+// within gives the step a deadline of its own, in milliseconds.
+func within(deadline string, s step) step {
+	s.header[deadlineHeader] = deadline
+	return s
+}
+
+func silenced(s step) step {
+	s.silence = true
+	return s
+}
+
+// once damages one long message and leaves the control messages on the link alone.
+func once(f proxy.Fault) proxy.Fault {
+	f.AtLeast, f.Times = len(long)/4, 1
+	return f
+}
+
+var long = strings.Repeat("a lowered chandelier, ", 500)
+
+// sessions are the golden files. In each the caller ends with its own whole answer, and the ledger shows one run.
+var sessions = map[string][]step{
+	"whole": {
+		book("a booking", "key 1", "ballroom"),
+		book("the same again", "key 1", "ballroom"),
+		book("another under the same key", "key 1", "chapel"),
+		book("a key that is no key", "two words", "ballroom"),
+		{title: "a lookup", method: http.MethodGet, path: "/call/bookings/bookings/7?month=5"},
+		{title: "no such kind", method: http.MethodGet, path: "/call/bookings/archive"},
+		{title: "no such service", method: http.MethodGet, path: "/call/crystal/7"},
+		{title: "no such deadline", method: http.MethodGet, path: "/call/bookings/bookings/7", header: map[string]string{deadlineHeader: "soon"}},
+	},
+	"late": {
+		within("300", with(book("the answer comes after the deadline", "key 1", "ballroom"), proxy.Fault{}, proxy.Fault{Delay: time.Second})),
+		book("the caller asks again", "key 1", "ballroom"),
+	},
+	"truncated": {
+		with(book("the answer is cut short", "key 1", long), proxy.Fault{}, once(proxy.Fault{TruncateAfter: 1})),
+		book("the caller asks again", "key 1", long),
+	},
+	"truncated_request": {
+		with(book("the request is cut short", "key 1", long), once(proxy.Fault{TruncateAfter: 1}), proxy.Fault{}),
+		book("the caller asks again", "key 1", long),
+	},
+	"corrupted": {
+		with(book("the answer is damaged", "key 1", long), proxy.Fault{}, once(proxy.Fault{Corrupt: true})),
+		book("the caller asks again", "key 1", long),
+	},
+	"doubled": {
+		with(book("the answer comes twice", "key 1", long), proxy.Fault{}, once(proxy.Fault{Duplicate: true})),
+		book("the caller asks again", "key 1", long),
+	},
+	"silenced": {
+		{title: "a lookup opens a connection", method: http.MethodGet, path: "/call/bookings/bookings/7"},
+		silenced(book("the open connections have gone silent", "key 1", "ballroom")),
+		book("the caller asks again", "key 1", "ballroom"),
+	},
+}
+
+// TestSessions compares whole sessions, as the caller sees them, with golden files.
+func TestSessions(t *testing.T) {
+	f := startSessions(t)
+	for name, steps := range sessions {
+		t.Run(name, func(t *testing.T) { playSession(t, f, name, steps) })
+	}
+}
+
+// TestDamageLeavesNothingBehind damages everything between two nodes for a while. Afterwards all works as before.
+func TestDamageLeavesNothingBehind(t *testing.T) {
+	f := startSessions(t)
+	f.Network.SetBoth([]string{f.Nodes[0].Name}, []string{f.Nodes[1].Name}, proxy.Fault{Corrupt: true})
+	time.Sleep(damageTime)
+	f.Network.Clear()
+	harness.Eventually(t, 20*time.Second, func() bool { return remembers(t, f) })
+}
+
+// damageTime is several heartbeats.
+const damageTime = 2 * time.Second
+
+func startSessions(t *testing.T) *fleet.Fleet {
+	t.Helper()
+	f := harness.Start(t, fleet.Config{Deployment: oneInstance()})
+	harness.Eventually(t, 60*time.Second, func() bool { return remembers(t, f) })
+	return f
+}
+
+func playSession(t *testing.T, f *fleet.Fleet, name string, steps []step) {
+	t.Helper()
+	golden := goldie.New(t, goldie.WithFixtureDir("testdata"), goldie.WithNameSuffix(".golden"), goldie.WithDiffEngine(goldie.ClassicDiff))
+	p := &player{fleet: f, keys: map[string]string{}}
+	for _, s := range steps {
+		p.play(t, s)
+	}
+	golden.Assert(t, name, p.transcript.Bytes())
+	p.checkRuns(t)
+}
+
+// remembers reports whether a key of a caller has a home yet.
+func remembers(t *testing.T, f *fleet.Fleet) bool {
+	t.Helper()
+	a := answer{id: "remembers", path: bookingPath, key: uuid.Must(uuid.NewV7()).String()}
+	send(t.Context(), f.Nodes[0].Caller, &a)
+	return a.outcome == "ran"
+}
+
+// oneInstance returns one availability zone with the entry and one instance behind it.
+func oneInstance() fleet.Deployment {
+	d := deployment(1)
+	d.Zones = d.Zones[:1]
+	return d
+}
+
+// player plays the steps of one session and writes down what goes over the caller's connection.
+type player struct {
+	fleet      *fleet.Fleet
+	keys       map[string]string
+	transcript bytes.Buffer
+}
+
+func (p *player) play(t *testing.T, s step) {
+	t.Helper()
+	entry, instance := p.fleet.Nodes[0].Name, p.fleet.Nodes[1].Name
+	p.fleet.Network.Set(entry, instance, s.toInstance)
+	p.fleet.Network.Set(instance, entry, s.toEntry)
+	if s.silence {
+		p.fleet.Network.SilenceOpen(entry, instance)
+	}
+	fmt.Fprintf(&p.transcript, "== %s\n", s.title)
+	p.exchange(t, s)
+	p.fleet.Network.Clear()
+	harness.Eventually(t, 30*time.Second, func() bool { return wholeAgain(t, p.fleet) && remembers(t, p.fleet) })
+}
+
+func (p *player) exchange(t *testing.T, s step) {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, s.method, "http://"+p.fleet.Nodes[0].Caller+s.path, strings.NewReader(s.body))
+	is.NoErr(err)
+	for name, value := range s.header {
+		request.Header.Set(name, p.value(value))
+	}
+	p.write("> ", s.method+" "+s.path, request.Header, []byte(s.body))
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err) // whole, as Content-Length gives it
+	p.write("< ", response.Status, response.Header, body)
+}
+
+// value returns the key that "key 1" and so on stand for; other values stand for themselves.
+func (p *player) value(text string) string {
+	if !strings.HasPrefix(text, "key ") {
+		return text
+	}
+	if p.keys[text] == "" {
+		p.keys[text] = uuid.Must(uuid.NewV7()).String()
+	}
+	return p.keys[text]
+}
+
+var (
+	mintedKey = regexp.MustCompile(`m\.[0-9a-z]+\.[0-9a-f-]+\.\w+`)
+	// changing are the headers whose values differ from run to run.
+	changing = []string{"Date", "Retry-After", "Comfreyhoist-Retry-After-Ms"}
+)
+
+func (p *player) write(mark, first string, header http.Header, body []byte) {
+	lines := []string{first}
+	for name, values := range header {
+		value := strings.Join(values, ", ")
+		if slices.Contains(changing, name) {
+			value = "(changes)"
+		}
+		lines = append(lines, name+": "+p.normalized(value))
+	}
+	slices.Sort(lines[1:])
+	lines = append(lines, p.normalized(shortened(string(body))))
+	for _, line := range lines {
+		p.transcript.WriteString(strings.TrimSpace(mark+line) + "\n")
+	}
+}
+
+func (p *player) normalized(text string) string {
+	for name, key := range p.keys {
+		text = strings.ReplaceAll(text, key, "("+name+")")
+	}
+	return mintedKey.ReplaceAllString(text, "(key of the node)")
+}
+
+// longestShown is the longest body that a transcript shows whole.
+const longestShown = 120
+
+func shortened(body string) string {
+	if len(body) > longestShown {
+		return fmt.Sprintf("%s... (%d bytes, xxhash %x)", body[:longestShown/4], len(body), xxhash.Sum64String(body))
+	}
+	return strings.TrimSpace(body)
+}
+
+// checkRuns holds the keys of the session against the ledger: each ran once.
+func (p *player) checkRuns(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	for _, key := range p.keys {
+		started := 0
+		for _, r := range p.fleet.Nodes[1].Server.Ledger().Runs() {
+			if r.Key == key {
+				started += r.Started
+			}
+		}
+		is.Equal(started, 1)
+	}
+}
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -214,12 +214,15 @@
 const retryAfterMsHeader = "Comfreyhoist-Retry-After-Ms"
 
 func (h *handler) write(w http.ResponseWriter, request *call.Request, reply call.Reply) {
-	if reply.Status < http.StatusOK || reply.Status > highestStatus {
+	if reply.Status < http.StatusOK || reply.Status > highestStatus || !wellFormed(reply.Header) {
 		reply = call.Refused(call.Unknown, call.ReasonCorrupt, 0)
 	}
 	if reply.Outcome != call.Ran && reply.Status == http.StatusServiceUnavailable && reply.RetryAfter <= 0 {
 		reply.RetryAfter = defaultRetryAfter
 	}
+	if reply.Outcome != call.Ran && len(reply.Body) == 0 && reply.Reason != call.ReasonNone {
+		reply.Body = []byte(reply.Reason.Entry().Text + "\n")
+	}
 	header := w.Header()
 	for name, values := range reply.Header {
 		if !strings.HasPrefix(name, ownPrefix) {
--- a/internal/traffic/caller/handler_test.go
+++ b/internal/traffic/caller/handler_test.go
@@ -67,6 +67,10 @@
 			reply:  call.Refused(call.NotAdmitted, call.ReasonDraining, 0),
 			status: 503, outcome: "not_admitted", reason: "draining", retryAfter: "1", exact: "1000",
 		},
+		"header with a damaged value": {
+			reply:  call.Reply{Outcome: call.Ran, Status: 200, Header: http.Header{"Date": {"Fri, 04 Dec \x12026"}}},
+			status: 502, outcome: "unknown", reason: "corrupt",
+		},
 		"reply without a status": {
 			reply:  call.Reply{Outcome: call.Ran},
 			status: 502, outcome: "unknown", reason: "corrupt",
--- a/internal/traffic/caller/headers.go
+++ b/internal/traffic/caller/headers.go
@@ -120,3 +120,24 @@
 	}
 	return int(resends), nil
 }
+
+// wellFormed reports whether HTTP can carry the headers. A damaged one would break the caller's connection.
+func wellFormed(h http.Header) bool {
+	for name, values := range h {
+		if name == "" || strings.ContainsFunc(name, isInvisible) || strings.Contains(name, ":") {
+			return false
+		}
+		for _, value := range values {
+			if strings.ContainsFunc(value, isControl) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func isControl(c rune) bool {
+	return c < ' ' && c != '\t' || c == deleteCharacter
+}
+
+const deleteCharacter = 0x7f
