Keys without a time move between homes, and a leaving node goes on as an entry

Cause: after any change of members, an opaque key in the moved range was refused for the whole resend window, also after a planned stop. Now its new home asks the homes that it had within the window to move it; those that have run it give the answer, the others never run it again. Only where one of them can't be asked is the key refused.

A leaving node refused callers after 1.5 s although it could pass their requests on. It now does so until its listener closes, which is when its backend server has nothing left in flight.

--- a/cmd/hoistlab/once.go
+++ b/cmd/hoistlab/once.go
@@ -15,6 +15,9 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/once"
 )
 
+// onceInstances gives two instances to each availability zone.
+const onceInstances = 6
+
 func onceCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("hoistlab once", flag.ContinueOnError)
 	duration := flags.Duration("duration", time.Minute, "length of the run")
@@ -47,7 +50,7 @@
 	if verbose {
 		output = os.Stderr
 	}
-	f, err := fleet.Start(ctx, fleet.Config{Binary: binary, Deployment: once.Deployment(), Output: output, Seed: config.Seed})
+	f, err := fleet.Start(ctx, fleet.Config{Binary: binary, Deployment: once.Deployment(onceInstances), Output: output, Seed: config.Seed})
 	defer f.Stop()
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/decide/outcome/shard.go
+++ b/internal/decide/outcome/shard.go
@@ -89,19 +89,22 @@
 	return Node{}, false
 }
 
-// Settled returns the home of a key without a time. There is one only where no other node can have been its home
-// since the given time; now must lie in the last epoch. All times are in Unix milliseconds.
-func (s Shard) Settled(service, key string, now, since int64) (Node, bool) {
-	if now >= s.Last().Until {
-		return Node{}, false
-	}
+// Current returns the home of a key without a time, and the other nodes that can have been its home since the given
+// time. Those must have moved the key before the home may run it. There is no home after the end of the last epoch.
+// All times are in Unix milliseconds.
+func (s Shard) Current(service, key string, now, since int64) (Node, []Node, bool) {
 	home, ok := s.Last().winner(service, key)
+	if !ok || now >= s.Last().Until {
+		return Node{}, nil, false
+	}
+	var earlier []Node
 	for _, e := range s.Epochs {
-		if earlier, _ := e.winner(service, key); e.Until > since && earlier != home {
-			return Node{}, false
+		n, found := e.winner(service, key)
+		if found && e.Until > since && n != home && !slices.Contains(earlier, n) {
+			earlier = append(earlier, n)
 		}
 	}
-	return home, ok
+	return home, earlier, true
 }
 
 // winner returns the member with the highest hash for the key, among those of the service where there are any.
--- a/internal/decide/outcome/table.go
+++ b/internal/decide/outcome/table.go
@@ -29,6 +29,8 @@
 	Done
 	// NotRun means that the request has not run, and that nothing that was sent before may still run.
 	NotRun
+	// Moved means that the key has not run here and never will, because another node took it over.
+	Moved
 )
 
 // Action is what to do with a request.
@@ -52,7 +54,7 @@
 	RefuseTime
 	// RefuseFull says that no further key can be remembered.
 	RefuseFull
-	// RefuseClosed says that the keys have been handed over.
+	// RefuseClosed says that the key has gone to another node.
 	RefuseClosed
 )
 
@@ -149,7 +151,7 @@
 	if !ok {
 		return t.admit(now, a)
 	}
-	if e.Fingerprint != a.Fingerprint && e.Fingerprint != 0 {
+	if e.Fingerprint != a.Fingerprint && e.State != Moved {
 		return Verdict[R]{Action: RefuseReused}
 	}
 	return t.again(now, e, a)
@@ -176,26 +178,38 @@
 	}
 }
 
-// Resolve tells what became of a key. With fence, a key that has not been seen is decided not to have run.
-func (t *Table[R]) Resolve(now time.Time, a Ask, fence bool) (State, R) {
+// Knows reports whether the key has been seen.
+func (t *Table[R]) Knows(id string) bool {
+	_, ok := t.entries[id]
+	return ok
+}
+
+// Resolve tells what became of a key. A key that has not been seen stays so.
+func (t *Table[R]) Resolve(now time.Time, id string) (State, R) {
+	e, ok := t.entries[id]
+	if !ok {
+		var none R
+		return Absent, none
+	}
+	e.tell(now)
+	return e.State, e.Reply
+}
+
+// Move tells what became of a key, and moves one that has not run to another node: it never runs here. A table that
+// can't remember that, or that has been handed over, says Absent.
+func (t *Table[R]) Move(now time.Time, a Ask) (State, R) {
 	var none R
-	t.raiseFloor(now)
 	e, ok := t.entries[a.ID]
-	if ok {
-		e.tell(now)
+	switch {
+	case ok && e.State != NotRun:
 		return e.State, e.Reply
-	}
-	if a.Timed && a.UnixMillis < t.floor {
-		return NotRun, none
-	}
-	if !fence || t.closed || t.full() {
+	case t.closed || (!ok && t.full()):
 		return Absent, none
+	case !ok:
+		e = t.insert(now, a)
 	}
-	e = t.insert(now, a)
-	e.Fingerprint = 0
-	e.State = NotRun
-	e.decided = now
-	return NotRun, none
+	e.State = Moved
+	return Moved, none
 }
 
 // Close lets nothing run from now on but what runs already. Answers are still given.
@@ -273,6 +287,8 @@
 		return Verdict[R]{Action: Attach}
 	case Done:
 		return Verdict[R]{Action: Answer, Reply: e.Reply}
+	case Moved:
+		return Verdict[R]{Action: RefuseClosed}
 	}
 	if a.Confirm == "" || a.Confirm != e.token {
 		e.token, e.issued = a.Token, now
@@ -291,7 +307,6 @@
 		return Verdict[R]{Action: RefuseNotRun}
 	}
 	e.State = Running
-	e.Fingerprint = a.Fingerprint
 	t.running++
 	return Verdict[R]{Action: Run}
 }
--- a/internal/process/node/drain.go
+++ b/internal/process/node/drain.go
@@ -10,49 +10,27 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
-	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
-	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
-	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
 )
 
-// work counts what is in flight on the listeners, until each answer is written.
+// work counts what is in flight between nodes, until each answer is written.
 type work struct {
 	inFlight atomic.Int64
 	// closing tells callers on open connections to make new ones elsewhere.
 	closing atomic.Bool
-	// closed refuses new root requests.
-	closed atomic.Bool
 }
 
-// countCalls counts the requests of callers and of the local backend server.
-func (w *work) countCalls(next http.Handler, chains *call.Chains) http.Handler {
+// closeCalls makes callers leave their open connections while the node leaves. Until its listener closes the node
+// goes on as an entry and passes their requests on, because a refusal would only cost them a second attempt.
+func (w *work) closeCalls(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		w.inFlight.Add(1)
-		defer w.inFlight.Add(-1)
 		if w.closing.Load() {
 			rw.Header().Set("Connection", "close")
 		}
-		if w.closed.Load() && chains.Find(r.Header.Get(backend.ChainHeader)) == nil {
-			refuseDraining(rw, r)
-			return
-		}
 		next.ServeHTTP(rw, r)
 	})
 }
 
-// refuseDraining answers a root request that came too late. With a caller's key, an earlier attempt may have run.
-func refuseDraining(rw http.ResponseWriter, r *http.Request) {
-	outcome := call.NotRun
-	if r.Header.Get(backend.KeyHeader) != "" {
-		outcome = call.NotAdmitted
-	}
-	rw.Header().Set(caller.OutcomeHeader, outcome.String())
-	rw.Header().Set(caller.ReasonHeader, string(call.ReasonDraining))
-	rw.Header().Set("Retry-After", "1")
-	rw.WriteHeader(call.ReasonDraining.Entry().Status)
-}
-
 // countRPCs counts the requests of other nodes.
 func (w *work) countRPCs(next drpc.Handler) drpc.Handler {
 	return &countingHandler{work: w, next: next}
@@ -110,8 +88,9 @@
 		}
 	})
 	pause(ctx, drainSettle)
-	n.work.closed.Store(true)
 	n.handOver(ctx)
+	n.waitIdle(ctx)
+	n.stopCalls()
 	n.waitQuiet(ctx)
 	n.config.Log.Emit(events.DrainFinished, nil)
 }
@@ -152,7 +131,14 @@
 	pause(ctx, leavePoll)
 }
 
-// waitQuiet returns when nothing has been in flight for a moment.
+// waitIdle returns when the backend server has no request, so that no call of its own can still come.
+func (n *Node) waitIdle(ctx context.Context) {
+	for ctx.Err() == nil && n.gate.Load().InFlight > 0 {
+		pause(ctx, gateTick)
+	}
+}
+
+// waitQuiet returns when nothing has been in flight between nodes for a moment.
 func (n *Node) waitQuiet(ctx context.Context) {
 	quiet := time.Now()
 	for ctx.Err() == nil && time.Since(quiet) < quietTime {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -60,6 +60,7 @@
 	work       work
 	listeners  listeners
 	stop       context.CancelFunc
+	stopCalls  context.CancelFunc
 }
 
 // New builds a node without starting it.
@@ -86,6 +87,7 @@
 		Zones:    s.Node.ZoneList(),
 		Local:    n.receiver,
 		Delegate: func(ctx context.Context, r *call.Request) call.Reply { return n.sender.Delegate(ctx, r) },
+		Ask:      n.ask,
 		Load:     n.gate.Load,
 		Table:    keyTable,
 	})
@@ -194,7 +196,9 @@
 	group.Go(func() { n.home.Run(ctx) })
 	group.Go(func() { n.advanceGate(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
-	group.Go(func() { n.serveHTTP(ctx, n.listeners.caller, n.work.countCalls(n.callerRouter(), n.chains)) })
+	calls, stopCalls := context.WithCancel(ctx)
+	n.stopCalls = stopCalls
+	group.Go(func() { n.serveHTTP(calls, n.listeners.caller, n.work.closeCalls(n.callerRouter())) })
 	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
 	if n.listeners.operator != nil {
 		group.Go(func() { n.serveHTTP(ctx, n.listeners.operator, n.operatorRouter()) })
@@ -287,3 +291,8 @@
 		<-ended
 	}
 }
+
+// ask asks another node about an attempt or a key.
+func (n *Node) ask(ctx context.Context, address string, q peer.Question) (peer.Resolution, error) {
+	return n.peers.Resolve(ctx, address, q, controlTimeout)
+}
--- /dev/null
+++ b/internal/proof/once/roll_test.go
@@ -0,0 +1,66 @@
+package once_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/once"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+// settled reports whether every node knows all members and the homes of all availability zones.
+func settled(t *testing.T, f *fleet.Fleet) bool {
+	for _, n := range f.Nodes {
+		dump, err := fleet.FetchDump(t.Context(), n.Backend)
+		if err == nil {
+			t.Logf("DBG %s members %d shards %v leader %+v", n.Name, len(dump.Board.Members.ByService["bookings"]), dump.Board.Homes.Shards, dump.Board.Leader)
+		}
+		if err != nil || len(dump.Board.Members.ByService["bookings"]) != len(f.Nodes) {
+			return false
+		}
+		for _, s := range dump.Board.Homes.Shards {
+			if s.Last().Until < time.Now().UnixMilli() {
+				return false
+			}
+		}
+		if len(dump.Board.Homes.Shards) < len(f.Nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// Every node is replaced, one after the other, while callers use the nodes that are up. No answer may fail.
+func TestRollingReplacement(t *testing.T) {
+	is := is.New(t)
+	deployment := once.Deployment(3)
+	deployment.Services[0].Slots = 20
+	deployment.Services[0].Behaviour.ServiceTime = 100 * time.Millisecond
+	f := harness.Start(t, fleet.Config{Deployment: deployment})
+	harness.Eventually(t, 20*time.Second, func() bool { return settled(t, f) })
+	running, stop := context.WithCancel(t.Context())
+	var report once.Report
+	var group conc.WaitGroup
+	group.Go(func() {
+		report = once.Run(running, once.Config{Fleet: f, Service: "bookings", Duration: time.Minute, Callers: 6, Calm: true, Polite: true})
+	})
+	for _, n := range f.Nodes {
+		n.Terminate()
+		is.NoErr(n.Start())
+		harness.Eventually(t, 20*time.Second, func() bool { return settled(t, f) })
+	}
+	stop()
+	group.Wait()
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	for _, s := range report.Failed {
+		t.Errorf("a caller got %d %s (%s) %s under %q", s.Status, s.Outcome, s.Reason, s.Error, s.Key)
+	}
+	is.True(report.Outcomes["ran"] > 0)
+}
--- a/internal/traffic/flow/exchange.go
+++ b/internal/traffic/flow/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
@@ -138,18 +139,25 @@
 		x.peers.Drop(address)
 		return answer{}, false
 	}
-	switch resolution.State {
-	case peer.Done:
-		return answer{reply: resolution.Reply}, true
-	case peer.Fenced:
-		return answer{reply: call.Refused(call.NotRun, call.ReasonOverload, homeRetry)}, true
-	case peer.Running:
+	return settled(address, resolution)
+}
+
+// settled turns the answer about an attempt into its end, if that is known.
+func settled(address string, r peer.Resolution) (answer, bool) {
+	lost := &peer.Error{Address: address, Sent: true, Reason: call.ReasonPeerSilent, Cause: errSilent}
+	switch {
+	case !r.Known:
+		return answer{err: &peer.Error{Address: address, Sent: true, Reason: call.ReasonHomeUnknown, Cause: errUnresolved}}, true
+	case r.State == outcome.Running:
 		return answer{}, false
-	case peer.Absent:
-		x.peers.Drop(address)
-		return answer{err: &peer.Error{Address: address, Sent: true, Reason: call.ReasonPeerSilent, Cause: errSilent}}, true
+	case r.State == outcome.Done:
+		return answer{reply: r.Reply}, true
+	case r.State == outcome.NotRun:
+		return answer{reply: call.Refused(call.NotRun, call.ReasonOverload, homeRetry)}, true
+	case r.State == outcome.Moved:
+		return answer{reply: refusals[outcome.RefuseClosed]}, true
 	default:
-		return answer{err: &peer.Error{Address: address, Sent: true, Reason: call.ReasonHomeUnknown, Cause: errUnresolved}}, true
+		return answer{err: lost}, true
 	}
 }
 
--- a/internal/traffic/flow/handover.go
+++ b/internal/traffic/flow/handover.go
@@ -86,15 +86,11 @@
 
 func (h *Home) restore(p peer.HandoverPart, now time.Time) {
 	for _, k := range p.Keys {
-		state := outcome.Done
-		if k.NotRun {
-			state = outcome.NotRun
-		}
 		h.keys.Restore(now, outcome.Entry[call.Reply]{
 			ID:          k.ID,
 			UnixMillis:  k.UnixMillis,
 			Fingerprint: k.Fingerprint,
-			State:       state,
+			State:       k.State,
 			Reply:       k.Reply,
 			Bytes:       k.Bytes,
 		})
@@ -253,7 +249,7 @@
 		Fingerprint: e.Fingerprint,
 		UnixMillis:  e.UnixMillis,
 		Bytes:       e.Bytes,
-		NotRun:      e.State == outcome.NotRun,
+		State:       e.State,
 		Reply:       e.Reply,
 	}
 }
--- a/internal/traffic/flow/home.go
+++ b/internal/traffic/flow/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +27,10 @@
 	Local Runner
 	// Delegate passes a request on to another instance of its service.
 	Delegate func(ctx context.Context, r *call.Request) call.Reply
-	Load     func() call.Load
-	Table    outcome.TableConfig
+	// Ask asks another node on a new connection.
+	Ask   func(ctx context.Context, address string, q peer.Question) (peer.Resolution, error)
+	Load  func() call.Load
+	Table outcome.TableConfig
 }
 
 // Home runs the requests whose keys this node decides about, each at most once, and remembers what became of them.
@@ -114,37 +117,47 @@
 	if r.Delegated {
 		return h.take(ctx, r, h.delegated, ask(r, key, r.AttemptID), h.config.Local.Receive)
 	}
-	if !h.decides(r.Service, key) {
+	earlier, ok := h.decides(r.Service, key)
+	if !ok {
 		return call.Refused(call.NotAdmitted, call.ReasonHomeUnknown, homeRetry)
 	}
+	if reply, moved := h.moveHere(ctx, r, earlier); !moved {
+		return reply
+	}
 	return h.take(ctx, r, h.keys, ask(r, key, keyID(r.Service, r.Key)), h.execute)
 }
 
 // decides reports whether this node may run the key: it is the home that the key or the agreed epochs name, or that
-// home has handed its keys over to this node.
-func (h *Home) decides(service string, key outcome.Key) bool {
-	home, ok := homeOf(h.config.Board.Snapshot(), h.config.Zones, service, key, h.config.Table.Window)
+// home has handed its keys over to this node. The other nodes returned must have moved the key before.
+func (h *Home) decides(service string, key outcome.Key) ([]outcome.Node, bool) {
+	home, earlier, ok := homeOf(h.config.Board.Snapshot(), h.config.Zones, service, key, h.config.Table.Window)
 	if !ok {
-		return false
-	}
-	if home == h.config.Self {
-		return true
+		return nil, false
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.handovers.answersFor(home)
+	if !h.answersFor(home) {
+		return nil, false
+	}
+	return slices.DeleteFunc(earlier, h.answersFor), true
+}
+
+func (h *Home) answersFor(home outcome.Node) bool {
+	return home == h.config.Self || h.handovers.answersFor(home)
 }
 
-func homeOf(b *board.Board, zones []string, service string, key outcome.Key, window time.Duration) (outcome.Node, bool) {
+// homeOf returns the home of a key. For a key without a time, the nodes that were its home before come with it.
+func homeOf(b *board.Board, zones []string, service string, key outcome.Key, window time.Duration) (outcome.Node, []outcome.Node, bool) {
 	if !key.Home.IsZero() {
-		return key.Home, true
+		return key.Home, nil, true
 	}
 	shard := b.Homes.Shards[outcome.ShardOf(zones, key.Text)]
 	if key.Timed {
-		return shard.Home(service, key.Text, key.UnixMillis)
+		home, ok := shard.Home(service, key.Text, key.UnixMillis)
+		return home, nil, ok
 	}
 	now := time.Now()
-	return shard.Settled(service, key.Text, now.UnixMilli(), now.Add(-window).UnixMilli())
+	return shard.Current(service, key.Text, now.UnixMilli(), now.Add(-window).UnixMilli())
 }
 
 func keyID(service, key string) string {
@@ -287,26 +300,23 @@
 
 // Resolve tells what became of an attempt that was sent to this process.
 func (h *Home) Resolve(q peer.Question) peer.Resolution {
-	if q.Incarnation != 0 && q.Incarnation != h.config.Self.Incarnation {
-		return peer.Resolution{State: peer.Unknown}
-	}
 	key, err := outcome.ParseKey(q.Key)
-	if err != nil {
-		return peer.Resolution{State: peer.Unknown}
-	}
-	table, id := h.keys, keyID(q.Service, q.Key)
-	if q.Delegated {
-		table, id = h.delegated, q.AttemptID
+	if err != nil || (q.Incarnation != 0 && q.Incarnation != h.config.Self.Incarnation) {
+		return peer.Resolution{}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	state, reply := table.Resolve(time.Now(), outcome.Ask{ID: id, UnixMillis: key.UnixMillis, Timed: key.Timed}, q.Fence)
-	return peer.Resolution{State: states[state], Reply: reply}
-}
-
-var states = map[outcome.State]peer.State{
-	outcome.Absent:  peer.Absent,
-	outcome.Running: peer.Running,
-	outcome.Done:    peer.Done,
-	outcome.NotRun:  peer.Fenced,
+	now := time.Now()
+	id := keyID(q.Service, q.Key)
+	resolution := peer.Resolution{Known: true}
+	switch {
+	case q.Delegated:
+		resolution.State, resolution.Reply = h.delegated.Resolve(now, q.AttemptID)
+	case q.Move:
+		a := outcome.Ask{ID: id, UnixMillis: key.UnixMillis, Timed: key.Timed}
+		resolution.State, resolution.Reply = h.keys.Move(now, a)
+	default:
+		resolution.State, resolution.Reply = h.keys.Resolve(now, id)
+	}
+	return resolution
 }
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -108,21 +108,18 @@
 // leaves, its successor is asked in turn with it.
 func (k *KeyedSender) locate(service string, key outcome.Key, useSuccessor bool) (membership.Member, call.Reply, bool) {
 	b := k.config.Board.Snapshot()
-	home, ok := homeOf(b, k.config.Zones, service, key, k.config.Window)
+	home, _, ok := homeOf(b, k.config.Zones, service, key, k.config.Window)
 	if !ok {
 		return membership.Member{}, noHome(key, time.Now(), k.config.Window), false
 	}
-	if m, ok := heir(b, home); ok {
-		return m, call.Reply{}, true
-	}
-	m, known := b.Members.ByNode[home.Name]
-	if known && m.Incarnation == home.Incarnation {
+	if m, ok := present(b, home); ok {
 		if successor, ok := b.Members.ByNode[m.Successor]; ok && useSuccessor {
 			return successor, call.Reply{}, true
 		}
 		return m, call.Reply{}, true
 	}
-	if known {
+	m, restarted := b.Members.ByNode[home.Name]
+	if restarted {
 		return m, call.Refused(call.Unknown, call.ReasonHomeUnknown, 0), false
 	}
 	return m, call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry), false
@@ -140,6 +137,16 @@
 // keyAhead is how far ahead of the node's clock the time of a key may lie and still be worth another try.
 const keyAhead = 30 * time.Second
 
+// present returns the member that answers for the keys of a node: the one to which they were handed over, or the node
+// itself.
+func present(b *board.Board, home outcome.Node) (membership.Member, bool) {
+	if m, ok := heir(b, home); ok {
+		return m, true
+	}
+	m, known := b.Members.ByNode[home.Name]
+	return m, known && m.Incarnation == home.Incarnation
+}
+
 // heir returns the member to which the keys of the node were handed over.
 func heir(b *board.Board, home outcome.Node) (membership.Member, bool) {
 	name := homeName(home)
--- /dev/null
+++ b/internal/traffic/flow/move.go
@@ -0,0 +1,63 @@
+package flow
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
+)
+
+// moveHere takes a key without a time over from the nodes that were its home before, as far as it is not known here.
+// It reports false, with a reply, where one of them has run the key or can't be asked.
+func (h *Home) moveHere(ctx context.Context, r *call.Request, earlier []outcome.Node) (call.Reply, bool) {
+	if len(earlier) == 0 || h.knows(keyID(r.Service, r.Key)) {
+		return call.Reply{}, true
+	}
+	for _, home := range earlier {
+		if reply, moved := h.moveFrom(ctx, r, home); !moved {
+			return reply, false
+		}
+	}
+	return call.Reply{}, true
+}
+
+func (h *Home) knows(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.keys.Knows(id)
+}
+
+// moveFrom asks one earlier home, again while it runs the key or hands its keys over.
+func (h *Home) moveFrom(ctx context.Context, r *call.Request, home outcome.Node) (call.Reply, bool) {
+	for {
+		resolution, err := h.askToMove(ctx, r, home)
+		switch {
+		case err != nil || !resolution.Known:
+			return call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry), false
+		case resolution.State == outcome.Moved:
+			return call.Reply{}, true
+		case resolution.State == outcome.Done:
+			return resolution.Reply, false
+		}
+		if !wait(ctx, relocatePause) {
+			return call.Refused(call.NotAdmitted, call.ReasonHomeUnknown, homeRetry), false
+		}
+	}
+}
+
+func (h *Home) askToMove(ctx context.Context, r *call.Request, home outcome.Node) (peer.Resolution, error) {
+	m, ok := present(h.config.Board.Snapshot(), home)
+	if !ok {
+		return peer.Resolution{}, nil
+	}
+	return h.config.Ask(ctx, m.PeerAddress, peer.Question{
+		AttemptID:   uuid.NewString(),
+		Key:         r.Key,
+		Service:     r.Service,
+		Incarnation: m.Incarnation,
+		Move:        true,
+	})
+}
--- a/internal/traffic/peer/handover.go
+++ b/internal/traffic/peer/handover.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"storj.io/drpc/drpcconn"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
@@ -18,9 +17,9 @@
 	Fingerprint uint64
 	UnixMillis  int64
 	Bytes       int
-	// NotRun says that the key has not run; else Reply is its answer.
-	NotRun bool
-	Reply  call.Reply
+	// State is Done with a Reply, NotRun or Moved.
+	State outcome.State
+	Reply call.Reply
 }
 
 // HandoverPart is a part of what a leaving node hands over.
@@ -69,17 +68,14 @@
 }
 
 func keyMessage(k RememberedKey) *peerpb.RememberedKey {
-	m := &peerpb.RememberedKey{
+	return &peerpb.RememberedKey{
 		Key:           k.ID,
 		Fingerprint:   k.Fingerprint,
 		KeyUnixMillis: k.UnixMillis,
 		Bytes:         int64(k.Bytes),
+		State:         stateMessages[k.State],
 		Reply:         replyMessage("", k.Reply),
 	}
-	if k.NotRun {
-		m.Reply = &peerpb.CallReply{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, BodyChecksum: xxhash.Sum64(nil)}
-	}
-	return m
 }
 
 func keyOf(m *peerpb.RememberedKey) RememberedKey {
@@ -88,7 +84,7 @@
 		Fingerprint: m.GetFingerprint(),
 		UnixMillis:  m.GetKeyUnixMillis(),
 		Bytes:       int(m.GetBytes()),
-		NotRun:      m.GetReply().GetOutcome() == peerpb.Outcome_OUTCOME_NOT_RUN,
+		State:       states[m.GetState()],
 		Reply:       replyOf(m.GetReply()),
 	}
 }
--- a/internal/traffic/peer/resolve.go
+++ b/internal/traffic/peer/resolve.go
@@ -6,42 +6,25 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
 )
 
-// State is what a node knows of an attempt that was sent to it.
-type State int
-
-// The states.
-const (
-	// Absent means that the attempt has not arrived.
-	Absent State = iota
-	// Running means that it may be running.
-	Running
-	// Done means that it has its reply.
-	Done
-	// Fenced means that it has not run and that no copy sent so far will.
-	Fenced
-	// Unknown means that the node can't tell, because it is not the one that the attempt was sent to.
-	Unknown
-)
-
-var stateMessages = map[State]peerpb.ResolveReply_State{
-	Absent:  peerpb.ResolveReply_STATE_ABSENT,
-	Running: peerpb.ResolveReply_STATE_RUNNING,
-	Done:    peerpb.ResolveReply_STATE_DONE,
-	Fenced:  peerpb.ResolveReply_STATE_FENCED,
-	Unknown: peerpb.ResolveReply_STATE_UNKNOWN,
+var stateMessages = map[outcome.State]peerpb.ResolveReply_State{
+	outcome.Absent:  peerpb.ResolveReply_STATE_ABSENT,
+	outcome.Running: peerpb.ResolveReply_STATE_RUNNING,
+	outcome.Done:    peerpb.ResolveReply_STATE_DONE,
+	outcome.NotRun:  peerpb.ResolveReply_STATE_NOT_RUN,
+	outcome.Moved:   peerpb.ResolveReply_STATE_MOVED,
 }
 
-func stateOf(m peerpb.ResolveReply_State) State {
-	for s, message := range stateMessages {
-		if message == m {
-			return s
-		}
-	}
-	return Unknown
+var states = map[peerpb.ResolveReply_State]outcome.State{
+	peerpb.ResolveReply_STATE_ABSENT:  outcome.Absent,
+	peerpb.ResolveReply_STATE_RUNNING: outcome.Running,
+	peerpb.ResolveReply_STATE_DONE:    outcome.Done,
+	peerpb.ResolveReply_STATE_NOT_RUN: outcome.NotRun,
+	peerpb.ResolveReply_STATE_MOVED:   outcome.Moved,
 }
 
 // Question asks what became of an attempt.
@@ -53,13 +36,15 @@
 	Incarnation uint64
 	// Delegated says that the attempt was sent by the home of its key.
 	Delegated bool
-	// Fence decides an attempt that has not arrived not to run.
-	Fence bool
+	// Move takes a key that has not run away from the asked node: it never runs there.
+	Move bool
 }
 
 // Resolution is the answer to a Question.
 type Resolution struct {
-	State State
+	// Known is false where the asked node is not the process that the attempt was sent to.
+	Known bool
+	State outcome.State
 	// Reply is set with Done.
 	Reply call.Reply
 }
@@ -74,7 +59,7 @@
 		Service:     q.Service,
 		Incarnation: q.Incarnation,
 		Delegated:   q.Delegated,
-		Fence:       q.Fence,
+		Move:        q.Move,
 	}
 	var answer *peerpb.ResolveReply
 	err := c.pool.UseNew(ctx, address, func(conn *drpcconn.Conn) (err error) {
@@ -84,8 +69,9 @@
 	if err != nil {
 		return Resolution{}, &Error{Address: address, Sent: true, Reason: reasonOf(ctx), Cause: err}
 	}
-	resolution := Resolution{State: stateOf(answer.GetState())}
-	if resolution.State != Done {
+	state, known := states[answer.GetState()]
+	resolution := Resolution{State: state, Known: known}
+	if !known || state != outcome.Done {
 		return resolution, nil
 	}
 	if err := checkReply(&call.Request{AttemptID: q.AttemptID}, answer.GetReply()); err != nil {
@@ -108,10 +94,13 @@
 		Service:     m.GetService(),
 		Incarnation: m.GetIncarnation(),
 		Delegated:   m.GetDelegated(),
-		Fence:       m.GetFence(),
+		Move:        m.GetMove(),
 	})
+	if !resolution.Known {
+		return &peerpb.ResolveReply{State: peerpb.ResolveReply_STATE_UNKNOWN}, nil
+	}
 	answer := &peerpb.ResolveReply{State: stateMessages[resolution.State]}
-	if resolution.State == Done {
+	if resolution.State == outcome.Done {
 		answer.Reply = replyMessage(m.GetAttemptId(), resolution.Reply)
 	}
 	return answer, nil
