--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -30,6 +30,7 @@
 			onceCommand(),
 			overloadCommand(),
 			latencyCommand(),
+			capacityCommand(),
 			storeCommand(),
 			backendCommand(),
 			loadCommand(),
--- a/internal/decide/outcome/table.go
+++ b/internal/decide/outcome/table.go
@@ -103,6 +103,8 @@
 	State       State
 	Reply       R
 	Bytes       int
+	// MovedTo is the node that took the key over, with Moved.
+	MovedTo Node
 
 	// decided is when it was last told that the key has not run.
 	decided time.Time
@@ -195,9 +197,9 @@
 	return e.State, e.Reply
 }
 
-// Move tells what became of a key, and moves one that has not run to another node: it never runs here. A table that
+// Move tells what became of a key, and moves one that has not run to the given node: it never runs here. A table that
 // can't remember that, or that has been handed over, says Absent.
-func (t *Table[R]) Move(now time.Time, a Ask) (State, R) {
+func (t *Table[R]) Move(now time.Time, a Ask, to Node) (State, R) {
 	var none R
 	e, ok := t.entries[a.ID]
 	switch {
@@ -209,6 +211,7 @@
 		e = t.insert(now, a)
 	}
 	e.State = Moved
+	e.MovedTo = to
 	return Moved, none
 }
 
@@ -226,16 +229,29 @@
 	return entries
 }
 
-// Restore takes in an entry that another node handed over.
+// Restore takes in an entry that another node handed over. An answer replaces what says that the key went elsewhere.
 func (t *Table[R]) Restore(now time.Time, e Entry[R]) {
-	if _, ok := t.entries[e.ID]; ok {
+	held, ok := t.entries[e.ID]
+	if ok && (held.State != Moved || e.State == Moved) {
 		return
 	}
+	if ok {
+		t.remove(held)
+	}
 	e.decided = now
 	t.entries[e.ID] = &e
 	t.bytes += e.Bytes
 }
 
+// Claim makes the keys that were moved to the given nodes keys of this table again, because it answers for them now.
+func (t *Table[R]) Claim(mine func(Node) bool) {
+	for _, e := range t.entries {
+		if e.State == Moved && mine(e.MovedTo) {
+			t.remove(e)
+		}
+	}
+}
+
 // Expire forgets the keys that are older than the window. It is called regularly.
 func (t *Table[R]) Expire(now time.Time) {
 	t.raiseFloor(now)
--- a/internal/decide/outcome/table_test.go
+++ b/internal/decide/outcome/table_test.go
@@ -91,16 +91,19 @@
 func TestMovedKeyNeverRuns(t *testing.T) {
 	is := is.New(t)
 	table := outcome.NewTable[string](config)
+	other := outcome.Node{Name: "access_1", Incarnation: 5}
 	table.Begin(start, askAt("done", start))
-	state, _ := table.Move(start, askAt("done", start))
+	state, _ := table.Move(start, askAt("done", start), other)
 	is.Equal(state, outcome.Running)
 	table.Settle(start, "done", outcome.Done, "booked", 6)
-	state, reply := table.Move(start, askAt("done", start))
+	state, reply := table.Move(start, askAt("done", start), other)
 	is.Equal(state, outcome.Done)
 	is.Equal(reply, "booked")
-	state, _ = table.Move(start, askAt("new", start))
+	state, _ = table.Move(start, askAt("new", start), other)
 	is.Equal(state, outcome.Moved)
 	is.Equal(table.Begin(start, askAt("new", start)).Action, outcome.RefuseClosed)
+	table.Claim(func(n outcome.Node) bool { return n == other })
+	is.Equal(table.Begin(start, askAt("new", start)).Action, outcome.Run) // it came back with all that the other knew
 }
 
 // Whoever asks in between is told that the key has not run, so that later only what entered afterwards may run.
--- a/internal/lab/once/caller.go
+++ b/internal/lab/once/caller.go
@@ -105,7 +105,10 @@
 	service string
 	targets []string
 	polite  bool
-	client  *http.Client
+	// client keeps connections and, as clients do, sends a request with a key again by itself where a kept
+	// connection ends before any answer; once makes a connection for each request.
+	client *http.Client
+	once   *http.Client
 
 	mu       sync.Mutex
 	bookings []Booking
@@ -117,6 +120,7 @@
 		targets: config.Fleet.Callers(),
 		polite:  config.Polite,
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerTarget}},
+		once:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 }
 
@@ -207,7 +211,7 @@
 	return sends
 }
 
-// send sends one copy. It keeps net/http from sending it again by itself.
+// send sends one copy.
 func (c *callers) send(b *Booking, key, target string) (s Send) {
 	s = Send{Begin: time.Now(), Key: key}
 	defer func() { s.End = time.Now() }()
@@ -222,11 +226,14 @@
 	if err != nil {
 		return s
 	}
-	request.GetBody = nil
+	client := c.once
 	if key != "" {
 		request.Header.Set(backend.KeyHeader, key)
 	}
-	response, err := c.client.Do(request)
+	if b.Kind == None || key != "" {
+		client = c.client
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		s.Refused, s.Error = errors.Is(err, syscall.ECONNREFUSED), err.Error()
 		return s
--- a/internal/lab/once/check.go
+++ b/internal/lab/once/check.go
@@ -48,7 +48,7 @@
 	}
 	starts := startsByKey(runs)
 	for key, s := range starts {
-		if s.count > 1 && key != "" {
+		if s.count > 1 {
 			report.violate("key %s ran %d times", key, s.count)
 		}
 	}
@@ -62,6 +62,9 @@
 func startsByKey(runs []server.Run) map[string]start {
 	starts := map[string]start{}
 	for _, r := range runs {
+		if r.Key == "" {
+			continue // an idempotent request
+		}
 		s := starts[r.Key]
 		if s.first.IsZero() || r.First.Before(s.first) {
 			s.first = r.First
@@ -100,6 +103,9 @@
 func (r *Report) check(b Booking, starts map[string]start) {
 	first := ""
 	for _, s := range b.Sends {
+		if s.Key == "" {
+			continue // an idempotent request, or one that got no further than its entry
+		}
 		ran, started := starts[s.Key]
 		switch s.Outcome {
 		case "ran":
--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -72,7 +73,15 @@
 		http.Error(w, "a call failed", status)
 		return
 	}
+	if rand.Float64() < b.FailRate {
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return
+	}
 	s.ledger.end(run)
+	if b.Echo {
+		_, _ = w.Write(body)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s ran %s %s\n", s.config.Service, r.Method, r.URL.Path)
 }
 
@@ -169,7 +178,7 @@
 	body, err := json.Marshal(backend.Announcement{
 		Service:     s.config.Service,
 		Address:     s.config.Address,
-		Slots:       s.config.Slots,
+		Slots:       cmp.Or(s.config.AnnouncedSlots, s.config.Slots),
 		Connections: s.config.Connections,
 		Leaving:     s.Behaviour().Leaving,
 	})
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -26,6 +27,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
@@ -43,31 +45,35 @@
 
 // Node is one node.
 type Node struct {
-	config     Config
-	loop       *board.Loop
-	gate       *backend.Gate
-	client     *backend.Client
-	pool       *peer.Pool
-	receiver   *flow.Receiver
-	sender     *flow.Sender
-	controller *zone.Controller
-	platform   *platform.Client
-	chains     *call.Chains
-	home       *flow.Home
-	homes      *homes.Controller
-	keyed      *flow.KeyedSender
-	peers      *peer.Client
-	work       work
-	listeners  listeners
-	stop       context.CancelFunc
-	stopCalls  context.CancelFunc
+	config Config
+	loop   *board.Loop
+	gate   *backend.Gate
+	client *backend.Client
+	pool   *peer.Pool
+	// controlPool is apart, so that a flood of requests takes no connection from the control plane.
+	controlPool *peer.Pool
+	receiver    *flow.Receiver
+	sender      *flow.Sender
+	quarantine  *flow.Quarantine
+	controller  *zone.Controller
+	platform    *platform.Client
+	chains      *call.Chains
+	home        *flow.Home
+	homes       *homes.Controller
+	keyed       *flow.KeyedSender
+	peers       *peer.Client
+	work        work
+	listeners   listeners
+	limiter     *events.Limiter
+	stop        context.CancelFunc
+	stopCalls   context.CancelFunc
 }
 
 // New builds a node without starting it.
 func New(config Config) *Node {
 	s := config.Settings
 	self := outcome.Node{Name: s.Node.Name, Incarnation: uint64(time.Now().UnixNano())}
-	n := &Node{config: config, chains: call.NewChains()}
+	n := &Node{config: config, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, limitedEvery)}
 	n.loop = board.NewLoop(board.Board{Self: board.Self{
 		Node:          s.Node.Name,
 		Zone:          s.Node.Zone,
@@ -79,8 +85,20 @@
 	n.gate = backend.NewGate(gateConfig(s))
 	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody}, n.chains)
 	n.pool = peer.NewPool(poolConfig(s))
-	n.receiver = flow.NewReceiver(flow.ReceiverConfig{Board: n.loop, Gate: n.gate, Backend: n.client})
+	n.controlPool = peer.NewPool(poolConfig(s))
 	n.peers = peer.NewClient(n.pool, s.Node.Name)
+	n.quarantine = flow.NewQuarantine(flow.QuarantineConfig{
+		Table: quarantineConfig(s),
+		Board: n.loop,
+		Peers: n.peers,
+		Log:   config.Log,
+	})
+	n.receiver = flow.NewReceiver(flow.ReceiverConfig{
+		Board:      n.loop,
+		Gate:       n.gate,
+		Backend:    n.client,
+		Quarantine: n.quarantine,
+	})
 	n.home = flow.NewHome(flow.HomeConfig{
 		Board:    n.loop,
 		Self:     self,
@@ -97,6 +115,7 @@
 		Receiver: n.home,
 		Budget:   retryBudget,
 		Ejection: ejection,
+		Throttle: throttle.DefaultConfig,
 	})
 	n.keyed = flow.NewKeyedSender(flow.KeyedConfig{
 		Board:  n.loop,
@@ -113,9 +132,16 @@
 		Timing:   homes.DefaultTiming,
 	})
 	n.controller = zone.NewController(zone.Config{
-		Board:       n.loop,
-		Platform:    n.platform,
-		Peers:       zone.NewClient(n.pool, s.Node.Name, s.Node.Zone, controlTimeout),
+		Board:    n.loop,
+		Platform: n.platform,
+		Peers: zone.NewClient(zone.ClientConfig{
+			Pool:        n.controlPool,
+			Node:        s.Node.Name,
+			Zone:        s.Node.Zone,
+			BeatTimeout: beatTimeout,
+			Timeout:     controlTimeout,
+		}),
+		Seeds:       s.Peer.SeedList(),
 		Log:         config.Log,
 		Timing:      zone.DefaultTiming,
 		Incarnation: self.Incarnation,
@@ -143,6 +169,7 @@
 	stop()
 	n.listeners.close()
 	n.pool.Close()
+	n.controlPool.Close()
 	group.Wait()
 	config.Log.Emit(events.NodeStopped, nil)
 	return nil
@@ -195,10 +222,14 @@
 	group.Go(func() { n.homes.Run(ctx, n.controller) })
 	group.Go(func() { n.home.Run(ctx) })
 	group.Go(func() { n.advanceGate(ctx) })
+	group.Go(func() { n.quarantine.Run(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
 	calls, stopCalls := context.WithCancel(ctx)
 	n.stopCalls = stopCalls
-	group.Go(func() { n.serveHTTP(calls, n.listeners.caller, n.work.closeCalls(n.callerRouter())) })
+	group.Go(func() {
+		n.waitInformed(calls)
+		n.serveHTTP(calls, n.listeners.caller, n.work.closeCalls(n.callerRouter()))
+	})
 	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
 	if n.listeners.operator != nil {
 		group.Go(func() { n.serveHTTP(ctx, n.listeners.operator, n.operatorRouter()) })
@@ -212,6 +243,8 @@
 		Sender:  n.keyed,
 		Chains:  n.chains,
 		MaxBody: n.config.Settings.Caller.MaxBody,
+
+		Rejected: n.rejected,
 	})
 	return router
 }
@@ -225,7 +258,7 @@
 
 // announced takes in what the local backend server says of itself.
 func (n *Node) announced(ctx context.Context, a backend.Announcement) {
-	n.gate.Announce(a.Slots)
+	n.gate.Announce(a.Slots, a.Connections)
 	n.client.SetConnections(a.Connections)
 	before := n.loop.Snapshot().Backend
 	n.loop.Do(ctx, func(b *board.Board) {
@@ -262,6 +295,9 @@
 func (n *Node) servePeers(ctx context.Context) {
 	mux := drpcmux.New()
 	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.home, n.home))
+	if err == nil {
+		err = peerpb.DRPCRegisterQuarantine(mux, peer.NewQuarantineServer(n.quarantine))
+	}
 	if err == nil {
 		err = zonepb.DRPCRegisterZone(mux, zone.NewServer(n.controller))
 	}
@@ -270,7 +306,8 @@
 		return
 	}
 	server := drpcserver.NewWithOptions(n.work.countRPCs(mux), drpcserver.Options{
-		Log: func(err error) { n.config.Log.Emit(events.PeerGarbage, events.Fields{"error": err.Error()}) },
+		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
+		Log:     n.peerFailed,
 	})
 	_ = server.Serve(ctx, n.listeners.peer)
 }
@@ -280,7 +317,9 @@
 		Handler:           router,
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
 		ReadTimeout:       n.config.Settings.Caller.BodyTimeout,
+		ErrorLog:          n.httpLog(),
 	}
+	caller.WatchConns(server, n.endedEarly)
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
@@ -292,6 +331,21 @@
 	}
 }
 
+// informedTimeout is how long callers of a node that has just started wait for it to learn of services and homes.
+const informedTimeout = 2 * time.Second
+
+// waitInformed returns when the node can tell callers something, and at the latest after the timeout.
+func (n *Node) waitInformed(ctx context.Context) {
+	deadline := time.Now().Add(informedTimeout)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		b := n.loop.Snapshot()
+		if len(b.Documents.ByService) > 0 && len(b.Homes.Shards) > 0 && len(b.Members.ByService) > 0 {
+			return
+		}
+		pause(ctx, gateTick)
+	}
+}
+
 // ask asks another node about an attempt or a key.
 func (n *Node) ask(ctx context.Context, address string, q peer.Question) (peer.Resolution, error) {
 	return n.peers.Resolve(ctx, address, q, controlTimeout)
--- a/internal/proof/once/roll_test.go
+++ b/internal/proof/once/roll_test.go
@@ -17,9 +17,6 @@
 func settled(t *testing.T, f *fleet.Fleet) bool {
 	for _, n := range f.Nodes {
 		dump, err := fleet.FetchDump(t.Context(), n.Backend)
-		if err == nil {
-			t.Logf("DBG %s members %d shards %v leader %+v", n.Name, len(dump.Board.Members.ByService["bookings"]), dump.Board.Homes.Shards, dump.Board.Leader)
-		}
 		if err != nil || len(dump.Board.Members.ByService["bookings"]) != len(f.Nodes) {
 			return false
 		}
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -34,10 +33,16 @@
 	AttemptsHeader = "Comfreyhoist-Attempts-Used"
 	CallerHeader   = "Comfreyhoist-Caller"
 	DeadlineHeader = "Comfreyhoist-Deadline-Ms"
+	// ResendHeader is how often the caller has sent the request before.
+	ResendHeader = "Comfreyhoist-Resend"
 )
 
-// Path is the route of all calls.
-const Path = "/call/:service/*path"
+const (
+	// Path is the route of all calls.
+	Path = pathPrefix + ":service/*path"
+	// pathPrefix stands before the name of the service.
+	pathPrefix = "/call/"
+)
 
 // Sender sends a request on and returns its reply.
 type Sender interface {
@@ -51,6 +56,8 @@
 	Chains *call.Chains
 	// MaxBody is in bytes.
 	MaxBody int64
+	// Rejected is told of each request that was refused as malformed; nil for nobody.
+	Rejected func(r *http.Request, reason call.Reason, text string)
 }
 
 // Register adds the route for calls to the router.
@@ -74,9 +81,7 @@
 func (h *handler) serve(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	request, chain, refused := h.request(r, p)
 	if refused != nil {
-		reply := call.Refused(refusedOutcome(r), refused.reason, 0)
-		reply.Body = []byte(refused.text + "\n")
-		h.write(w, nil, reply)
+		h.reject(w, r, refused)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
@@ -88,34 +93,49 @@
 	h.write(w, request, h.send(ctx, request, chain))
 }
 
-// refusedOutcome returns the outcome of a request that was sent nowhere. Under a caller's key, an earlier attempt may
-// have run.
-func refusedOutcome(r *http.Request) call.Outcome {
+func (h *handler) reject(w http.ResponseWriter, r *http.Request, refused *rejection) {
+	if h.config.Rejected != nil {
+		h.config.Rejected(r, refused.reason, refused.text)
+	}
+	outcome := call.NotRun
 	if r.Header.Get(backend.KeyHeader) != "" {
-		return call.NotAdmitted
+		// An earlier attempt under the key may have run.
+		outcome = call.NotAdmitted
 	}
-	return call.NotRun
+	reply := call.Refused(outcome, refused.reason, 0)
+	reply.Body = []byte(refused.text + "\n")
+	h.write(w, nil, reply)
 }
 
-// send charges the attempts to the chain that the call belongs to.
+// send sends the request on. A call of a chain spends the chain's attempts and waits on the chain's behalf.
 func (h *handler) send(ctx context.Context, request *call.Request, chain *call.Chain) call.Reply {
 	if chain == nil {
+		request.Attempts = call.NewAttempts(request.AttemptsLeft)
 		return h.config.Sender.Send(ctx, request)
 	}
-	request.AttemptsLeft = chain.TakeAttempts()
+	request.Attempts = chain.Attempts
 	chain.BeginChild(time.Now())
 	reply := h.config.Sender.Send(ctx, request)
 	chain.EndChild(time.Now())
-	chain.ReturnAttempts(request.AttemptsLeft, reply.AttemptsUsed)
+	if cause := reply.Cause(); cause != call.ReasonNone {
+		chain.NoteFailure(cause)
+	}
 	return reply
 }
 
 func (h *handler) request(r *http.Request, p httprouter.Params) (*call.Request, *call.Chain, *rejection) {
 	service := p.ByName("service")
+	path, refused := pathOf(r, p)
+	if refused != nil {
+		return nil, nil, refused
+	}
 	accepted, ok := h.config.Board.Snapshot().Documents.ByService[service]
 	if !ok {
 		return nil, nil, &rejection{call.ReasonUnknownService, "service " + strconv.Quote(service) + " has no document"}
 	}
+	if refused := checkHeaders(r.Header); refused != nil {
+		return nil, nil, refused
+	}
 	kind, ok := accepted.Document.Match(r.Method, p.ByName("path"))
 	if !ok {
 		return nil, nil, &rejection{call.ReasonUnknownKind, "no kind of " + service + " matches " + r.Method + " " + p.ByName("path")}
@@ -124,6 +144,10 @@
 	if refused != nil {
 		return nil, nil, refused
 	}
+	resends, refused := resendsOf(r)
+	if refused != nil {
+		return nil, nil, refused
+	}
 	body, refused := h.body(r)
 	if refused != nil {
 		return nil, nil, refused
@@ -132,15 +156,20 @@
 		Service:      service,
 		Kind:         kind.Name,
 		Method:       r.Method,
-		Path:         pathOf(r, p),
+		Path:         path,
 		Header:       forwarded(r.Header),
 		Body:         body,
 		Idempotent:   kind.Idempotent,
 		Key:          r.Header.Get(backend.KeyHeader),
 		Deadline:     deadline,
 		AttemptsLeft: accepted.Document.Attempts,
+		Resends:      resends,
 	}
-	chain := h.config.Chains.Find(r.Header.Get(backend.ChainHeader))
+	token := r.Header.Get(backend.ChainHeader)
+	if h.config.Chains.IsCanceled(token) {
+		return nil, nil, &rejection{call.ReasonCanceled, backend.ChainHeader + " names a request that was canceled"}
+	}
+	chain := h.config.Chains.Find(token)
 	inherit(request, r, kind, chain)
 	return request, chain, nil
 }
@@ -158,23 +187,6 @@
 	}
 }
 
-func deadlineOf(r *http.Request, kind document.Kind) (time.Time, *rejection) {
-	deadline := time.Now().Add(kind.Deadline)
-	text := r.Header.Get(DeadlineHeader)
-	if text == "" {
-		return deadline, nil
-	}
-	milliseconds, err := strconv.ParseInt(text, 10, 32)
-	if err != nil || milliseconds < 0 {
-		return deadline, &rejection{call.ReasonBadRequest, DeadlineHeader + " is not a number of milliseconds"}
-	}
-	asked := time.Now().Add(time.Duration(milliseconds) * time.Millisecond)
-	if asked.Before(deadline) {
-		return asked, nil
-	}
-	return deadline, nil
-}
-
 func (h *handler) body(r *http.Request) ([]byte, *rejection) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, h.config.MaxBody))
 	var tooLarge *http.MaxBytesError
@@ -187,41 +199,28 @@
 	return body, nil
 }
 
-func pathOf(r *http.Request, p httprouter.Params) string {
-	path := p.ByName("path")
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
-	}
-	return path
-}
+const (
+	// highestStatus is the highest status that HTTP has.
+	highestStatus = 999
+	// defaultRetryAfter is when to come back where nobody down the way said.
+	defaultRetryAfter = time.Second
+)
 
-// forwarded returns the headers that the backend server gets.
-func forwarded(h http.Header) http.Header {
-	kept := backend.EndToEnd(h)
-	for name := range kept {
-		if strings.HasPrefix(name, "Comfreyhoist-") {
-			kept.Del(name)
-		}
-	}
-	return kept
-}
+// retryAfterMsHeader gives the time of Retry-After exactly, which has whole seconds only.
+const retryAfterMsHeader = "Comfreyhoist-Retry-After-Ms"
 
-// callerOf names the caller: what it calls itself, else its IP.
-func callerOf(r *http.Request) string {
-	if name := r.Header.Get(CallerHeader); name != "" {
-		return name
+func (h *handler) write(w http.ResponseWriter, request *call.Request, reply call.Reply) {
+	if reply.Status < http.StatusOK || reply.Status > highestStatus {
+		reply = call.Refused(call.Unknown, call.ReasonCorrupt, 0)
 	}
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
+	if reply.Outcome != call.Ran && reply.Status == http.StatusServiceUnavailable && reply.RetryAfter <= 0 {
+		reply.RetryAfter = defaultRetryAfter
 	}
-	return host
-}
-
-func (h *handler) write(w http.ResponseWriter, request *call.Request, reply call.Reply) {
 	header := w.Header()
 	for name, values := range reply.Header {
-		header[name] = values
+		if !strings.HasPrefix(name, ownPrefix) {
+			header[name] = values
+		}
 	}
 	header.Set(OutcomeHeader, reply.Outcome.String())
 	header.Set(AttemptsHeader, strconv.Itoa(reply.AttemptsUsed))
@@ -233,7 +232,7 @@
 	}
 	if reply.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(wholeSeconds(reply.RetryAfter)))
-		header.Set("Comfreyhoist-Retry-After-Ms", strconv.FormatInt(reply.RetryAfter.Milliseconds(), 10))
+		header.Set(retryAfterMsHeader, strconv.FormatInt(reply.RetryAfter.Milliseconds(), 10))
 	}
 	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
 	w.WriteHeader(reply.Status)
--- a/internal/traffic/flow/handover.go
+++ b/internal/traffic/flow/handover.go
@@ -85,7 +85,14 @@
 }
 
 func (h *Home) restore(p peer.HandoverPart, now time.Time) {
+	for _, home := range p.Homes {
+		h.handovers.homes[home] = now.Add(h.config.Table.Window + h.config.Table.Ahead)
+	}
+	h.keys.Claim(h.answersFor)
 	for _, k := range p.Keys {
+		if k.State == outcome.Moved && h.answersFor(k.MovedTo) {
+			continue
+		}
 		h.keys.Restore(now, outcome.Entry[call.Reply]{
 			ID:          k.ID,
 			UnixMillis:  k.UnixMillis,
@@ -93,11 +100,9 @@
 			State:       k.State,
 			Reply:       k.Reply,
 			Bytes:       k.Bytes,
+			MovedTo:     k.MovedTo,
 		})
 	}
-	for _, home := range p.Homes {
-		h.handovers.homes[home] = now.Add(h.config.Table.Window + h.config.Table.Ahead)
-	}
 }
 
 // forgetHomes drops the earlier nodes whose keys are all too old by now.
@@ -251,5 +256,6 @@
 		Bytes:       e.Bytes,
 		State:       e.State,
 		Reply:       e.Reply,
+		MovedTo:     e.MovedTo,
 	}
 }
--- a/internal/traffic/flow/home.go
+++ b/internal/traffic/flow/home.go
@@ -169,7 +169,7 @@
 		ID:          id,
 		UnixMillis:  key.UnixMillis,
 		Timed:       key.Timed,
-		Fingerprint: fingerprint(r),
+		Fingerprint: contentSum(r),
 		Confirm:     r.Confirm,
 		Age:         time.Since(r.Entered),
 		Token:       uuid.NewString(),
@@ -177,8 +177,8 @@
 	}
 }
 
-// fingerprint tells requests apart that come under one key.
-func fingerprint(r *call.Request) uint64 {
+// contentSum tells requests apart that come under one key.
+func contentSum(r *call.Request) uint64 {
 	h := xxhash.New()
 	for _, part := range []string{r.Service, r.Method, r.Path} {
 		_, _ = h.WriteString(part)
@@ -312,9 +312,11 @@
 	switch {
 	case q.Delegated:
 		resolution.State, resolution.Reply = h.delegated.Resolve(now, q.AttemptID)
+	case q.Move && h.answersFor(q.MoveTo):
+		return peer.Resolution{}
 	case q.Move:
 		a := outcome.Ask{ID: id, UnixMillis: key.UnixMillis, Timed: key.Timed}
-		resolution.State, resolution.Reply = h.keys.Move(now, a)
+		resolution.State, resolution.Reply = h.keys.Move(now, a, q.MoveTo)
 	default:
 		resolution.State, resolution.Reply = h.keys.Resolve(now, id)
 	}
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -50,7 +50,13 @@
 	if err != nil {
 		return call.Refused(call.NotAdmitted, call.ReasonBadKey, 0)
 	}
-	return k.sendHome(ctx, r, key)
+	reply, admitted := k.config.Sender.admit(r)
+	if !admitted {
+		return reply
+	}
+	reply = k.sendHome(ctx, r, key)
+	k.config.Sender.learn(r, &reply)
+	return reply
 }
 
 // relocatePause is the time before another look at who decides about a key, while that changes hands.
@@ -59,14 +65,21 @@
 // sendHome sends the request to the node that decides about its key, and follows the key while it changes hands.
 func (k *KeyedSender) sendHome(ctx context.Context, r *call.Request, key outcome.Key) call.Reply {
 	attempt := *r
+	attempt.AttemptsLeft = r.Attempts.Lend()
+	reply := k.follow(ctx, &attempt, key)
+	r.Attempts.Return(attempt.AttemptsLeft, reply.AttemptsUsed)
+	return reply
+}
+
+func (k *KeyedSender) follow(ctx context.Context, attempt *call.Request, key outcome.Key) call.Reply {
 	patience := time.Now().Add(relocatePatience)
 	useSuccessor := false
 	for {
-		target, refusal, ok := k.locate(r.Service, key, useSuccessor)
+		target, refusal, ok := k.locate(attempt.Service, key, useSuccessor)
 		if !ok {
 			return openly(refusal, attempt.Resent)
 		}
-		reply, err := k.config.Sender.toHome(ctx, target, &attempt)
+		reply, err := k.config.Sender.toHome(ctx, target, attempt)
 		if err == nil && !moved(reply) {
 			return openly(reply, attempt.Resent)
 		}
@@ -158,6 +171,20 @@
 	return membership.Member{}, false
 }
 
+// admit refuses a root request with a caller's key that would be shed further down.
+func (s *Sender) admit(r *call.Request) (call.Reply, bool) {
+	if r.Depth > 0 {
+		return call.Reply{}, true
+	}
+	return s.entry.offer(time.Now(), r)
+}
+
+func (s *Sender) learn(r *call.Request, reply *call.Reply) {
+	if r.Depth == 0 {
+		s.entry.learn(time.Now(), r, reply)
+	}
+}
+
 // toHome sends the attempt to the node that decides about its key.
 func (s *Sender) toHome(ctx context.Context, target membership.Member, attempt *call.Request) (call.Reply, error) {
 	start := time.Now()
--- a/internal/traffic/flow/move.go
+++ b/internal/traffic/flow/move.go
@@ -32,7 +32,7 @@
 
 // moveFrom asks one earlier home, again while it runs the key or hands its keys over.
 func (h *Home) moveFrom(ctx context.Context, r *call.Request, home outcome.Node) (call.Reply, bool) {
-	for {
+	for !h.holdsKeysOf(home) {
 		resolution, err := h.askToMove(ctx, r, home)
 		switch {
 		case err != nil || !resolution.Known:
@@ -46,6 +46,14 @@
 			return call.Refused(call.NotAdmitted, call.ReasonHomeUnknown, homeRetry), false
 		}
 	}
+	return call.Reply{}, true
+}
+
+// holdsKeysOf reports whether the keys of the earlier home have come here by a handover meanwhile.
+func (h *Home) holdsKeysOf(home outcome.Node) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.answersFor(home)
 }
 
 func (h *Home) askToMove(ctx context.Context, r *call.Request, home outcome.Node) (peer.Resolution, error) {
@@ -59,5 +67,6 @@
 		Service:     r.Service,
 		Incarnation: m.Incarnation,
 		Move:        true,
+		MoveTo:      h.config.Self,
 	})
 }
--- a/internal/traffic/peer/handover.go
+++ b/internal/traffic/peer/handover.go
@@ -20,6 +20,8 @@
 	// State is Done with a Reply, NotRun or Moved.
 	State outcome.State
 	Reply call.Reply
+	// MovedTo is the node that took the key over, with Moved.
+	MovedTo outcome.Node
 }
 
 // HandoverPart is a part of what a leaving node hands over.
@@ -41,7 +43,7 @@
 		request.Keys = append(request.Keys, keyMessage(k))
 	}
 	for _, h := range p.Homes {
-		request.Homes = append(request.Homes, &peerpb.HomeNode{Node: h.Name, Incarnation: h.Incarnation})
+		request.Homes = append(request.Homes, homeMessage(h))
 	}
 	var answer *peerpb.HandoverReply
 	err := c.pool.UseNew(ctx, address, func(conn *drpcconn.Conn) (err error) {
@@ -61,7 +63,7 @@
 		p.Keys = append(p.Keys, keyOf(k))
 	}
 	for _, h := range m.GetHomes() {
-		p.Homes = append(p.Homes, outcome.Node{Name: h.GetNode(), Incarnation: h.GetIncarnation()})
+		p.Homes = append(p.Homes, homeOf(h))
 	}
 	taken := s.keeper.TakeOver(ctx, p)
 	return &peerpb.HandoverReply{Accepted: int32(len(p.Keys)), Refused: !taken}, nil
@@ -75,6 +77,7 @@
 		Bytes:         int64(k.Bytes),
 		State:         stateMessages[k.State],
 		Reply:         replyMessage("", k.Reply),
+		MovedTo:       homeMessage(k.MovedTo),
 	}
 }
 
@@ -86,5 +89,14 @@
 		Bytes:       int(m.GetBytes()),
 		State:       states[m.GetState()],
 		Reply:       replyOf(m.GetReply()),
+		MovedTo:     homeOf(m.GetMovedTo()),
 	}
 }
+
+func homeMessage(n outcome.Node) *peerpb.HomeNode {
+	return &peerpb.HomeNode{Node: n.Name, Incarnation: n.Incarnation}
+}
+
+func homeOf(m *peerpb.HomeNode) outcome.Node {
+	return outcome.Node{Name: m.GetNode(), Incarnation: m.GetIncarnation()}
+}
--- a/internal/traffic/peer/resolve.go
+++ b/internal/traffic/peer/resolve.go
@@ -37,7 +37,8 @@
 	// Delegated says that the attempt was sent by the home of its key.
 	Delegated bool
 	// Move takes a key that has not run away from the asked node: it never runs there.
-	Move bool
+	Move   bool
+	MoveTo outcome.Node
 }
 
 // Resolution is the answer to a Question.
@@ -60,6 +61,7 @@
 		Incarnation: q.Incarnation,
 		Delegated:   q.Delegated,
 		Move:        q.Move,
+		MoveTo:      homeMessage(q.MoveTo),
 	}
 	var answer *peerpb.ResolveReply
 	err := c.pool.UseNew(ctx, address, func(conn *drpcconn.Conn) (err error) {
@@ -95,6 +97,7 @@
 		Incarnation: m.GetIncarnation(),
 		Delegated:   m.GetDelegated(),
 		Move:        m.GetMove(),
+		MoveTo:      homeOf(m.GetMoveTo()),
 	})
 	if !resolution.Known {
 		return &peerpb.ResolveReply{State: peerpb.ResolveReply_STATE_UNKNOWN}, nil
