--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -32,12 +32,12 @@
 	Slots       int    `json:"slots,omitempty"`
 	Connections int    `json:"connections,omitempty"`
 	State       State  `json:"state"`
+	// DownSince is when a leader marked the member down, in seconds of Unix time.
+	DownSince int64 `json:"down_since,omitempty"`
 	// Successor answers for the keys of a member that leaves; empty for none.
 	Successor string `json:"successor,omitempty"`
 	// AnswersFor lists the earlier nodes, with their incarnations, whose keys the member took over.
 	AnswersFor string `json:"answers_for,omitempty"`
-	// DownSince is when a leader marked the member down, in seconds of Unix time.
-	DownSince int64 `json:"down_since,omitempty"`
 }
 
 // Record returns the member as a record.
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -49,11 +49,11 @@
 		Caller:              r.Root.Caller,
 		SourceNode:          node,
 		Delegated:           r.Delegated,
+		Crashes:             int32(r.Crashes),
 		Confirm:             r.Confirm,
 		AgeMicros:           now.Sub(r.Entered).Microseconds(),
 		Resent:              r.Resent,
 		TargetIncarnation:   r.TargetIncarnation,
-		Crashes:             int32(r.Crashes),
 	}
 }
 
@@ -93,12 +93,12 @@
 		AttemptsLeft: int(m.GetAttemptsLeft()),
 		SourceNode:   m.GetSourceNode(),
 		Delegated:    m.GetDelegated(),
+		Crashes:      int(m.GetCrashes()),
 		Entered:      now.Add(-time.Duration(m.GetAgeMicros()) * time.Microsecond),
 		Confirm:      m.GetConfirm(),
 		Resent:       m.GetResent(),
 
 		TargetIncarnation: m.GetTargetIncarnation(),
-		Crashes:           int(m.GetCrashes()),
 	}, nil
 }
 
