--- a/internal/lab/once/check.go
+++ b/internal/lab/once/check.go
@@ -19,6 +19,8 @@
 	Kinds map[KeyKind]KindCount `json:"kinds"`
 	// Violations are the promises that were broken; none are expected.
 	Violations []string `json:"violations"`
+	// Failed are the sends that callers who use nodes that are up saw fail.
+	Failed []Send `json:"-"`
 }
 
 // KindCount counts the bookings of one kind of key.
@@ -60,6 +62,9 @@
 func startsByKey(runs []server.Run) map[string]start {
 	starts := map[string]start{}
 	for _, r := range runs {
+		if r.Key == "" {
+			continue // an idempotent request
+		}
 		s := starts[r.Key]
 		if s.first.IsZero() || r.First.Before(s.first) {
 			s.first = r.First
@@ -88,6 +93,9 @@
 		r.Sends++
 		r.Outcomes[s.Outcome]++
 		r.Reasons[s.Reason]++
+		if s.Failed() {
+			r.Failed = append(r.Failed, s)
+		}
 	}
 }
 
@@ -95,6 +103,9 @@
 func (r *Report) check(b Booking, starts map[string]start) {
 	first := ""
 	for _, s := range b.Sends {
+		if s.Key == "" {
+			continue // an idempotent request, or one that got no further than its entry
+		}
 		ran, started := starts[s.Key]
 		switch s.Outcome {
 		case "ran":
--- a/internal/traffic/flow/handover.go
+++ b/internal/traffic/flow/handover.go
@@ -85,23 +85,24 @@
 }
 
 func (h *Home) restore(p peer.HandoverPart, now time.Time) {
+	for _, home := range p.Homes {
+		h.handovers.homes[home] = now.Add(h.config.Table.Window + h.config.Table.Ahead)
+	}
+	h.keys.Claim(h.answersFor)
 	for _, k := range p.Keys {
-		state := outcome.Done
-		if k.NotRun {
-			state = outcome.NotRun
+		if k.State == outcome.Moved && h.answersFor(k.MovedTo) {
+			continue
 		}
 		h.keys.Restore(now, outcome.Entry[call.Reply]{
 			ID:          k.ID,
 			UnixMillis:  k.UnixMillis,
 			Fingerprint: k.Fingerprint,
-			State:       state,
+			State:       k.State,
 			Reply:       k.Reply,
 			Bytes:       k.Bytes,
+			MovedTo:     k.MovedTo,
 		})
 	}
-	for _, home := range p.Homes {
-		h.handovers.homes[home] = now.Add(h.config.Table.Window + h.config.Table.Ahead)
-	}
 }
 
 // forgetHomes drops the earlier nodes whose keys are all too old by now.
@@ -253,7 +254,8 @@
 		Fingerprint: e.Fingerprint,
 		UnixMillis:  e.UnixMillis,
 		Bytes:       e.Bytes,
-		NotRun:      e.State == outcome.NotRun,
+		State:       e.State,
 		Reply:       e.Reply,
+		MovedTo:     e.MovedTo,
 	}
 }
