Messages between nodes carry a checksum of the whole message

A wrapped drpc encoding now puts the checksum of all encoded bytes behind every message of every RPC. Ruled out: a checksum field in each message over a re-encoding, which breaks where versions differ in their fields.

--- a/internal/control/zone/client.go
+++ b/internal/control/zone/client.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"storj.io/drpc/drpcconn"
+	"storj.io/drpc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
@@ -116,7 +116,7 @@
 func (c *Client) use(ctx context.Context, address string, timeout time.Duration, f func(context.Context, zonepb.DRPCZoneClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.config.Pool.Use(ctx, address, func(conn *drpcconn.Conn) error {
+	return c.config.Pool.Use(ctx, address, func(conn drpc.Conn) error {
 		return f(ctx, zonepb.NewDRPCZoneClient(conn))
 	})
 }
--- a/internal/traffic/peer/blame.go
+++ b/internal/traffic/peer/blame.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"storj.io/drpc/drpcconn"
+	"storj.io/drpc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
@@ -20,7 +20,7 @@
 		Crashes:    int32(b.Crashes),
 		TermMicros: b.Term.Microseconds(),
 	}
-	err := c.pool.Use(ctx, address, func(conn *drpcconn.Conn) error {
+	err := c.pool.Use(ctx, address, func(conn drpc.Conn) error {
 		_, err := peerpb.NewDRPCQuarantineClient(conn).Blame(ctx, message)
 		return err
 	})
--- a/internal/traffic/peer/client.go
+++ b/internal/traffic/peer/client.go
@@ -15,7 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
-	"storj.io/drpc/drpcconn"
+	"storj.io/drpc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
@@ -55,7 +55,7 @@
 }
 
 // use runs f on a kept connection, or on a new one where none that is kept is to be trusted.
-func (c *Client) use(ctx context.Context, address string, r *call.Request, f func(*drpcconn.Conn) error) error {
+func (c *Client) use(ctx context.Context, address string, r *call.Request, f func(drpc.Conn) error) error {
 	if r.NewConnection {
 		return c.pool.UseNew(ctx, address, f)
 	}
@@ -67,7 +67,7 @@
 	message := requestMessage(r, c.node, time.Now())
 	var answer *peerpb.CallReply
 	sent := false
-	err := c.use(ctx, address, r, func(conn *drpcconn.Conn) error {
+	err := c.use(ctx, address, r, func(conn drpc.Conn) error {
 		sent = true
 		var err error
 		answer, err = peerpb.NewDRPCPeerClient(conn).Call(ctx, message)
--- a/internal/traffic/peer/handover.go
+++ b/internal/traffic/peer/handover.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"storj.io/drpc/drpcconn"
+	"storj.io/drpc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -46,7 +46,7 @@
 		request.Homes = append(request.Homes, homeMessage(h))
 	}
 	var answer *peerpb.HandoverReply
-	err := c.pool.UseNew(ctx, address, func(conn *drpcconn.Conn) (err error) {
+	err := c.pool.UseNew(ctx, address, func(conn drpc.Conn) (err error) {
 		answer, err = peerpb.NewDRPCPeerClient(conn).Handover(ctx, request)
 		return err
 	})
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 )
 
@@ -65,12 +66,12 @@
 var errTooManyConnections = trace.LimitExceeded("too many connections to the node")
 
 // Use runs f on a connection to the address. The connection is kept for later use only if f succeeds.
-func (p *Pool) Use(ctx context.Context, address string, f func(*drpcconn.Conn) error) error {
+func (p *Pool) Use(ctx context.Context, address string, f func(drpc.Conn) error) error {
 	return p.UseFor(ctx, address, 0, f)
 }
 
 // UseFor is Use for a request of the rank. Less urgent ranks may use fewer connections.
-func (p *Pool) UseFor(ctx context.Context, address string, rank int, f func(*drpcconn.Conn) error) error {
+func (p *Pool) UseFor(ctx context.Context, address string, rank int, f func(drpc.Conn) error) error {
 	conn, err := p.take(ctx, address, rank)
 	if err != nil {
 		return err
@@ -79,13 +80,13 @@
 }
 
 // UseNew runs f on a connection that is made for it, for what an older connection left open.
-func (p *Pool) UseNew(ctx context.Context, address string, f func(*drpcconn.Conn) error) error {
+func (p *Pool) UseNew(ctx context.Context, address string, f func(drpc.Conn) error) error {
 	conn, err := p.dial(ctx, address)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	return f(conn)
+	return f(sealedConn{conn})
 }
 
 // Drop closes the idle connections to a node that was found silent, so that none of them is trusted again.
@@ -115,8 +116,8 @@
 	return open
 }
 
-func (p *Pool) run(address string, conn *drpcconn.Conn, f func(*drpcconn.Conn) error) error {
-	err := f(conn)
+func (p *Pool) run(address string, conn *drpcconn.Conn, f func(drpc.Conn) error) error {
+	err := f(sealedConn{conn})
 	if err != nil || isClosed(conn) {
 		_ = conn.Close()
 		p.drop(address)
--- a/internal/traffic/peer/resolve.go
+++ b/internal/traffic/peer/resolve.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"storj.io/drpc/drpcconn"
+	"storj.io/drpc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -64,7 +64,7 @@
 		MoveTo:      homeMessage(q.MoveTo),
 	}
 	var answer *peerpb.ResolveReply
-	err := c.pool.UseNew(ctx, address, func(conn *drpcconn.Conn) (err error) {
+	err := c.pool.UseNew(ctx, address, func(conn drpc.Conn) (err error) {
 		answer, err = peerpb.NewDRPCPeerClient(conn).Resolve(ctx, request)
 		return err
 	})
