Admission: the limit remembers what the backend server was seen to run well

Cause: telling slow work from too much concurrency by one trial of a lower limit was too noisy. Ruled out: larger steps alone (they cost throughput in a slow spell) and taking the latency as normal after a trial (the limit crept up).

Now high latency shrinks the limit at once only where it is more than a quarter above the concurrency that was seen to run at low latency; below that the work is taken for slow, and a lower limit is tried only after 5 s, then ever more rarely, and kept only if throughput stays and latency falls. A higher limit while latency is high, or above the announced slots, is tried only while about every second request has to wait, and kept only if throughput rises. The model backend server in the simulations kept lost slots busy; mended. The slow spells now have to give nine tenths of what the slow slots can do, and service after them is compared as a share of what arrived, since arrivals differ by chance from window to window.

The flood of the most urgent work is one run with the flood of one caller now.

--- a/internal/decide/admission/gate_test.go
+++ b/internal/decide/admission/gate_test.go
@@ -28,8 +28,8 @@
 func testConfig() admission.GateConfig {
 	return admission.GateConfig{
 		Limit: admission.LimitConfig{
-			Initial: 8, Min: 1, Max: 1000, Tolerance: 2, LatencySlack: 5 * time.Millisecond, Backoff: 0.7, LatencyBackoff: 0.9, Growth: 0.1,
-			Window: 100 * time.Millisecond, MaxWindow: time.Second, KindMemory: time.Minute, RetrialTime: 2 * time.Second, MaxRetrialTime: 30 * time.Second,
+			Initial: 8, Min: 1, Max: 1000, Tolerance: 2, LatencySlack: 5 * time.Millisecond, Backoff: 0.7, TrialBackoff: 0.8, Growth: 0.1,
+			Window: 100 * time.Millisecond, MaxWindow: time.Second, KindMemory: time.Minute, RetrialTime: 5 * time.Second, MaxRetrialTime: 30 * time.Second,
 		},
 		QueuePerSlot: 4, MaxWait: 100 * time.Millisecond, UrgentWait: 300 * time.Millisecond,
 		ReserveWait: 20 * time.Millisecond, MaxRetryAfter: 3 * time.Second,
--- a/internal/decide/admission/limit.go
+++ b/internal/decide/admission/limit.go
@@ -17,8 +17,8 @@
 	LatencySlack time.Duration
 	// Backoff is the factor by which the limit shrinks at most in one window in which the backend server shed.
 	Backoff float64
-	// LatencyBackoff is the factor by which the limit shrinks in a trial whether that lowers the latency.
-	LatencyBackoff float64
+	// TrialBackoff is the factor by which the limit shrinks in a trial whether it is too high.
+	TrialBackoff float64
 	// Growth is the part of the limit added after the first clean window; each further clean window adds one more part.
 	Growth float64
 	// Window is the least time for which samples are gathered before the limit moves.
@@ -27,8 +27,8 @@
 	MaxWindow time.Duration
 	// KindMemory is how long the baseline of a kind that is no longer seen is kept.
 	KindMemory time.Duration
-	// RetrialTime is how long a latency that shrinking did not lower is first taken as normal. Each further time in
-	// succession doubles it, up to MaxRetrialTime.
+	// RetrialTime is how long latency is high before a trial of a lower limit. Each trial in succession that showed the
+	// limit right doubles it, up to MaxRetrialTime.
 	RetrialTime    time.Duration
 	MaxRetrialTime time.Duration
 }
@@ -37,9 +37,10 @@
 // well, and shrinks when the backend server sheds or its latency rises.
 //
 // High latency alone does not tell too much concurrency from slow work: shrinking cures the first and makes the second
-// worse. So a limit shrinks for latency only on trial. Where fewer requests then end in the same time, the old value
-// comes back and the latency is taken as normal until the next trial. In the same way the limit goes above the
-// announced slots only on trial, and stays there only where more requests end.
+// worse. So the limit remembers how many requests in flight the backend server was seen to run well. Above that, high
+// latency shrinks the limit at once, and the limit grows only on trial: it stays higher only where more requests then
+// end. Below, high latency is taken for slow work, and the limit shrinks only on trial, after a time: it stays lower
+// only where no fewer requests end. A limit above the announced slots is reached only on trial as well.
 type Limit struct {
 	config  LimitConfig
 	latency *latencies
@@ -53,28 +54,31 @@
 	trial  trial
 	// clean counts the windows without trouble since the last one with it.
 	clean int
-	// normal is the latency, in baselines, that shrinking did not lower; 1 where there is none.
-	normal      float64
-	normalUntil time.Time
+	// proven is how many requests in flight the backend server was seen to run well.
+	proven float64
+	// slowSince is when latency became high; zero while it isn't. The next trial of a lower limit begins retrialTime
+	// after it.
+	slowSince   time.Time
 	retrialTime time.Duration
 	// shedValue is where the backend server last shed; until shedUntil the limit does not grow back to it.
 	shedValue float64
 	shedUntil time.Time
-	// raiseAfter is when the next trial above the ceiling may begin, raiseWait how long the wait before it is.
-	raiseAfter time.Time
-	raiseWait  time.Duration
-	held       time.Duration
+	// above and below hold back trials of a limit above the ceiling, and of a higher one below it.
+	above hold
+	below hold
+	held  time.Duration
 }
 
 // window is what was seen since the limit last moved.
 type window struct {
 	start time.Time
 	// value is the limit at the start.
-	value     float64
-	ended     int
-	shed      int
-	peak      int
-	wanted    bool
+	value float64
+	ended int
+	shed  int
+	peak  int
+	// wanted counts requests that would have run at once had the limit been higher.
+	wanted    int
 	heldTotal time.Duration
 }
 
@@ -83,6 +87,8 @@
 	window
 	// used says that most of the limit was in flight, or that requests had to wait.
 	used bool
+	// saturated says that about every second request had to wait, so that throughput shows what the limit allows.
+	saturated bool
 	// excess is the mean of the latencies over their baselines; 0 where there was none.
 	excess float64
 	// rate is how many requests ended in a second.
@@ -92,6 +98,10 @@
 const (
 	// usedShare of the limit must be in flight for the limit to count as used.
 	usedShare = 0.8
+	// healthyExcess is the most that latency is over its baselines where all goes well.
+	healthyExcess = 1.25
+	// provenMargin is how far the limit may be above what was seen to run well before high latency shrinks it at once.
+	provenMargin = 1.25
 	// coldClean is how many clean windows a new limit counts as past, so that it grows fast from the start.
 	coldClean = 4
 	// shedValueMemory is how long the limit stays below a value at which the backend server shed.
@@ -106,9 +116,9 @@
 		value:       float64(config.Initial),
 		ceiling:     float64(config.Max),
 		clean:       coldClean,
-		normal:      1,
 		retrialTime: config.RetrialTime,
-		raiseWait:   firstRaiseWait,
+		above:       hold{wait: firstRaiseWait},
+		below:       hold{wait: firstRaiseWait},
 	}
 }
 
@@ -135,14 +145,14 @@
 		l.announced = slots
 		l.ceiling = float64(slots)
 		l.trial = trial{}
-		l.raiseAfter, l.raiseWait = time.Time{}, firstRaiseWait
+		l.above = hold{wait: firstRaiseWait}
 	}
 	l.clamp()
 }
 
 // Want notes that a request would have run at once had the limit been higher.
 func (l *Limit) Want() {
-	l.window.wanted = true
+	l.window.wanted++
 }
 
 // Observe learns from one sample.
@@ -176,7 +186,7 @@
 		least *= raiseWindows
 	}
 	if l.trial.compares() {
-		requests = max(2*requests, leastTrialRequests)
+		requests = max(trialRequestsPerSlot*requests, leastTrialRequests)
 	}
 	if length < least {
 		return false
@@ -197,28 +207,30 @@
 		l.held = w.heldTotal / time.Duration(w.ended)
 	}
 	s := seen{
-		window: w,
-		used:   w.wanted || float64(w.peak) >= l.value*usedShare,
-		excess: l.latency.closeWindow(now),
-		rate:   float64(w.ended) / now.Sub(w.start).Seconds(),
+		window:    w,
+		used:      w.wanted > 0 || float64(w.peak) >= l.value*usedShare,
+		saturated: 2*w.wanted >= w.ended,
+		excess:    l.latency.closeWindow(now),
+		rate:      float64(w.ended) / now.Sub(w.start).Seconds(),
 	}
-	l.learnNormal(now, s.excess)
+	l.learn(now, s)
 	l.move(now, s)
 	l.clamp()
 	l.window = window{start: now, value: l.value}
 }
 
-// learnNormal forgets a normal latency that is over.
-func (l *Limit) learnNormal(now time.Time, excess float64) {
-	if !now.Before(l.normalUntil) {
-		l.normal = 1
+// learn notes how many requests in flight went well, and since when latency is high.
+func (l *Limit) learn(now time.Time, s seen) {
+	if s.excess > 0 && s.excess <= healthyExcess {
+		l.proven = math.Max(l.proven, math.Min(float64(s.peak), l.value))
 	}
-	if excess == 0 {
+	if !l.slow(s) {
+		l.slowSince = time.Time{}
+		l.retrialTime = l.config.RetrialTime
 		return
 	}
-	l.normal = math.Max(math.Min(l.normal, excess), 1)
-	if excess <= l.config.Tolerance {
-		l.retrialTime = l.config.RetrialTime
+	if l.slowSince.IsZero() {
+		l.slowSince = now
 	}
 }
 
@@ -226,19 +238,30 @@
 	switch {
 	case s.shed > 0:
 		l.clean = 0
+	case l.well(s) && l.value < l.ceiling:
+		l.trial = trial{}
+		l.grow(now)
 	case l.trial.phase != noTrial:
 		l.continueTrial(now, s)
-	case l.slow(s):
+	case l.slow(s) && l.value > l.proven*provenMargin:
+		l.clean = 0
+		l.value = math.Max(l.proven*provenMargin, l.value*l.config.Backoff)
+	case l.slow(s) && now.Sub(l.slowSince) >= l.retrialTime:
 		l.clean = 0
 		l.trial = trial{phase: measuring}
-	case s.used && s.excess < (1+l.config.Tolerance)/2*l.normal:
-		l.grow(now, s)
+	case s.used:
+		l.planRaise(now, s)
 	}
 }
 
+// well reports whether the limit is used and the latency low enough for the limit to grow without a trial.
+func (l *Limit) well(s seen) bool {
+	return s.used && s.excess < (1+l.config.Tolerance)/2
+}
+
 // slow reports whether the limit is used and the latency too high.
 func (l *Limit) slow(s seen) bool {
-	return s.used && s.excess > l.config.Tolerance*l.normal
+	return s.used && s.excess > l.config.Tolerance
 }
 
 // backOff goes below the requests with which the backend server shed one, at once but not far in one window, because
@@ -251,15 +274,12 @@
 	l.clean = 0
 	l.shedValue, l.shedUntil = float64(s.inFlight), now.Add(shedValueMemory)
 	l.value = math.Max(math.Min(l.value, l.shedValue-1), l.window.value*l.config.Backoff)
+	l.proven = math.Min(l.proven, l.value)
 	l.clamp()
 }
 
-func (l *Limit) grow(now time.Time, s seen) {
+func (l *Limit) grow(now time.Time) {
 	l.clean++
-	if l.value >= l.ceiling {
-		l.planRaise(now, s)
-		return
-	}
 	before := l.value
 	part := math.Min(l.config.Growth*float64(l.clean), 1)
 	l.value += math.Max(l.value*part, 1)
--- a/internal/decide/admission/simulation_test.go
+++ b/internal/decide/admission/simulation_test.go
@@ -30,6 +30,7 @@
 
 	sent, good     map[string]int
 	ended, refused int
+	arrived        int
 	peak           int
 	longestRefusal time.Duration
 	longestWait    map[string]time.Duration
@@ -78,7 +79,7 @@
 
 // run lets time pass in steps of a millisecond.
 func (s *simulation) run(d time.Duration) {
-	s.peak, s.ended, s.refused = 0, 0, 0
+	s.peak, s.ended, s.refused, s.arrived = 0, 0, 0, 0
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(time.Millisecond) {
 		for len(s.events) > 0 && !s.events[0].at.After(s.now) {
 			s.finish(heap.Pop(&s.events).(event).ticket)
@@ -102,6 +103,7 @@
 func (s *simulation) offer(t admission.Ticket) {
 	t.RootStart, t.Deadline = s.now, s.now.Add(time.Second)
 	s.sent[label(&t)]++
+	s.arrived++
 	s.offered[&t] = s.now
 	if s.gate.Offer(s.now, &t).Action == admission.Run {
 		s.send(&t)
@@ -140,7 +142,7 @@
 
 func (s *simulation) finish(t *admission.Ticket) {
 	s.busy--
-	if len(s.backlog) > 0 {
+	for len(s.backlog) > 0 && s.busy < s.slots {
 		s.begin(s.backlog[0])
 		s.backlog = s.backlog[1:]
 	}
@@ -201,7 +203,7 @@
 			s.stream(700, newTicket(epoch, 5, "lookups", "a")) // four fifths of the capacity
 			s.run(10 * time.Second)
 			s.run(5 * time.Second)
-			before := s.ended
+			before := float64(s.ended) / float64(s.arrived)
 			s.service, s.slots, s.queue = test.service, test.slots, test.queue
 			s.run(test.spell / 2)
 			refused := s.refused
@@ -215,12 +217,27 @@
 			s.service, s.slots, s.queue = 40*time.Millisecond, 35, 1000
 			s.run(5 * time.Second)
 			s.run(5 * time.Second)
-			t.Logf("limit %d at the end of the spell, %d now; %d ended before, %d now", limit, s.gate.LimitValue(), before, s.ended)
-			is.True(float64(s.ended) >= 0.95*float64(before))
+			after := float64(s.ended) / float64(s.arrived)
+			t.Logf("limit %d at the end of the spell, %d now; %.3f served before, %.3f now", limit, s.gate.LimitValue(), before, after)
+			is.True(after >= 0.95*before)
 		})
 	}
 }
 
+// A backend server that lost slots for good is found out, although it ran more before.
+func TestLimitFollowsLostSlots(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(35, 35, 40*time.Millisecond)
+	s.stream(700, newTicket(epoch, 5, "lookups", "a"))
+	s.run(10 * time.Second)
+	s.slots = 10
+	s.run(30 * time.Second)
+	s.run(5 * time.Second)
+	t.Logf("%d ended of 1250 possible, peak %d", s.ended, s.peak)
+	is.True(s.ended >= 1125) // nine tenths
+	is.True(s.peak <= 30)
+}
+
 func TestColdStartRamps(t *testing.T) {
 	is := is.New(t)
 	s := newSimulation(200, 200, 200*time.Millisecond)
--- a/internal/proof/admission/admission_test.go
+++ b/internal/proof/admission/admission_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -111,6 +112,16 @@
 	return s
 }
 
+// logFailures tells what became of the stream's requests that got no good answer.
+func logFailures(t *testing.T, results []load.Result, stream string) {
+	t.Helper()
+	for _, r := range results {
+		if r.Stream == stream && !r.OK() {
+			t.Logf("%s at %s: %s %s after %s", stream, r.Sent, r.Outcome, r.Reason, r.Took)
+		}
+	}
+}
+
 func run(t *testing.T, f *fleet.Fleet, streams ...load.Stream) []load.Result {
 	t.Helper()
 	results := load.Run(t.Context(), load.Config{Streams: streams, Targets: f.Callers(), Duration: runTime, Seed: 1})
@@ -138,15 +149,18 @@
 	tests := map[string]struct {
 		floods []load.Stream
 		served []load.Stream
-		change func(*fleet.Deployment)
+		// unserved is a less urgent stream of which nothing is run while the flood goes on.
+		unserved []load.Stream
+		change   func(*fleet.Deployment)
 	}{
 		"of the least urgent, and of one kind within a rank": {
 			floods: []load.Stream{flood("archive", "/archive/x", 8, floodRate/2), flood("lookups", "/lookups/x", 5, floodRate/2)},
 			served: []load.Stream{stream("sheets", "/sheets/x", 0, 100), stream("orders", "/orders/x", 5, 40)},
 		},
 		"of one caller within the most urgent kind": {
-			floods: []load.Stream{flood("flood", "/sheets/x", 0, floodRate)},
-			served: []load.Stream{by("crew", stream("crew", "/sheets/x", 0, 50))},
+			floods:   []load.Stream{flood("flood", "/sheets/x", 0, floodRate)},
+			served:   []load.Stream{by("crew", stream("crew", "/sheets/x", 0, 50))},
+			unserved: []load.Stream{stream("archive", "/archive/x", 8, 60)},
 		},
 		"of the least urgent where ten times the slots are announced": {
 			floods: []load.Stream{flood("flood", "/archive/x", 8, floodRate)},
@@ -162,11 +176,16 @@
 				test.change(&d)
 			}
 			f := harness.Start(t, fleet.Config{Deployment: d})
-			results := run(t, f, append(test.served, test.floods...)...)
+			results := run(t, f, slices.Concat(test.served, test.unserved, test.floods)...)
 			for _, s := range test.served {
-				t.Logf("%s: %.3f", s.Name, share(results, s.Name, 0, runTime))
+				logFailures(t, results, s.Name)
 				is.True(share(results, s.Name, 0, runTime) >= 0.99) // good answers in the deadline
 			}
+			for _, s := range test.unserved {
+				is.True(share(results, s.Name, 0, floodStart-100*time.Millisecond) >= 0.99)
+				is.True(share(results, s.Name, floodStart+transition, floodStop-settled) <= 0.01)
+				is.True(share(results, s.Name, floodStop+settled, runTime) >= 0.95)
+			}
 			checkRefusals(is, results)
 			for _, n := range f.Nodes {
 				is.True(n.Server.Report().PeakConnections <= 170)
@@ -192,16 +211,6 @@
 	is.True(refused > 0)
 }
 
-// While more of the most urgent work comes than can be run, nothing less urgent is run.
-func TestFloodOfMostUrgent(t *testing.T) {
-	is := is.New(t)
-	f := harness.Start(t, fleet.Config{Deployment: venue()})
-	results := run(t, f, flood("flood", "/sheets/x", 0, floodRate), stream("archive", "/archive/x", 8, 60))
-	is.True(share(results, "archive", 0, floodStart-100*time.Millisecond) >= 0.99)
-	is.True(share(results, "archive", floodStart+transition, floodStop-settled) <= 0.01)
-	is.True(share(results, "archive", floodStop+settled, runTime) >= 0.95)
-}
-
 // A deep service slows while demand surges and callers send again at once. Five seconds after the trigger ended, all
 // ordinary work gets through, and no queue is left.
 func TestRecovery(t *testing.T) {
