--- /dev/null
+++ b/internal/lab/capacity/bench_test.go
@@ -0,0 +1,136 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+)
+
+// The planned fleet.
+const (
+	plannedNodes     = 2100
+	plannedServices  = 380
+	plannedDocuments = 409
+	plannedZones     = 29
+	plannedRegions   = 8
+	nodesPerZone     = (plannedNodes + plannedZones - 1) / plannedZones
+)
+
+// plannedRecords returns the records that every node holds at the planned size.
+func plannedRecords(sequence uint64) []membership.Record {
+	var records []membership.Record
+	for i := range plannedNodes {
+		records = append(records, plannedMember(i).Record(membership.Version{Epoch: 1, Sequence: sequence}))
+	}
+	for i := range plannedDocuments {
+		records = append(records, membership.Record{
+			Key:     fmt.Sprintf("document/service-%d", i),
+			Version: membership.Version{Epoch: 1, Sequence: sequence},
+			Value:   []byte(documentOf(fmt.Sprintf("service-%d", i), 1)),
+		})
+	}
+	return records
+}
+
+func plannedMember(number int) membership.Member {
+	return membership.Member{
+		Node:          fmt.Sprintf("node_%d", number),
+		Zone:          fmt.Sprintf("zone_%d", number%plannedZones),
+		Region:        fmt.Sprintf("region_%d", number%plannedRegions),
+		PeerAddress:   "10.100.100.100:7001",
+		CallerAddress: "10.100.100.100:7000",
+		Service:       fmt.Sprintf("service-%d", number%plannedServices),
+		Slots:         labSlots,
+		Connections:   labConnections,
+		State:         membership.Up,
+	}
+}
+
+// BenchmarkMergeAll takes in everything, as a node does that has just started.
+func BenchmarkMergeAll(b *testing.B) {
+	records := plannedRecords(2)
+	b.ReportAllocs()
+	for b.Loop() {
+		membership.NewRecords().Merge(records...)
+	}
+}
+
+// BenchmarkMergeOne takes in one changed member.
+func BenchmarkMergeOne(b *testing.B) {
+	store := membership.NewRecords()
+	store.Merge(plannedRecords(2)...)
+	member := plannedMember(7)
+	sequence := uint64(2)
+	b.ReportAllocs()
+	for b.Loop() {
+		sequence += 2
+		store.Merge(member.Record(membership.Version{Epoch: 1, Sequence: sequence}))
+	}
+}
+
+// BenchmarkDigest sums up all records, as each heartbeat's answer does.
+func BenchmarkDigest(b *testing.B) {
+	store := membership.NewRecords()
+	store.Merge(plannedRecords(2)...)
+	b.ReportAllocs()
+	for b.Loop() {
+		store.Digest()
+	}
+}
+
+// BenchmarkSince looks for changes where there are none, as nearly every heartbeat's answer does.
+func BenchmarkSince(b *testing.B) {
+	store := membership.NewRecords()
+	store.Merge(plannedRecords(2)...)
+	last := store.Last()
+	b.ReportAllocs()
+	for b.Loop() {
+		store.Since(last, 1<<20)
+	}
+}
+
+// BenchmarkZoneValue encodes one zone's members as its leader writes them, and tells the size.
+func BenchmarkZoneValue(b *testing.B) {
+	var records []membership.Record
+	for i := range nodesPerZone {
+		records = append(records, plannedMember(i*plannedZones).Record(membership.Version{Epoch: 1, Sequence: 2}))
+	}
+	b.ReportAllocs()
+	size := 0
+	for b.Loop() {
+		encoded, err := json.Marshal(records)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(encoded)
+	}
+	b.ReportMetric(float64(size), "B/zone")
+}
+
+// BenchmarkParseDocument reads one document, as every node does for every change.
+func BenchmarkParseDocument(b *testing.B) {
+	source := []byte(documentOf("service-1", 1))
+	b.ReportAllocs()
+	b.ReportMetric(float64(len(source)), "B/document")
+	for b.Loop() {
+		if _, err := document.Parse(source); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkStateSize tells how many bytes of records every node holds and receives when it starts.
+func BenchmarkStateSize(b *testing.B) {
+	records := plannedRecords(2)
+	size := 0
+	for b.Loop() {
+		size = 0
+		for _, r := range records {
+			size += len(r.Key) + len(r.Value)
+		}
+	}
+	b.ReportMetric(float64(size), "B/node")
+}
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -217,7 +217,7 @@
 	if reply.Status < http.StatusOK || reply.Status > highestStatus || !wellFormed(reply.Header) {
 		reply = call.Refused(call.Unknown, call.ReasonCorrupt, 0)
 	}
-	if reply.Outcome != call.Ran && reply.Status == http.StatusServiceUnavailable && reply.RetryAfter <= 0 {
+	if reply.Outcome != call.Ran && reply.Status >= http.StatusInternalServerError && reply.RetryAfter <= 0 {
 		reply.RetryAfter = defaultRetryAfter
 	}
 	if reply.Outcome != call.Ran && len(reply.Body) == 0 && reply.Reason != call.ReasonNone {
--- a/internal/traffic/caller/handler_test.go
+++ b/internal/traffic/caller/handler_test.go
@@ -69,11 +69,11 @@
 		},
 		"header with a damaged value": {
 			reply:  call.Reply{Outcome: call.Ran, Status: 200, Header: http.Header{"Date": {"Fri, 04 Dec \x12026"}}},
-			status: 502, outcome: "unknown", reason: "corrupt",
+			status: 502, outcome: "unknown", reason: "corrupt", retryAfter: "1", exact: "1000",
 		},
 		"reply without a status": {
 			reply:  call.Reply{Outcome: call.Ran},
-			status: 502, outcome: "unknown", reason: "corrupt",
+			status: 502, outcome: "unknown", reason: "corrupt", retryAfter: "1", exact: "1000",
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
