Prove resends, lost answers and late copies

TestResends with real processes: a key sent again through all nodes, at the same moment and later, gets the first answer and runs once; another body gets 422; an answer lost on a connection that goes silent is had on a new one.

flow: a home passes a request on at most once and charges it; what was lost is never run again; a resend after a lost answer that is then shed gets the first answer at the home and not_admitted at the entry; a copy that entered before not_run was told stays out.

--- a/internal/lab/once/caller.go
+++ b/internal/lab/once/caller.go
@@ -212,26 +212,44 @@
 }
 
 // send sends one copy.
-func (c *callers) send(b *Booking, key, target string) (s Send) {
-	s = Send{Begin: time.Now(), Key: key}
+func (c *callers) send(b *Booking, key, target string) Send {
+	client := c.once
+	if b.Kind == None || key != "" {
+		client = c.client
+	}
+	o := Order{Target: target, Service: c.service, Method: http.MethodPost, Path: "/bookings", Key: key, Body: b.ID}
+	if b.Kind == None {
+		o.Method, o.Path = http.MethodGet, "/windows"
+	}
+	return Post(client, o)
+}
+
+// Order is one request to send.
+type Order struct {
+	// Target is the caller address of a node.
+	Target  string
+	Service string
+	Method  string
+	Path    string
+	// Key is empty for none.
+	Key  string
+	Body string
+}
+
+// Post sends a request and returns what its caller saw.
+func Post(client *http.Client, o Order) (s Send) {
+	s = Send{Begin: time.Now(), Key: o.Key}
 	defer func() { s.End = time.Now() }()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	method, path := http.MethodPost, "/bookings"
-	if b.Kind == None {
-		method, path = http.MethodGet, "/windows"
-	}
-	address := "http://" + target + "/call/" + c.service + path
-	request, err := http.NewRequestWithContext(ctx, method, address, strings.NewReader(b.ID))
+	address := "http://" + o.Target + "/call/" + o.Service + o.Path
+	request, err := http.NewRequestWithContext(ctx, o.Method, address, strings.NewReader(o.Body))
 	if err != nil {
+		s.Error = err.Error()
 		return s
 	}
-	client := c.once
-	if key != "" {
-		request.Header.Set(backend.KeyHeader, key)
-	}
-	if b.Kind == None || key != "" {
-		client = c.client
+	if o.Key != "" {
+		request.Header.Set(backend.KeyHeader, o.Key)
 	}
 	response, err := client.Do(request)
 	if err != nil {
@@ -244,11 +262,16 @@
 		s.Error = err.Error()
 		return s
 	}
-	s.Status, s.Body = response.StatusCode, string(body)
+	s.read(response, string(body))
+	return s
+}
+
+// read takes in the whole answer.
+func (s *Send) read(response *http.Response, body string) {
+	s.Status, s.Body = response.StatusCode, body
 	s.Outcome = response.Header.Get(caller.OutcomeHeader)
 	s.Reason = response.Header.Get(caller.ReasonHeader)
 	if told := response.Header.Get(backend.KeyHeader); told != "" {
 		s.Key = told
 	}
-	return s
 }
--- /dev/null
+++ b/internal/proof/once/outcome_test.go
@@ -0,0 +1,102 @@
+package once_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/once"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+func book(n *fleet.Node, key, body string) once.Send {
+	return once.Post(http.DefaultClient, once.Order{
+		Target: n.Caller, Service: "bookings", Method: http.MethodPost, Path: "/bookings", Key: key, Body: body,
+	})
+}
+
+// started returns how often the key was started, on all backend servers together.
+func started(f *fleet.Fleet, key string) int {
+	count := 0
+	for _, n := range f.Nodes {
+		for _, r := range n.Server.Ledger().Runs() {
+			if r.Key == key {
+				count += r.Started
+			}
+		}
+	}
+	return count
+}
+
+// keyWithHomeElsewhere returns a key of the present whose home is not the node.
+func keyWithHomeElsewhere(t *testing.T, f *fleet.Fleet, n *fleet.Node) (string, string) {
+	dump, err := fleet.FetchDump(t.Context(), n.Backend)
+	is.New(t).NoErr(err)
+	zones := once.Deployment(len(f.Nodes)).Zones
+	for {
+		key := uuid.Must(uuid.NewV7()).String()
+		shard := dump.Board.Homes.Shards[outcome.ShardOf(zones, key)]
+		if home, ok := shard.Home("bookings", key, time.Now().UnixMilli()); ok && home.Name != n.Name {
+			return key, home.Name
+		}
+	}
+}
+
+func TestResends(t *testing.T) {
+	deployment := once.Deployment(3)
+	deployment.Services[0].Behaviour.ServiceTime = 400 * time.Millisecond
+	deployment.Services[0].Behaviour.Spread = 0
+	f := harness.Start(t, fleet.Config{Deployment: deployment})
+	harness.Eventually(t, 20*time.Second, func() bool { return settled(t, f) })
+	for name, key := range map[string]string{
+		"key with a time":    uuid.Must(uuid.NewV7()).String(),
+		"key without a time": "booking-17",
+		"key of the entry":   "",
+	} {
+		t.Run(name, func(t *testing.T) { resend(t, f, key) })
+	}
+	t.Run("answer lost on a silent connection", func(t *testing.T) { silence(t, f) })
+}
+
+// resend sends one key through all nodes: at the same moment, afterwards, and with another body.
+func resend(t *testing.T, f *fleet.Fleet, key string) {
+	is := is.New(t)
+	first := book(f.Nodes[0], key, "a wash")
+	is.Equal(first.Outcome, "ran")
+	sends := make([]once.Send, len(f.Nodes))
+	var group conc.WaitGroup
+	for i, n := range f.Nodes {
+		group.Go(func() { sends[i] = book(n, first.Key, "a wash") })
+	}
+	group.Wait()
+	for _, s := range sends {
+		is.Equal(s.Outcome, "ran")
+		is.Equal(s.Body, first.Body)
+	}
+	is.Equal(started(f, first.Key), 1)
+	other := book(f.Nodes[1], first.Key, "another wash")
+	is.Equal(other.Status, http.StatusUnprocessableEntity)
+	is.Equal(other.Reason, "key_reused")
+}
+
+// silence makes the connections between the entry and the home silent while the home runs the key. The entry asks on
+// a new connection, so its caller gets the answer.
+func silence(t *testing.T, f *fleet.Fleet) {
+	is := is.New(t)
+	entry := f.Nodes[0]
+	key, home := keyWithHomeElsewhere(t, f, entry)
+	var answer once.Send
+	var group conc.WaitGroup
+	group.Go(func() { answer = book(entry, key, "a wash") })
+	harness.Eventually(t, 10*time.Second, func() bool { return started(f, key) == 1 })
+	is.True(f.Network.SilenceOpen(entry.Name, home) > 0)
+	group.Wait()
+	is.Equal(answer.Outcome, "ran")
+	is.Equal(started(f, key), 1)
+}
--- /dev/null
+++ b/internal/traffic/flow/home_test.go
@@ -0,0 +1,139 @@
+package flow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+var selfMember = membership.Member{}
+
+var homeSelf = outcome.Node{Name: "access_0", Incarnation: 7}
+
+var (
+	ranReply  = call.Reply{Outcome: call.Ran, Status: 200, Body: []byte("booked")}
+	shedReply = call.Refused(call.NotRun, call.ReasonOverload, time.Second)
+	lostReply = call.Refused(call.Unknown, call.ReasonBackendFailed, 0)
+)
+
+// runner answers with one reply after the other, and counts.
+type runner struct {
+	replies []call.Reply
+	runs    int
+}
+
+func (f *runner) Receive(context.Context, *call.Request) call.Reply {
+	reply := f.replies[min(f.runs, len(f.replies)-1)]
+	f.runs++
+	return reply
+}
+
+func newTestHome(local, other *runner) *Home {
+	return NewHome(HomeConfig{
+		Board:    board.NewLoop(board.Board{}),
+		Self:     homeSelf,
+		Local:    local,
+		Delegate: other.Receive,
+		Load:     func() call.Load { return call.Load{} },
+		Table:    outcome.TableConfig{Window: time.Minute, Ahead: time.Minute, MaxKeys: 100, MaxBytes: 1 << 20},
+	})
+}
+
+func booking(entered time.Time) *call.Request {
+	return &call.Request{
+		AttemptID:    uuid.NewString(),
+		Service:      "access",
+		Method:       "POST",
+		Path:         "/bookings",
+		Key:          outcome.Mint(homeSelf, uuid.Must(uuid.NewV7())),
+		Deadline:     time.Now().Add(time.Minute),
+		AttemptsLeft: 1,
+		Entered:      entered,
+	}
+}
+
+func TestHomeDelegatesOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		local, other call.Reply
+		attempts     int
+		want         call.Outcome
+		passedOn     int
+	}{
+		"ran here":                           {local: ranReply, attempts: 1, want: call.Ran},
+		"shed here, ran there":               {local: shedReply, other: ranReply, attempts: 1, want: call.Ran, passedOn: 1},
+		"shed by both":                       {local: shedReply, other: shedReply, attempts: 1, want: call.NotRun, passedOn: 1},
+		"no attempt left":                    {local: shedReply, other: ranReply, want: call.NotRun},
+		"lost here: not passed on":           {local: lostReply, other: ranReply, attempts: 1, want: call.Unknown},
+		"lost there: not run again anywhere": {local: shedReply, other: lostReply, attempts: 1, want: call.Unknown, passedOn: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			local, other := &runner{replies: []call.Reply{tc.local}}, &runner{replies: []call.Reply{tc.other}}
+			h := newTestHome(local, other)
+			r := booking(time.Now())
+			r.AttemptsLeft = tc.attempts
+			reply := h.Receive(t.Context(), r)
+			is.Equal(reply.Outcome, tc.want)
+			is.Equal(reply.AttemptsUsed, tc.passedOn)
+			is.Equal(other.runs, tc.passedOn)
+			if tc.want != call.NotRun {
+				is.Equal(h.Receive(t.Context(), r).Outcome, tc.want) // remembered
+				is.Equal(local.runs, 1)
+			}
+		})
+	}
+}
+
+// A copy that entered before a caller was told not_run stays out; a later resend runs.
+func TestLateCopyOfWhatWasToldNotRun(t *testing.T) {
+	is := is.New(t)
+	local := &runner{replies: []call.Reply{shedReply, ranReply}}
+	h := newTestHome(local, &runner{replies: []call.Reply{shedReply}})
+	x := &exchange{local: h}
+	first := booking(time.Now())
+	first.AttemptsLeft = 0
+	late := *first
+	is.Equal(h.Receive(t.Context(), first).Outcome, call.NotRun)
+	reply, err := x.call(t.Context(), selfMember, &late)
+	is.NoErr(err)
+	is.Equal(reply.Outcome, call.NotRun)
+	is.Equal(local.runs, 1)
+	resend := *first
+	resend.Entered = time.Now()
+	reply, err = x.call(t.Context(), selfMember, &resend)
+	is.NoErr(err)
+	is.Equal(reply.Outcome, call.Ran)
+}
+
+// The first send ran and its answer was lost. The resend is shed, at the home or at the entry: it must not be told
+// not_run.
+func TestResendAfterLostAnswerThatIsShed(t *testing.T) {
+	is := is.New(t)
+	local := &runner{replies: []call.Reply{ranReply, shedReply}}
+	h := newTestHome(local, &runner{replies: []call.Reply{shedReply}})
+	r := booking(time.Now())
+	is.Equal(h.Receive(t.Context(), r).Outcome, call.Ran)
+	again := h.Receive(t.Context(), r)
+	is.Equal(again.Outcome, call.Ran)
+	is.Equal(string(again.Body), "booked")
+
+	e := newEntry(throttle.DefaultConfig)
+	refusal, admitted := call.Reply{}, true
+	for range 1000 {
+		if refusal, admitted = e.offer(time.Now(), r); !admitted {
+			break
+		}
+		e.learn(time.Now(), r, &shedReply)
+	}
+	is.True(!admitted)
+	is.Equal(refusal.Outcome, call.NotAdmitted)
+}
