--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -23,10 +23,12 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/homes"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/metrics"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -114,7 +116,7 @@
 		Peers:    n.peers,
 		Receiver: n.home,
 		Budget:   retryBudget,
-		Ejection: ejection,
+		Routing:  routing.DefaultConfig(s.Node.Name, s.Node.Zone),
 		Throttle: throttle.DefaultConfig,
 	})
 	n.keyed = flow.NewKeyedSender(flow.KeyedConfig{
@@ -163,6 +165,7 @@
 	defer stop()
 	var group conc.WaitGroup
 	n.start(working, &group)
+	metrics.Publish(func() metrics.Values { return n.metricValues(working) })
 	config.Log.Emit(events.NodeStarted, events.Fields{"settings": config.Settings.Node.Name})
 	n.waitForLeave(ctx)
 	n.drain(working)
--- a/internal/proof/control/main_test.go
+++ b/internal/proof/control/main_test.go
@@ -32,6 +32,18 @@
 	os.Exit(harness.Main(m))
 }
 
+// start starts a fleet whose processes are killed at the end, which spares their drains.
+func start(t *testing.T, config fleet.Config) *fleet.Fleet {
+	t.Helper()
+	f := harness.Start(t, config)
+	t.Cleanup(func() {
+		for _, n := range f.Nodes {
+			n.Kill()
+		}
+	})
+	return f
+}
+
 func client(n *fleet.Node) *operator.Client {
 	return operator.NewClient(operator.ClientConfig{Address: n.Operator, Token: fleet.OperatorToken, Timeout: 10 * time.Second})
 }
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -77,6 +77,9 @@
 	Attempts *Attempts
 	// Resends is how often the caller says that it has sent the request before.
 	Resends int
+	// NewConnection says that an earlier attempt went out on a connection that was silent, so that no kept one is
+	// trusted; it is not passed on.
+	NewConnection bool
 	// Crashes is how many backend servers crashed, as far as the sender knows, while they ran the request.
 	Crashes int
 	// SourceNode is the node that sent the request here; empty at the entry.
@@ -95,11 +98,11 @@
 
 // Load is what a node reports about its own backend server with each reply.
 type Load struct {
-	InFlight int
-	Queued   int
-	Limit    int
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
+	Limit    int `json:"limit"`
 	// SheddingRank is the most urgent rank that is being shed; 0 for none.
-	SheddingRank int
+	SheddingRank int `json:"shedding_rank"`
 }
 
 // Reply is the answer to one Request.
--- a/internal/traffic/flow/home.go
+++ b/internal/traffic/flow/home.go
@@ -38,6 +38,7 @@
 type Home struct {
 	config HomeConfig
 	group  conc.WaitGroup
+	open   *openAttempts
 
 	mu sync.Mutex
 	// keys are those that this node decides about; delegated are the attempts that other homes sent here.
@@ -58,6 +59,7 @@
 func NewHome(config HomeConfig) *Home {
 	return &Home{
 		config:    config,
+		open:      newOpenAttempts(),
 		keys:      outcome.NewTable[call.Reply](config.Table),
 		delegated: outcome.NewTable[call.Reply](config.Table),
 		runs:      map[string]*run{},
@@ -99,6 +101,8 @@
 // Receive runs the request, or answers with what became of an earlier copy.
 func (h *Home) Receive(ctx context.Context, r *call.Request) call.Reply {
 	if r.Idempotent {
+		h.open.begin(r.AttemptID)
+		defer h.open.end(r.AttemptID)
 		return h.config.Local.Receive(ctx, r)
 	}
 	reply := h.receive(ctx, r)
@@ -300,6 +304,9 @@
 
 // Resolve tells what became of an attempt that was sent to this process.
 func (h *Home) Resolve(q peer.Question) peer.Resolution {
+	if q.Key == "" && q.Incarnation == h.config.Self.Incarnation {
+		return h.resolveIdempotent(q)
+	}
 	key, err := outcome.ParseKey(q.Key)
 	if err != nil || (q.Incarnation != 0 && q.Incarnation != h.config.Self.Incarnation) {
 		return peer.Resolution{}
@@ -322,3 +329,11 @@
 	}
 	return resolution
 }
+
+// resolveIdempotent tells whether an attempt of an idempotent request, which has no key, is still being worked on.
+func (h *Home) resolveIdempotent(q peer.Question) peer.Resolution {
+	if h.open.has(q.AttemptID) {
+		return peer.Resolution{Known: true, State: outcome.Running}
+	}
+	return peer.Resolution{Known: true, State: outcome.Absent}
+}
--- a/internal/traffic/flow/home_test.go
+++ b/internal/traffic/flow/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,13 +50,22 @@
 	})
 }
 
+// uuidOf returns a UUIDv7 of the time. The library's own never go back, which fake time does.
+func uuidOf(now time.Time) uuid.UUID {
+	id := uuid.New()
+	millis := binary.BigEndian.AppendUint64(nil, uint64(now.UnixMilli()))
+	copy(id[:6], millis[2:])
+	id[6] = id[6]&0x0f | 0x70
+	return id
+}
+
 func booking(entered time.Time) *call.Request {
 	return &call.Request{
 		AttemptID:    uuid.NewString(),
 		Service:      "access",
 		Method:       "POST",
 		Path:         "/bookings",
-		Key:          outcome.Mint(homeSelf, uuid.Must(uuid.NewV7())),
+		Key:          outcome.Mint(homeSelf, uuidOf(time.Now())),
 		Deadline:     time.Now().Add(time.Minute),
 		AttemptsLeft: 1,
 		Entered:      entered,
