Records that are renewed all the time spread as patches, and stay out of the digests

Cause: each renewal of the homes sent the whole list of a zone's homes to every node and to every other zone's leader, and the digests of two leaders never agreed. A change whose receiver has seen the value before is sent as the bytes that replaced its middle, with a checksum; where it does not fit, the receiver begins anew. Leaders that send each other heartbeats pull only.

--- a/internal/control/homes/controller.go
+++ b/internal/control/homes/controller.go
@@ -85,7 +85,7 @@
 
 // Section returns how shards come from the platform and get onto the board.
 func (c *Controller) Section() zone.Section {
-	return zone.Section{Decode: decode, Publish: publish}
+	return zone.Section{Decode: decode, Publish: publish, Renewed: true}
 }
 
 // Run renews shards until the context ends.
--- a/internal/control/zone/client.go
+++ b/internal/control/zone/client.go
@@ -51,7 +51,7 @@
 	Digest uint64
 	Log    uint64
 	Next   uint64
-	Newer  []membership.Record
+	Newer  []membership.Change
 	// More says that further changes wait.
 	More bool
 }
@@ -86,7 +86,7 @@
 		Digest: m.GetDigest(),
 		Log:    m.GetLog(),
 		Next:   m.GetNext(),
-		Newer:  recordsFrom(m.GetNewer()),
+		Newer:  changesFrom(m.GetNewer()),
 		More:   m.GetMore(),
 	}
 }
@@ -149,6 +149,46 @@
 	return records
 }
 
+func changeMessages(changes []membership.Change) []*zonepb.Record {
+	var messages []*zonepb.Record
+	for _, c := range changes {
+		message := recordMessage(c.Record)
+		if c.Patched {
+			message.Value = c.Patch.Middle
+			message.Base = &zonepb.Base{
+				Epoch:    c.Patch.Base.Epoch,
+				Sequence: c.Patch.Base.Sequence,
+				Prefix:   uint32(c.Patch.Prefix),
+				Suffix:   uint32(c.Patch.Suffix),
+				Sum:      c.Patch.Sum,
+			}
+		}
+		messages = append(messages, message)
+	}
+	return messages
+}
+
+func changesFrom(messages []*zonepb.Record) []membership.Change {
+	var changes []membership.Change
+	for _, m := range messages {
+		c := membership.Change{Record: recordFrom(m)}
+		if base := m.GetBase(); base != nil {
+			c.Patched = true
+			c.Patch = membership.Patch{
+				Key:     m.GetKey(),
+				Base:    membership.Version{Epoch: base.GetEpoch(), Sequence: base.GetSequence()},
+				Version: c.Record.Version,
+				Prefix:  int(base.GetPrefix()),
+				Suffix:  int(base.GetSuffix()),
+				Middle:  m.GetValue(),
+				Sum:     base.GetSum(),
+			}
+		}
+		changes = append(changes, c)
+	}
+	return changes
+}
+
 func versionMessages(versions map[string]membership.Version) []*zonepb.RecordVersion {
 	var messages []*zonepb.RecordVersion
 	for key, v := range versions {
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -56,6 +56,19 @@
 	Decode func(platform.Entry) []membership.Record
 	// Publish renews the board. It runs in the control goroutine.
 	Publish func(b *board.Board, changed []membership.Record)
+	// Renewed says that the records are renewed all the time, so that comparing digests of them is of no use.
+	Renewed bool
+}
+
+// renewed returns the prefixes of the sections whose records are renewed all the time.
+func renewed(sections map[string]Section) []string {
+	var prefixes []string
+	for prefix, section := range sections {
+		if section.Renewed {
+			prefixes = append(prefixes, prefix)
+		}
+	}
+	return prefixes
 }
 
 // Timing holds the intervals of the control plane.
@@ -133,7 +146,7 @@
 		sections:    map[string]Section{},
 		kick:        make(chan struct{}, 1),
 		tasks:       newTasks(),
-		records:     membership.NewRecords(),
+		records:     membership.NewRecords(renewed(config.Sections)...),
 		detector:    membership.NewDetector(config.Timing.DownAfter),
 		role:        membership.Following,
 		log:         config.Incarnation,
--- a/internal/control/zone/follow.go
+++ b/internal/control/zone/follow.go
@@ -22,13 +22,18 @@
 	log  uint64
 	seen uint64
 	// pending are the keys of records that were made here and that the other node may lack.
-	pending    map[string]bool
+	pending map[string]bool
+	// pulls says that the other node sends heartbeats here as well, so that nothing need be sent to it.
+	pulls      bool
 	mismatches int
 	repaired   time.Time
 	used       time.Time
 }
 
 func (l *link) offer(records []membership.Record) {
+	if l.pulls {
+		return
+	}
 	for _, r := range records {
 		l.pending[r.Key] = true
 	}
@@ -110,7 +115,7 @@
 		now := time.Now()
 		l := c.link(address, now)
 		c.acknowledge(l, request.Changed)
-		c.merge(b, answer.Newer...)
+		whole := c.mergeChanges(b, answer.Newer)
 		if answer.More {
 			l.seen = answer.Next
 			return
@@ -122,6 +127,9 @@
 		}
 		unknownLog := l.log != answer.Log && l.mismatches > 0
 		l.log, l.seen = answer.Log, answer.Next
+		if !whole {
+			l.log = 0 // The next heartbeat begins anew.
+		}
 		if unknownLog || (l.mismatches >= mismatchesToRepair && now.Sub(l.repaired) > repairEvery) {
 			repair = true
 			l.repaired = now
@@ -131,6 +139,28 @@
 	return repair
 }
 
+// mergeChanges takes changes in and reports whether each patch among them fitted.
+func (c *Controller) mergeChanges(b *board.Board, changes []membership.Change) bool {
+	whole := true
+	var received []membership.Record
+	for _, change := range changes {
+		held, _ := c.records.Get(change.Record.Key)
+		known := change.Record.Version.Compare(held.Version) <= 0
+		switch {
+		case !change.Patched:
+			received = append(received, change.Record)
+		case !known:
+			r, fits := change.Patch.Apply(held)
+			whole = whole && fits
+			if fits {
+				received = append(received, r)
+			}
+		}
+	}
+	c.merge(b, received...)
+	return whole
+}
+
 // acknowledge drops the records that were sent from those to be sent, unless they have changed since.
 func (c *Controller) acknowledge(l *link, sent []membership.Record) {
 	for _, r := range sent {
--- a/internal/control/zone/leader.go
+++ b/internal/control/zone/leader.go
@@ -210,6 +210,7 @@
 		}
 		c.lead.tries[zone] = 0
 		c.lead.targets[zone] = t
+		c.link(t.Address, time.Now()).pulls = answer.Leads
 		if !answer.Leads && answer.Leader.Node != "" {
 			c.lead.targets[zone] = answer.Leader
 		}
--- a/internal/control/zone/server.go
+++ b/internal/control/zone/server.go
@@ -53,16 +53,18 @@
 	}
 }
 
-// answerChanges adds what the sender has not seen. One that has seen nothing of this log compares digests instead.
+// answerChanges adds what the sender has not seen. One that has seen nothing of this log gets the records that are
+// left out of the digests, and compares digests for the others.
 func (c *Controller) answerChanges(reply *zonepb.BeatReply, m *zonepb.BeatRequest) {
 	reply.Log = c.log
 	reply.Digest = c.records.Digest()
 	reply.Next = c.records.Last()
 	if m.GetLog() != c.log {
+		reply.Newer = recordMessages(c.records.Renewed())
 		return
 	}
 	newer, next := c.records.Since(m.GetSeen(), maxRecordBytes)
-	reply.Newer = recordMessages(newer)
+	reply.Newer = changeMessages(newer)
 	reply.Next = next
 	reply.More = next < c.records.Last()
 }
--- a/internal/decide/membership/election_test.go
+++ b/internal/decide/membership/election_test.go
@@ -1,6 +1,8 @@
 package membership_test
 
 import (
+	"bytes"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -225,23 +227,60 @@
 	return membership.Record{Key: key, Version: membership.Version{Sequence: sequence}, Value: []byte(key)}
 }
 
+func recordsOf(changes []membership.Change) []membership.Record {
+	var records []membership.Record
+	for _, c := range changes {
+		records = append(records, c.Record)
+	}
+	return records
+}
+
 func TestRecordsSince(t *testing.T) {
 	is := is.New(t)
 	s := membership.NewRecords()
 	s.Merge(record("a", 1), record("b", 1), record("a", 2), record("a", 1))
 	newer, next := s.Since(0, 100)
-	is.Equal(newer, []membership.Record{record("b", 1), record("a", 2)}) // each record once, the newest
+	is.Equal(recordsOf(newer), []membership.Record{record("b", 1), record("a", 2)}) // each record once, the newest
 	is.Equal(next, s.Last())
 	newer, next = s.Since(0, 1)
 	is.Equal(len(newer), 1) // as many as fit
 	newer, next = s.Since(next, 1)
-	is.Equal(newer, []membership.Record{record("a", 2)})
+	is.Equal(recordsOf(newer), []membership.Record{record("a", 2)})
 	is.Equal(next, s.Last())
 	for i := range uint64(1000) {
 		s.Merge(record("a", i))
 	}
 	newer, _ = s.Since(0, 100)
-	is.Equal(newer, []membership.Record{record("b", 1), record("a", 999)}) // also after the log was compacted
+	is.Equal(recordsOf(newer), []membership.Record{record("b", 1), record("a", 999)}) // also after the log was compacted
+}
+
+func TestPatches(t *testing.T) {
+	is := is.New(t)
+	value := func(until int) []byte { return fmt.Appendf(bytes.Repeat([]byte("x"), 500), "%d%500d", until, 0) }
+	long := func(sequence uint64, until int) membership.Record {
+		return membership.Record{Key: "homes/a", Version: membership.Version{Sequence: sequence}, Value: value(until)}
+	}
+	s := membership.NewRecords("homes/")
+	s.Merge(long(1, 100))
+	seen := s.Last()
+	s.Merge(long(2, 207))
+	is.Equal(s.Digest(), uint64(0)) // left out of the digests
+	changes, _ := s.Since(seen, 1<<20)
+	is.True(changes[0].Patched)
+	is.True(len(changes[0].Patch.Middle) <= 3)
+	made, fits := changes[0].Patch.Apply(long(1, 100))
+	is.True(fits)
+	is.Equal(made, long(2, 207))
+	other := long(1, 100)
+	other.Value[0] = 'y'
+	_, fits = changes[0].Patch.Apply(other) // another value under the version
+	is.True(!fits)
+	_, fits = changes[0].Patch.Apply(long(3, 100)) // another version
+	is.True(!fits)
+	_, fits = changes[0].Patch.Apply(membership.Record{})
+	is.True(!fits)
+	changes, _ = s.Since(0, 1<<20)
+	is.True(!changes[0].Patched) // one who has not seen the earlier value gets the whole
 }
 
 func TestBucketsShowWhereTwoDiffer(t *testing.T) {
--- a/internal/decide/membership/records.go
+++ b/internal/decide/membership/records.go
@@ -62,6 +62,9 @@
 
 // Records holds the newest record under each key that a node has seen, and the order in which they came.
 type Records struct {
+	// renewed are the prefixes of keys whose records are renewed all the time. They are left out of the digests, which
+	// would never agree otherwise.
+	renewed []string
 	byKey   map[string]numbered
 	digests [Buckets]uint64
 	// changes are in order; one is stale where the key has changed again.
@@ -74,6 +77,9 @@
 	Record
 
 	number uint64
+	// before is the record that this one replaced, and beforeNumber the number of the change that had brought it.
+	before       Record
+	beforeNumber uint64
 }
 
 type change struct {
@@ -81,9 +87,9 @@
 	key    string
 }
 
-// NewRecords returns an empty store.
-func NewRecords() *Records {
-	return &Records{byKey: map[string]numbered{}}
+// NewRecords returns an empty store. Keys with the given prefixes are renewed all the time and left out of the digests.
+func NewRecords(renewed ...string) *Records {
+	return &Records{renewed: renewed, byKey: map[string]numbered{}}
 }
 
 // Merge takes the records that are newer than those held and returns them.
@@ -95,11 +101,11 @@
 			continue
 		}
 		if stands {
-			s.digests[bucketOf(r.Key)] ^= held.hash()
+			s.toggle(held.Record)
 		}
-		s.digests[bucketOf(r.Key)] ^= r.hash()
+		s.toggle(r)
 		s.last++
-		s.byKey[r.Key] = numbered{Record: r, number: s.last}
+		s.byKey[r.Key] = numbered{Record: r, number: s.last, before: held.Record, beforeNumber: held.number}
 		s.changes = append(s.changes, change{number: s.last, key: r.Key})
 		changed = append(changed, r)
 	}
@@ -111,11 +117,33 @@
 func (s *Records) Drop(key string) {
 	held, stands := s.byKey[key]
 	if stands {
-		s.digests[bucketOf(key)] ^= held.hash()
+		s.toggle(held.Record)
 		delete(s.byKey, key)
 	}
 }
 
+// toggle puts the record into the digest of its bucket, or takes it out.
+func (s *Records) toggle(r Record) {
+	if !s.isRenewed(r.Key) {
+		s.digests[bucketOf(r.Key)] ^= r.hash()
+	}
+}
+
+func (s *Records) isRenewed(key string) bool {
+	return slices.ContainsFunc(s.renewed, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
+}
+
+// Renewed returns the records that are left out of the digests.
+func (s *Records) Renewed() []Record {
+	var records []Record
+	for key, r := range s.byKey {
+		if s.isRenewed(key) {
+			records = append(records, r.Record)
+		}
+	}
+	return records
+}
+
 // leastChanges are kept without a look for stale ones.
 const leastChanges = 64
 
@@ -155,23 +183,48 @@
 	return s.last
 }
 
-// Since returns the records that came after the change of the given number, in order, up to so many bytes of values
-// but at least one, and the number to go on from.
-func (s *Records) Since(after uint64, bytes int) (newer []Record, next uint64) {
+// Change is a record, or the patch by which one who has seen all earlier changes gets it.
+type Change struct {
+	Record  Record
+	Patch   Patch
+	Patched bool
+}
+
+// Since returns what came after the change of the given number, in order, up to so many bytes of values but at least
+// one, and the number to go on from.
+func (s *Records) Since(after uint64, bytes int) (changes []Change, next uint64) {
 	start, _ := slices.BinarySearchFunc(s.changes, after+1, func(c change, n uint64) int { return cmp.Compare(c.number, n) })
+	seen := after
 	for _, c := range s.changes[start:] {
 		r := s.byKey[c.key]
 		if r.number != c.number {
 			continue
 		}
-		bytes -= len(r.Value)
-		if len(newer) > 0 && bytes < 0 {
-			return newer, after
+		found := r.change(seen)
+		bytes -= found.size()
+		if len(changes) > 0 && bytes < 0 {
+			return changes, after
 		}
-		newer = append(newer, r.Record)
+		changes = append(changes, found)
 		after = c.number
 	}
-	return newer, s.last
+	return changes, s.last
+}
+
+// change returns the record as a patch for one who has seen the changes up to the number, where that spares bytes.
+func (r numbered) change(seen uint64) Change {
+	if r.beforeNumber == 0 || r.beforeNumber > seen {
+		return Change{Record: r.Record}
+	}
+	patch, worthWhile := NewPatch(r.before, r.Record)
+	return Change{Record: r.Record, Patch: patch, Patched: worthWhile}
+}
+
+func (c Change) size() int {
+	if c.Patched {
+		return len(c.Patch.Middle)
+	}
+	return len(c.Record.Value)
 }
 
 // Digest sums up all keys and versions: two stores with one digest hold the same.
@@ -202,6 +255,9 @@
 	versions := map[string]Version{}
 	for key, r := range s.byKey {
 		bucket := bucketOf(key)
+		if s.isRenewed(key) {
+			continue
+		}
 		if bucket >= len(digests) || digests[bucket] != s.digests[bucket] {
 			versions[key] = r.Version
 		}
