--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -113,7 +114,7 @@
 		Peers:    n.peers,
 		Receiver: n.home,
 		Budget:   retryBudget,
-		Ejection: ejection,
+		Routing:  routing.DefaultConfig(s.Node.Name, s.Node.Zone),
 		Throttle: throttle.DefaultConfig,
 	})
 	n.keyed = flow.NewKeyedSender(flow.KeyedConfig{
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -32,7 +32,7 @@
 	Peers    *peer.Client
 	Receiver Runner
 	Budget   retry.BudgetConfig
-	Ejection EjectionConfig
+	Routing  routing.Config
 	Throttle throttle.Config
 }
 
@@ -50,7 +50,7 @@
 func NewSender(config SenderConfig) *Sender {
 	return &Sender{
 		config:  config,
-		views:   newViews(config.Ejection),
+		views:   newViews(config.Routing),
 		entry:   newEntry(config.Throttle),
 		budgets: map[string]*retry.Budget{},
 	}
@@ -80,17 +80,27 @@
 		}
 		lent := r.Attempts.Lend()
 		reply := s.attempt(ctx, target, r, lent)
+		reply.AttemptsUsed = spent(&reply, lent)
 		r.Attempts.Return(lent, reply.AttemptsUsed)
 		t.note(target.Node, reply)
 		if crashed(&reply) {
 			r.Crashes++
 		}
+		r.NewConnection = r.NewConnection || reply.Reason == call.ReasonPeerSilent
 		if !s.again(r, reply, t) {
 			return t.end(reply)
 		}
 	}
 }
 
+// spent returns how many of the attempts lent to a call count as used: all, where its own reply was lost.
+func spent(reply *call.Reply, lent int) int {
+	if reply.Outcome == call.Unknown && !crashed(reply) {
+		return lent
+	}
+	return reply.AttemptsUsed
+}
+
 // trial is what the attempts of one Send have come to.
 type trial struct {
 	tried []string
@@ -122,14 +132,11 @@
 func (s *Sender) choose(r *call.Request, tried []string) (membership.Member, bool) {
 	b := s.config.Board.Snapshot()
 	members := b.Members.ByService[r.Service]
-	chosen, ok := routing.Choose(globalRandom{}, s.views.candidates(members, r.Root.Rank, time.Now()), routing.Policy{
-		Zone:  b.Self.Zone,
-		Tried: tried,
-	})
+	node, ok := s.views.choose(r.Service, members, time.Now(), routing.Request{Rank: r.Root.Rank, Tried: tried})
 	if !ok {
 		return membership.Member{}, false
 	}
-	return b.Members.ByNode[chosen.Node], true
+	return b.Members.ByNode[node], true
 }
 
 func (s *Sender) attempt(ctx context.Context, target membership.Member, r *call.Request, attemptsLeft int) call.Reply {
@@ -152,7 +159,7 @@
 	if target.Node == s.config.Board.Snapshot().Self.Node {
 		return s.config.Receiver.Receive(ctx, attempt)
 	}
-	reply, err := s.config.Peers.Call(ctx, target.PeerAddress, attempt)
+	reply, err := s.exchange().callIdempotent(ctx, target, attempt)
 	if err != nil {
 		return failedReply(err, attempt)
 	}
@@ -185,7 +192,7 @@
 		budget.Earn()
 		return false
 	}
-	candidates := len(s.config.Board.Snapshot().Members.ByService[r.Service]) - len(t.tried)
+	candidates := s.views.count(r.Service) - len(t.tried)
 	if reply.Outcome == call.NotRun && reply.Reason == call.ReasonDraining {
 		return candidates > 0 // a leaving instance has started nothing, and each instance is asked once
 	}
