A node that reaches nobody of its zone gets changes from other zones

Cause: a follower cut from the only other node of its zone got no documents, and would have refuted its down mark again and again. It now sends heartbeats to other zones' leaders, and stays marked down while nobody of its zone hears it. A node that relays signs of life does so with each heartbeat. A leader looks on where the node it reached in another zone knows no leader.

--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -282,11 +282,15 @@
 	now := time.Now()
 	followed, leads, _ := c.election.Followed(now)
 	relayed := followed.Node != "" && !leads
-	signOfLife := relayed && now.Sub(c.ownRenewed) > c.config.Timing.DownAfter/3
+	signOfLife := relayed && now.Sub(c.ownRenewed) > c.config.Timing.Beat
 	mine := membership.Version{Epoch: c.incarnation, Sequence: c.sequence}
 	if own == c.own && held.Version.Compare(mine) == 0 && !signOfLife {
 		return
 	}
+	marked := held.Version.Epoch == c.incarnation && membership.IsMark(held.Version)
+	if marked && c.role == membership.Following && followed.Node == "" {
+		return // The leader can't reach the node, and would only mark it again.
+	}
 	if held.Version.Epoch == c.incarnation {
 		c.sequence = max(c.sequence, held.Version.Sequence)
 	}
--- a/internal/control/zone/leader.go
+++ b/internal/control/zone/leader.go
@@ -60,7 +60,7 @@
 // leadZone does what the role asks for.
 func (c *Controller) leadZone(ctx context.Context, role membership.Role) {
 	if role == membership.Following {
-		c.config.Board.Do(ctx, func(*board.Board) { c.lead.end() })
+		c.followOnly(ctx)
 		return
 	}
 	c.markDown(ctx)
@@ -71,6 +71,19 @@
 	}
 }
 
+// followOnly ends the watch of an earlier term. A node that reaches nobody of its zone gets changes from other zones.
+func (c *Controller) followOnly(ctx context.Context) {
+	alone := false
+	c.config.Board.Do(ctx, func(*board.Board) {
+		c.lead.end()
+		followed, _, _ := c.election.Followed(time.Now())
+		alone = followed.Node == ""
+	})
+	if alone {
+		c.meetZones(ctx)
+	}
+}
+
 func (c *Controller) leadAtPlatform(ctx context.Context) {
 	c.startWatching(ctx)
 	var renewed time.Time
@@ -206,14 +219,15 @@
 func (c *Controller) meetZone(ctx context.Context, zone string, t membership.Target) {
 	answer, err := c.synchronize(ctx, t.Address)
 	c.config.Board.Do(ctx, func(*board.Board) {
-		if err != nil {
+		knowsLeader := answer.Leads || answer.Leader.Node != ""
+		if err != nil || !knowsLeader {
 			c.lead.tries[zone]++
 			return
 		}
 		c.lead.tries[zone] = 0
 		c.lead.targets[zone] = t
-		c.link(t.Address, time.Now()).pulls = answer.Leads
-		if !answer.Leads && answer.Leader.Node != "" {
+		c.link(t.Address, time.Now()).pulls = answer.Leads && c.role != membership.Following
+		if !answer.Leads {
 			c.lead.targets[zone] = answer.Leader
 		}
 	})
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -69,6 +69,11 @@
 	return m.Record(Version{Epoch: held.Epoch, Sequence: held.Sequence | 1})
 }
 
+// IsMark reports whether a member's record of the version was made by a leader that marked it down.
+func IsMark(v Version) bool {
+	return v.Sequence%2 == 1
+}
+
 // forgetAfter is how long the record of a member that is down is kept, so that no older record of it comes back.
 const forgetAfter = time.Hour
 
--- a/internal/proof/control/outage_test.go
+++ b/internal/proof/control/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/operator"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/proxy"
@@ -152,9 +154,25 @@
 	stored := put(t, outside[0], 800)
 	harness.Eventually(t, inForceWithin, func() bool { return agree(t, f.Nodes, stored.Operation) }) // by the platform
 	f.Network.Clear()
+	harness.Eventually(t, healWithin, func() bool { return everyoneTakesWork(t, f.Nodes) && leader(t, inside) != nil })
+
+	// The two nodes of the zone can't reach each other; the one that follows gets changes from other zones.
+	f.Network.SetBoth(names(inside[:1]), names(inside[1:]), proxy.Fault{Cut: true})
+	harness.Eventually(t, leadWithin, func() bool { return followsNobody(t, inside) })
+	stored = put(t, outside[0], 801)
+	harness.Eventually(t, inForceWithin, func() bool { return agree(t, f.Nodes, stored.Operation) })
+	f.Network.Clear()
 	harness.Eventually(t, healWithin, func() bool { return everyoneTakesWork(t, f.Nodes) })
 }
 
+// followsNobody reports whether one of the nodes neither leads nor follows.
+func followsNobody(t *testing.T, nodes []*fleet.Node) bool {
+	return slices.ContainsFunc(nodes, func(n *fleet.Node) bool {
+		d, ok := dump(t, n)
+		return ok && d.Control.Role == membership.Following && d.Control.Followed == ""
+	})
+}
+
 func TestNewNodeJoinsThroughASeed(t *testing.T) {
 	f := start(t, fleet.Config{Deployment: fleet.Chain()})
 	f.Store.SetFaults(store.Faults{Down: true})
