--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -50,7 +50,13 @@
 	if err != nil {
 		return call.Refused(call.NotAdmitted, call.ReasonBadKey, 0)
 	}
-	return k.sendHome(ctx, r, key)
+	reply, admitted := k.config.Sender.admit(r)
+	if !admitted {
+		return reply
+	}
+	reply = k.sendHome(ctx, r, key)
+	k.config.Sender.learn(r, &reply)
+	return reply
 }
 
 // relocatePause is the time before another look at who decides about a key, while that changes hands.
@@ -117,21 +123,18 @@
 // leaves, its successor is asked in turn with it.
 func (k *KeyedSender) locate(service string, key outcome.Key, useSuccessor bool) (membership.Member, call.Reply, bool) {
 	b := k.config.Board.Snapshot()
-	home, ok := homeOf(b, k.config.Zones, service, key, k.config.Window)
+	home, _, ok := homeOf(b, k.config.Zones, service, key, k.config.Window)
 	if !ok {
 		return membership.Member{}, noHome(key, time.Now(), k.config.Window), false
 	}
-	if m, ok := heir(b, home); ok {
-		return m, call.Reply{}, true
-	}
-	m, known := b.Members.ByNode[home.Name]
-	if known && m.Incarnation == home.Incarnation {
+	if m, ok := present(b, home); ok {
 		if successor, ok := b.Members.ByNode[m.Successor]; ok && useSuccessor {
 			return successor, call.Reply{}, true
 		}
 		return m, call.Reply{}, true
 	}
-	if known {
+	m, restarted := b.Members.ByNode[home.Name]
+	if restarted {
 		return m, call.Refused(call.Unknown, call.ReasonHomeUnknown, 0), false
 	}
 	return m, call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry), false
@@ -149,6 +152,16 @@
 // keyAhead is how far ahead of the node's clock the time of a key may lie and still be worth another try.
 const keyAhead = 30 * time.Second
 
+// present returns the member that answers for the keys of a node: the one to which they were handed over, or the node
+// itself.
+func present(b *board.Board, home outcome.Node) (membership.Member, bool) {
+	if m, ok := heir(b, home); ok {
+		return m, true
+	}
+	m, known := b.Members.ByNode[home.Name]
+	return m, known && m.Incarnation == home.Incarnation
+}
+
 // heir returns the member to which the keys of the node were handed over.
 func heir(b *board.Board, home outcome.Node) (membership.Member, bool) {
 	name := homeName(home)
@@ -160,6 +173,20 @@
 	return membership.Member{}, false
 }
 
+// admit refuses a root request with a caller's key that would be shed further down.
+func (s *Sender) admit(r *call.Request) (call.Reply, bool) {
+	if r.Depth > 0 {
+		return call.Reply{}, true
+	}
+	return s.entry.offer(time.Now(), r)
+}
+
+func (s *Sender) learn(r *call.Request, reply *call.Reply) {
+	if r.Depth == 0 {
+		s.entry.learn(time.Now(), r, reply)
+	}
+}
+
 // toHome sends the attempt to the node that decides about its key.
 func (s *Sender) toHome(ctx context.Context, target membership.Member, attempt *call.Request) (call.Reply, error) {
 	start := time.Now()
