--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -56,6 +56,19 @@
 	Decode func(platform.Entry) []membership.Record
 	// Publish renews the board. It runs in the control goroutine.
 	Publish func(b *board.Board, changed []membership.Record)
+	// Renewed says that the records are renewed all the time, so that comparing digests of them is of no use.
+	Renewed bool
+}
+
+// renewed returns the prefixes of the sections whose records are renewed all the time.
+func renewed(sections map[string]Section) []string {
+	var prefixes []string
+	for prefix, section := range sections {
+		if section.Renewed {
+			prefixes = append(prefixes, prefix)
+		}
+	}
+	return prefixes
 }
 
 // Timing holds the intervals of the control plane.
@@ -119,6 +132,10 @@
 	incarnation uint64
 	sequence    uint64
 	own         membership.Member
+	// members are the decoded records of all members, also of those that are down.
+	members map[string]membership.Member
+	// zoneChanges counts the changes of the records of the zone's members.
+	zoneChanges uint64
 	ownRenewed  time.Time
 	links       map[string]*link
 	lead        leadership
@@ -133,12 +150,13 @@
 		sections:    map[string]Section{},
 		kick:        make(chan struct{}, 1),
 		tasks:       newTasks(),
-		records:     membership.NewRecords(),
+		records:     membership.NewRecords(renewed(config.Sections)...),
 		detector:    membership.NewDetector(config.Timing.DownAfter),
 		role:        membership.Following,
 		log:         config.Incarnation,
 		incarnation: config.Incarnation,
 		links:       map[string]*link{},
+		members:     map[string]membership.Member{},
 		lead:        newLeadership(),
 	}
 	c.election = membership.NewElection(membership.ElectionConfig{
@@ -264,11 +282,15 @@
 	now := time.Now()
 	followed, leads, _ := c.election.Followed(now)
 	relayed := followed.Node != "" && !leads
-	signOfLife := relayed && now.Sub(c.ownRenewed) > c.config.Timing.DownAfter/3
+	signOfLife := relayed && now.Sub(c.ownRenewed) > c.config.Timing.Beat
 	mine := membership.Version{Epoch: c.incarnation, Sequence: c.sequence}
 	if own == c.own && held.Version.Compare(mine) == 0 && !signOfLife {
 		return
 	}
+	marked := held.Version.Epoch == c.incarnation && membership.IsMark(held.Version)
+	if marked && c.role == membership.Following && followed.Node == "" {
+		return // The leader can't reach the node, and would only mark it again.
+	}
 	if held.Version.Epoch == c.incarnation {
 		c.sequence = max(c.sequence, held.Version.Sequence)
 	}
@@ -302,7 +324,7 @@
 // merge takes records in and renews the sections of the board that they concern. It runs in the control goroutine.
 func (c *Controller) merge(b *board.Board, received ...membership.Record) {
 	now := time.Now()
-	received = slices.DeleteFunc(received, func(r membership.Record) bool { return isForgotten(r, now) })
+	received = slices.DeleteFunc(received, func(r membership.Record) bool { return !isSound(r) || isForgotten(r, now) })
 	changed := c.records.Merge(received...)
 	if len(changed) > 0 {
 		c.publish(b, changed)
@@ -323,10 +345,12 @@
 		return
 	}
 	c.forgot = now
-	for _, r := range c.records.Prefix(membership.MemberPrefix) {
-		if isForgotten(r, now) {
-			c.records.Drop(r.Key)
-			c.detector.Forget(strings.TrimPrefix(r.Key, membership.MemberPrefix))
+	for node, m := range c.members {
+		if m.IsForgotten(now) {
+			c.records.Drop(membership.MemberPrefix + node)
+			c.detector.Forget(node)
+			delete(c.members, node)
+			c.zoneChanges++
 		}
 	}
 }
