--- a/internal/traffic/flow/home.go
+++ b/internal/traffic/flow/home.go
@@ -308,7 +308,7 @@
 		return h.resolveIdempotent(q)
 	}
 	key, err := outcome.ParseKey(q.Key)
-	if err != nil {
+	if err != nil || (q.Incarnation != 0 && q.Incarnation != h.config.Self.Incarnation) {
 		return peer.Resolution{}
 	}
 	h.mu.Lock()
