--- a/internal/control/zone/leader.go
+++ b/internal/control/zone/leader.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
@@ -18,7 +20,7 @@
 	renewed time.Time
 	// value is what the leader wrote under the lease.
 	value []byte
-	// zoneRevision is that of the zone's entry, and published the digest of the members in it.
+	// zoneRevision is that of the zone's entry, and published how many changes of the members are in it.
 	zoneRevision uint64
 	published    uint64
 	// stopWatch ends the watch of this term.
@@ -58,7 +60,7 @@
 // leadZone does what the role asks for.
 func (c *Controller) leadZone(ctx context.Context, role membership.Role) {
 	if role == membership.Following {
-		c.config.Board.Do(ctx, func(*board.Board) { c.lead.end() })
+		c.followOnly(ctx)
 		return
 	}
 	c.markDown(ctx)
@@ -69,6 +71,19 @@
 	}
 }
 
+// followOnly ends the watch of an earlier term. A node that reaches nobody of its zone gets changes from other zones.
+func (c *Controller) followOnly(ctx context.Context) {
+	alone := false
+	c.config.Board.Do(ctx, func(*board.Board) {
+		c.lead.end()
+		followed, _, _ := c.election.Followed(time.Now())
+		alone = followed.Node == ""
+	})
+	if alone {
+		c.meetZones(ctx)
+	}
+}
+
 func (c *Controller) leadAtPlatform(ctx context.Context) {
 	c.startWatching(ctx)
 	var renewed time.Time
@@ -155,8 +170,8 @@
 			return
 		}
 		c.lead.sought = time.Now()
-		for _, r := range c.zoneRecords(b.Self.Zone) {
-			if m, err := membership.ParseMember(r); err == nil && m.State == membership.Down {
+		for _, m := range c.members {
+			if m.Zone == b.Self.Zone && m.State == membership.Down {
 				targets = append(targets, membership.Target{Node: m.Node, Address: m.PeerAddress})
 			}
 		}
@@ -204,13 +219,15 @@
 func (c *Controller) meetZone(ctx context.Context, zone string, t membership.Target) {
 	answer, err := c.synchronize(ctx, t.Address)
 	c.config.Board.Do(ctx, func(*board.Board) {
-		if err != nil {
+		knowsLeader := answer.Leads || answer.Leader.Node != ""
+		if err != nil || !knowsLeader {
 			c.lead.tries[zone]++
 			return
 		}
 		c.lead.tries[zone] = 0
 		c.lead.targets[zone] = t
-		if !answer.Leads && answer.Leader.Node != "" {
+		c.link(t.Address, time.Now()).pulls = answer.Leads && c.role != membership.Following
+		if !answer.Leads {
 			c.lead.targets[zone] = answer.Leader
 		}
 	})
@@ -235,15 +252,15 @@
 // one that this leader saw last: a leader that was paused finds another there, and writes nothing.
 func (c *Controller) writeZone(ctx context.Context) {
 	var value zoneValue
-	var digest uint64
+	var changes uint64
 	var swap platform.Swap
 	c.config.Board.Do(ctx, func(b *board.Board) {
+		changes = c.zoneChanges
+		if changes == c.lead.published || !c.election.Holds(time.Now()) {
+			return
+		}
 		value = zoneValue{Term: c.election.Term(), Records: c.zoneRecords(b.Self.Zone)}
-		digest = membership.DigestOf(value.Records)
 		swap = platform.Swap{Key: zonePrefix + b.Self.Zone, Expected: c.lead.zoneRevision}
-		if digest == c.lead.published || !c.election.Holds(time.Now()) {
-			value.Records = nil
-		}
 	})
 	if len(value.Records) == 0 {
 		return
@@ -260,7 +277,7 @@
 	}
 	c.config.Board.Do(ctx, func(*board.Board) {
 		c.lead.zoneRevision = entry.Revision
-		c.lead.published = digest
+		c.lead.published = changes
 	})
 }
 
@@ -281,12 +298,12 @@
 	})
 }
 
-// zoneRecords returns the records of the zone's members.
+// zoneRecords returns the records of the zone's members, by name.
 func (c *Controller) zoneRecords(zone string) []membership.Record {
 	var records []membership.Record
-	for _, r := range c.records.Prefix(membership.MemberPrefix) {
-		m, err := membership.ParseMember(r)
-		if err == nil && m.Zone == zone {
+	for _, node := range slices.Sorted(maps.Keys(c.members)) {
+		r, found := c.records.Get(membership.MemberPrefix + node)
+		if found && c.members[node].Zone == zone {
 			records = append(records, r)
 		}
 	}
--- a/internal/traffic/flow/exchange.go
+++ b/internal/traffic/flow/exchange.go
@@ -197,7 +197,7 @@
 		Incarnation: attempt.TargetIncarnation,
 	}
 	resolution, err := x.peers.Resolve(ctx, address, question, resolveTimeout)
-	if err == nil && resolution.Known && resolution.State == outcome.Running {
+	if err == nil && resolution.State == outcome.Running {
 		return answer{}, false
 	}
 	x.peers.Drop(address)
--- a/internal/traffic/flow/home.go
+++ b/internal/traffic/flow/home.go
@@ -304,14 +304,11 @@
 
 // Resolve tells what became of an attempt that was sent to this process.
 func (h *Home) Resolve(q peer.Question) peer.Resolution {
-	if q.Incarnation != 0 && q.Incarnation != h.config.Self.Incarnation {
-		return peer.Resolution{}
-	}
-	if q.Key == "" {
+	if q.Key == "" && q.Incarnation == h.config.Self.Incarnation {
 		return h.resolveIdempotent(q)
 	}
 	key, err := outcome.ParseKey(q.Key)
-	if err != nil {
+	if err != nil || (q.Incarnation != 0 && q.Incarnation != h.config.Self.Incarnation) {
 		return peer.Resolution{}
 	}
 	h.mu.Lock()
