The dump shows how a node sees the instances it calls, and its retry budgets

Cause: ejections, shedding and budgets could not be seen from outside. Checked: go test -race -run 'TestDump|TestOperatorSession' ./internal/proof/control.

--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -23,6 +24,7 @@
 	QueuedByRank       []int              `json:"queued_by_rank"`
 	Admission          admission.Totals   `json:"admission"`
 	Receiver           flow.ReceiverStats `json:"receiver"`
+	Sender             flow.SenderStats   `json:"sender"`
 	Connections        map[string]int     `json:"connections"`
 	Quarantine         []quarantine.Entry `json:"quarantine"`
 	Control            zone.Stats         `json:"control"`
@@ -62,6 +64,7 @@
 		QueuedByRank:       byRank[:],
 		Admission:          n.gate.Totals(),
 		Receiver:           n.receiver.Stats(),
+		Sender:             n.sender.Stats(time.Now()),
 		Connections:        n.pool.Open(),
 		Quarantine:         n.quarantine.Entries(),
 		Control:            n.controller.Stats(ctx),
--- a/internal/process/node/table.go
+++ b/internal/process/node/table.go
@@ -19,6 +19,8 @@
 	d.writeMembers(t)
 	d.writeHomes(t, now)
 	d.writeAdmission(t)
+	d.writeInstances(t)
+	d.writeBudgets(t)
 	d.writeQuarantine(t, now)
 	d.writeConnections(t)
 	return trace.Wrap(t.writer.Flush())
@@ -126,6 +128,22 @@
 	}
 }
 
+func (d Dump) writeInstances(t *tables) {
+	t.section("INSTANCES", "NODE", "IN FLIGHT", "LATENCY", "ERROR RATE", "LIMIT", "FAILURES", "EJECTED FOR", "SHEDS RANK", "FOR")
+	for _, node := range slices.Sorted(maps.Keys(d.Sender.Instances)) {
+		i := d.Sender.Instances[node]
+		t.row(node, i.InFlight, milliseconds(i.Latency), fmt.Sprintf("%.2f", i.ErrorRate), i.Limit, i.Failures,
+			milliseconds(i.EjectedLeft), i.SheddingRank, milliseconds(i.ShedLeft))
+	}
+}
+
+func (d Dump) writeBudgets(t *tables) {
+	t.section("RETRY BUDGETS", "SERVICE", "ATTEMPTS LEFT")
+	for _, service := range slices.Sorted(maps.Keys(d.Sender.Budgets)) {
+		t.row(service, fmt.Sprintf("%.1f", d.Sender.Budgets[service]))
+	}
+}
+
 func (d Dump) writeQuarantine(t *tables, now time.Time) {
 	t.section("QUARANTINE", "FINGERPRINT", "CRASHES", "REFUSED FOR")
 	for _, e := range d.Quarantine {
