Each fleet of stand-ins has loopback addresses of its own; the proofs wait for a leader

Cause: one run of go test -race ./internal/proof/control failed in TestZoneCutOff: the node that was started again could not bind its port ('address already in use'), since a fleet of another process had the same IPs and took it. The product was not at fault; the nodes' IPs now come from the process and the fleet.

--- /dev/null
+++ b/internal/lab/fleet/address.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+)
+
+// started counts the fleets of this process.
+var started atomic.Uint64
+
+// subnet is a part of the loopback addresses that a fleet has to itself, also beside the fleets of other processes.
+// A node that starts again so finds its ports free.
+type subnet uint16
+
+func newSubnet() subnet {
+	return subnet(xxhash.Sum64String(fmt.Sprintf("%d/%d", os.Getpid(), started.Add(1))))
+}
+
+const (
+	// lowestNet keeps a fleet's addresses away from 127.0.0.1.
+	lowestNet = 1
+	// nets is how many values the second byte of an address may have.
+	nets = 250
+	// hosts is how many addresses are used below one third byte.
+	hosts = 250
+)
+
+// ip returns the IP of the fleet's node of the number, from 0.
+func (s subnet) ip(number int) string {
+	second := lowestNet + int(s)%nets
+	third := (int(s)/nets + number/hosts) % nets
+	return fmt.Sprintf("127.%d.%d.%d", second, third, 1+number%hosts)
+}
+
+// freeAddresses returns addresses on the IP whose ports were free a moment ago.
+func freeAddresses(ip string, count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		addresses = append(addresses, l.Addr().String())
+		defer func() { _ = l.Close() }()
+	}
+	return addresses, nil
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -55,6 +55,7 @@
 	Network *proxy.Network
 	Nodes   []*Node
 
+	subnet      subnet
 	platformURL string
 	cancel      context.CancelFunc
 	group       conc.WaitGroup
@@ -64,7 +65,7 @@
 // Start starts everything. Stop must be called, also after an error.
 func Start(ctx context.Context, config Config) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	f := &Fleet{config: config, Store: store.New(), Network: proxy.NewNetwork(config.Seed), cancel: cancel}
+	f := &Fleet{config: config, subnet: newSubnet(), Store: store.New(), Network: proxy.NewNetwork(config.Seed), cancel: cancel}
 	if err := f.startStore(ctx); err != nil {
 		return f, trace.Wrap(err)
 	}
@@ -190,7 +191,7 @@
 		Name:    fmt.Sprintf("%s_%d", s.Name, number),
 		Zone:    zones[number%len(zones)],
 		Service: s.Name,
-		IP:      fmt.Sprintf("127.1.%d.%d", len(f.Nodes)/hostsPerNet, 1+len(f.Nodes)%hostsPerNet),
+		IP:      f.subnet.ip(len(f.Nodes)),
 		output:  f.config.Output,
 	}
 	addresses, err := freeAddresses(n.IP, 5)
@@ -217,9 +218,6 @@
 	return n, nil
 }
 
-// hostsPerNet is how many loopback IPs are used below one third byte.
-const hostsPerNet = 250
-
 // OperatorToken may edit every document of a fleet.
 const OperatorToken = "operator-token-of-the-lab"
 
@@ -250,20 +248,6 @@
 	}
 }
 
-// freeAddresses returns addresses on the IP whose ports were free a moment ago.
-func freeAddresses(ip string, count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		addresses = append(addresses, l.Addr().String())
-		defer func() { _ = l.Close() }()
-	}
-	return addresses, nil
-}
-
 // Build builds the product's program into the directory and returns its path.
 func Build(ctx context.Context, directory string) (string, error) {
 	path := directory + "/comfreyhoist"
--- a/internal/proof/control/document_test.go
+++ b/internal/proof/control/document_test.go
@@ -66,7 +66,7 @@
 
 	t.Run("dead member gets no new work", func(t *testing.T) {
 		zoneNodes, _ := inZone(f, "lisbon_2")
-		follower := without(zoneNodes, leader(t, zoneNodes))[0]
+		follower := without(zoneNodes, settledLeader(t, zoneNodes))[0]
 		follower.Kill()
 		killed := time.Now()
 		harness.Eventually(t, noWorkAfter, func() bool { return !takesWork(t, without(f.Nodes, follower), follower) })
--- a/internal/proof/control/main_test.go
+++ b/internal/proof/control/main_test.go
@@ -133,6 +133,17 @@
 	return found[0]
 }
 
+// settledLeader waits until one node of the zone leads it, and returns that node.
+func settledLeader(t *testing.T, nodes []*fleet.Node) *fleet.Node {
+	t.Helper()
+	var found *fleet.Node
+	harness.Eventually(t, leadWithin, func() bool {
+		found = leader(t, nodes)
+		return found != nil
+	})
+	return found
+}
+
 // takesWork reports whether any of the nodes would send new work to the member.
 func takesWork(t *testing.T, nodes []*fleet.Node, member *fleet.Node) bool {
 	return slices.ContainsFunc(nodes, func(n *fleet.Node) bool {
--- a/internal/proof/control/outage_test.go
+++ b/internal/proof/control/outage_test.go
@@ -81,16 +81,14 @@
 	is := is.New(t)
 	f := start(t, fleet.Config{Deployment: fleet.Chain()})
 	zoneNodes, _ := inZone(f, "lisbon_1")
-	frozen := leader(t, zoneNodes)
-	is.True(frozen != nil)
+	frozen := settledLeader(t, zoneNodes)
 	others := without(f.Nodes, frozen)
 	frozen.Freeze()
 	froze := time.Now()
-	harness.Eventually(t, leadWithin, func() bool { return leader(t, without(zoneNodes, frozen)) != nil })
+	successor := settledLeader(t, without(zoneNodes, frozen))
 	t.Logf("another node led after %s", time.Since(froze))
 	stored := put(t, others[0], 600)
 	harness.Eventually(t, inForceWithin, func() bool { return agree(t, others, stored.Operation) })
-	successor := leader(t, without(zoneNodes, frozen))
 	before, err := platformClient(f).Get(t.Context(), "leader/lisbon_1")
 	is.NoErr(err)
 
@@ -101,14 +99,14 @@
 	after, err := platformClient(f).Get(t.Context(), "leader/lisbon_1")
 	is.NoErr(err)
 	is.Equal(after.Revision, before.Revision) // the one that was frozen took nothing back
-	is.Equal(leader(t, zoneNodes), successor)
+	is.Equal(settledLeader(t, zoneNodes), successor)
 }
 
 func TestZoneCutOff(t *testing.T) {
 	is := is.New(t)
 	f := start(t, fleet.Config{Deployment: fleet.Chain()})
 	inside, outside := inZone(f, "lisbon_1")
-	led := leader(t, inside)
+	led := settledLeader(t, inside)
 	restarted := without(inside, led)[0]
 	f.Network.SetBoth(names(inside), append(names(outside), fleet.PlatformEnd), proxy.Fault{Cut: true})
 
@@ -134,11 +132,9 @@
 }
 
 func TestOneWayCut(t *testing.T) {
-	is := is.New(t)
 	f := start(t, fleet.Config{Deployment: fleet.Chain()})
 	inside, outside := inZone(f, "lisbon_3")
-	led := leader(t, inside)
-	is.True(led != nil)
+	led := settledLeader(t, inside)
 	// What the leader sends to the platform arrives; the answers do not.
 	f.Network.Set(fleet.PlatformEnd, led.Name, proxy.Fault{Cut: true})
 	harness.Eventually(t, leadWithin, func() bool {
