Throttle: a caller just above its part is refused seldom; fleets are ready once callers are answered

Cause: in a flood of sheets by one caller another caller with 50 sheets a second got 95.6% to 99.0%, refused at the entry in under a millisecond. Traces at the refusals: its count in the window was 7.8 to 9.9 where the equal part was 7.4 to 8.5, and it was then refused as often as the flooding caller. Now the part refused of a caller is at most that by which it exceeds its equal part, and a caller within its part is not held to the bound on requests sent again, for which equal GETs are taken.

A node that has just started lets callers wait until it knows services and homes, which the fleet's readiness did not look at: the first requests waited 570 ms and filled the cold gates. The fleet now waits until a caller is answered.

--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -4,8 +4,8 @@
 // A Throttle watches the root requests of one kind and rank. While some of them are refused anywhere down their
 // chains, it admits about as many as were accepted, and a little more, so that it notices at once when more would be
 // accepted. Since it measures the accepted rate, the time that replies take can't make it refuse ever more. Callers
-// that send no more than their equal part are admitted before the others, and requests that are sent again get a
-// bounded part.
+// that send no more than their equal part are admitted before the others, those just above it are refused seldom, and
+// requests that are sent again get a bounded part.
 //
 // # Usage
 //
@@ -119,15 +119,16 @@
 func (t *Throttle) Offer(now time.Time, random Source, o Offer) Verdict {
 	t.fade(now)
 	own := t.count(o.Caller)
+	part := t.accepted / float64(len(t.callers))
 	refusal := t.refusal(now)
 	switch {
 	case now.Sub(t.admittedAt) >= t.config.ProbeEvery:
+	case own <= part:
 	case o.Resent && t.refused > spared && t.resent >= t.config.ResentShare*t.accepted:
 		// Not counted, so that requests sent again don't take the place of new ones.
 		return Verdict{RetryAfter: t.retryAfter(random)}
 	case refusal == 0:
-	case own <= t.accepted/float64(len(t.callers)):
-	case random.Float64() < refusal:
+	case random.Float64() < min(refusal, 1-part/own):
 		t.local++
 		return Verdict{RetryAfter: t.retryAfter(random)}
 	}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -139,7 +139,21 @@
 	for _, members := range dump.Board.Members.ByService {
 		known += len(members)
 	}
-	return known == len(f.Nodes)
+	return known == len(f.Nodes) && answersCallers(ctx, n.Caller)
+}
+
+// answersCallers waits until the node, which lets callers wait while it learns of services, has answered one. The
+// answer itself, that the path is unknown, doesn't matter.
+func answersCallers(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	return response.Body.Close() == nil
 }
 
 func (f *Fleet) startStore(ctx context.Context) error {
