--- a/internal/decide/admission/gate_test.go
+++ b/internal/decide/admission/gate_test.go
@@ -262,27 +262,49 @@
 	is.True(s.longestWait["sheets a"] < 60*time.Millisecond) // and waited for one slot at most
 }
 
+// fullGate returns a gate with 10 slots in use and tickets of all ranks that wait.
+func fullGate(waiting int) *admission.Gate {
+	config := testConfig()
+	config.MaxWait, config.UrgentWait, config.QueuePerSlot = time.Hour, time.Hour, float64(waiting)/10
+	config.Limit.Initial = 10
+	gate := admission.NewGate(config)
+	gate.Announce(10, 10)
+	for i := range waiting + 10 {
+		t := newTicket(epoch, i%10, fmt.Sprint("kind ", i%3), fmt.Sprint("caller ", i%100))
+		t.Deadline = epoch.Add(time.Hour)
+		gate.Offer(epoch, t)
+	}
+	return gate
+}
+
+// BenchmarkOfferFinish ends a request, which lets another run, and offers one more.
 func BenchmarkOfferFinish(b *testing.B) {
 	for _, waiting := range []int{12, 300, 2100} {
 		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
-			config := testConfig()
-			config.MaxWait, config.UrgentWait, config.QueuePerSlot = time.Hour, time.Hour, 10000
-			gate := admission.NewGate(config)
-			now := epoch
-			tickets := make([]*admission.Ticket, waiting+10)
-			for i := range tickets {
-				tickets[i] = newTicket(now, i%10, fmt.Sprint("kind ", i%3), fmt.Sprint("caller ", i%100))
-				tickets[i].Deadline = now.Add(time.Hour)
-				gate.Offer(now, tickets[i])
-			}
+			gate, now := fullGate(waiting), epoch
+			sample := admission.Sample{Kind: "kind 0", Took: 50 * time.Millisecond, Held: 50 * time.Millisecond}
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(time.Microsecond)
-				next := gate.Cancel(now)
-				for _, t := range next.Run {
+				for _, t := range gate.Finish(now, sample).Run {
 					gate.Offer(now, t)
 				}
 			}
 		})
 	}
 }
+
+// BenchmarkShed offers requests that are refused at once.
+func BenchmarkShed(b *testing.B) {
+	for _, waiting := range []int{12, 300, 2100} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			gate := fullGate(waiting)
+			t := newTicket(epoch.Add(time.Second), 9, "kind 0", "caller 0")
+			t.Deadline = epoch.Add(time.Hour)
+			b.ReportAllocs()
+			for b.Loop() {
+				gate.Offer(epoch, t)
+			}
+		})
+	}
+}
