Entry throttle for many nodes at low rates, and a failure accounts for one resend

With 13 entry nodes a probe each 50 ms a node and a headroom of 2 after 100 ms without a refusal came to more than the deep service ran. After one failure all requests that looked the same counted as sent again until one succeeded.

The headroom grows with accepted requests instead of with quiet time alone, probes are a hundredth of the requests, and the highest accepted rate of the last seconds is the measure, so that refusals by chance don't lower it. A failure is taken by one request.

Left: chance refusals of one in four throttle to a third.

--- a/internal/decide/throttle/failures.go
+++ b/internal/decide/throttle/failures.go
@@ -2,42 +2,57 @@
 
 import "time"
 
-// Failures remembers for a short time which requests failed, so that those sent again are known as such. It is not
-// safe for concurrent use.
+// Failures remembers for a short time how often which requests failed, so that those sent again are known as such.
+// One failure accounts for one request sent again: others that look the same are new. It is not safe for concurrent
+// use.
 type Failures struct {
 	life  time.Duration
 	bound int
 	// recent and older are two generations; the older one is dropped when the recent one is full or old.
-	recent map[uint64]time.Time
-	older  map[uint64]time.Time
+	recent map[uint64]int
+	older  map[uint64]int
 	turned time.Time
 }
 
-// NewFailures returns an empty memory, of at most twice the bound, that forgets after the life.
+// NewFailures returns an empty memory, of at most twice the bound, that forgets within one to two lives.
 func NewFailures(life time.Duration, bound int) *Failures {
-	return &Failures{life: life, bound: bound, recent: map[uint64]time.Time{}, older: map[uint64]time.Time{}}
+	return &Failures{life: life, bound: bound, recent: map[uint64]int{}, older: map[uint64]int{}}
 }
 
 // Add remembers that the request with the fingerprint failed.
 func (f *Failures) Add(now time.Time, fingerprint uint64) {
-	if len(f.recent) >= f.bound || now.Sub(f.turned) > f.life {
-		f.older, f.recent = f.recent, map[uint64]time.Time{}
-		f.turned = now
+	f.turn(now)
+	if _, ok := f.recent[fingerprint]; !ok && len(f.recent) >= f.bound {
+		f.older, f.recent = f.recent, map[uint64]int{}
 	}
-	f.recent[fingerprint] = now
+	f.recent[fingerprint]++
 }
 
-// Remove forgets the request, since it has succeeded.
-func (f *Failures) Remove(fingerprint uint64) {
-	delete(f.recent, fingerprint)
-	delete(f.older, fingerprint)
+// Take reports whether the request failed lately, and takes one failure away.
+func (f *Failures) Take(now time.Time, fingerprint uint64) bool {
+	f.turn(now)
+	return take(f.recent, fingerprint) || take(f.older, fingerprint)
 }
 
-// Has reports whether the request failed within the life.
-func (f *Failures) Has(now time.Time, fingerprint uint64) bool {
-	at, ok := f.recent[fingerprint]
-	if !ok {
-		at, ok = f.older[fingerprint]
+func take(failures map[uint64]int, fingerprint uint64) bool {
+	if failures[fingerprint] == 0 {
+		return false
 	}
-	return ok && now.Sub(at) <= f.life
+	failures[fingerprint]--
+	if failures[fingerprint] == 0 {
+		delete(failures, fingerprint)
+	}
+	return true
+}
+
+func (f *Failures) turn(now time.Time) {
+	passed := now.Sub(f.turned)
+	if passed < f.life {
+		return
+	}
+	f.older, f.recent = f.recent, map[uint64]int{}
+	if passed >= 2*f.life {
+		f.older = map[uint64]int{}
+	}
+	f.turned = now
 }
--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -46,12 +46,17 @@
 type Config struct {
 	// Window is the time constant with which counts fade.
 	Window time.Duration
-	// Headroom is the admitted rate over the accepted one while requests are being refused.
-	Headroom float64
-	// QuietHeadroom replaces Headroom once no request was refused for the time Quiet.
-	QuietHeadroom float64
-	Quiet         time.Duration
-	// ProbeEvery is the time without an admitted request after which one is admitted in any case.
+	// PeakLife is the time constant with which the highest accepted rate fades.
+	PeakLife time.Duration
+	// Headroom is the admitted rate over the accepted one just after a request was refused. It grows by HeadroomStep
+	// with each accepted request, but at most once in StepTime, up to MaxHeadroom, until the next one is refused.
+	Headroom     float64
+	HeadroomStep float64
+	StepTime     time.Duration
+	MaxHeadroom  float64
+	// ProbeShare is the part of the requests that is admitted in any case, and ProbeEvery the time without an
+	// admitted request after which one is.
+	ProbeShare float64
 	ProbeEvery time.Duration
 	// ResentShare is the part of the accepted rate that requests sent again may take while others are refused.
 	ResentShare float64
@@ -65,10 +70,13 @@
 // DefaultConfig holds where nothing else is set.
 var DefaultConfig = Config{
 	Window:        250 * time.Millisecond,
-	Headroom:      1.1,
-	QuietHeadroom: 2,
-	Quiet:         100 * time.Millisecond,
-	ProbeEvery:    50 * time.Millisecond,
+	PeakLife:      1500 * time.Millisecond,
+	Headroom:      1.05,
+	HeadroomStep:  0.04,
+	StepTime:      15 * time.Millisecond,
+	MaxHeadroom:   3,
+	ProbeShare:    0.01,
+	ProbeEvery:    500 * time.Millisecond,
 	ResentShare:   0.2,
 	MaxCallers:    256,
 	MinRetryAfter: 100 * time.Millisecond,
@@ -97,12 +105,16 @@
 	last time.Time
 
 	accepted float64
-	refused  float64
+	// peak is the highest count of accepted requests, fading slowly: chance refusals at a lower rate don't lower it.
+	peak    float64
+	refused float64
 	// local counts the requests that the throttle refused itself.
 	local   float64
 	resent  float64
 	callers map[string]float64
 
+	// calm counts the accepted requests since the last refused one, at refusedAt.
+	calm       float64
 	refusedAt  time.Time
 	admittedAt time.Time
 }
@@ -121,7 +133,7 @@
 	own := t.count(o.Caller)
 	refusal := t.refusal(now)
 	switch {
-	case now.Sub(t.admittedAt) >= t.config.ProbeEvery:
+	case now.Sub(t.admittedAt) >= t.config.ProbeEvery || random.Float64() < t.config.ProbeShare:
 	case o.Resent && t.refused > spared && t.resent >= t.config.ResentShare*t.accepted:
 		// Not counted, so that requests sent again don't take the place of new ones.
 		return Verdict{RetryAfter: t.retryAfter(random)}
@@ -144,8 +156,11 @@
 	switch r {
 	case Accepted:
 		t.accepted++
+		t.peak = max(t.peak, t.accepted)
+		t.calm++
 	case Refused:
 		t.refused++
+		t.calm = 0
 		t.refusedAt = now
 	}
 }
@@ -170,15 +185,13 @@
 
 // refusal is the part of the requests to refuse.
 func (t *Throttle) refusal(now time.Time) float64 {
-	headroom := t.config.Headroom
-	if now.Sub(t.refusedAt) >= t.config.Quiet {
-		headroom = t.config.QuietHeadroom
-	}
 	offered := t.accepted + t.refused + t.local
 	if offered == 0 {
 		return 0
 	}
-	return max(0, (offered-spared-headroom*t.accepted)/offered)
+	steps := min(t.calm, float64(now.Sub(t.refusedAt))/float64(t.config.StepTime))
+	headroom := min(t.config.Headroom+t.config.HeadroomStep*steps, t.config.MaxHeadroom)
+	return max(0, (offered-spared-headroom*t.peak)/offered)
 }
 
 func (t *Throttle) retryAfter(random Source) time.Duration {
@@ -212,6 +225,7 @@
 	t.last = now
 	factor := math.Exp(-float64(passed) / float64(t.config.Window))
 	t.accepted *= factor
+	t.peak = max(t.accepted, t.peak*math.Exp(-float64(passed)/float64(t.config.PeakLife)))
 	t.refused *= factor
 	t.local *= factor
 	t.resent *= factor
--- a/internal/traffic/flow/entry.go
+++ b/internal/traffic/flow/entry.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// failureLife is how long a failed request is known, so that sending it again counts as such.
+	// failureLife is how long a failed request is known at least, so that sending it again counts as such.
 	failureLife = 2 * time.Second
 	// maxFailures bounds the failed requests that are known.
 	maxFailures = 8192
@@ -48,7 +48,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	// A request with a key is answered from memory when it is sent again, which costs little.
-	resent := r.Key == "" && (r.Resends > 0 || e.failures.Has(now, senderFingerprint(r)))
+	resent := r.Key == "" && (r.Resends > 0 || e.failures.Take(now, senderFingerprint(r)))
 	verdict := e.throttle(now, r).Offer(now, globalRandom{}, throttle.Offer{Caller: r.Root.Caller, Resent: resent})
 	if verdict.Admitted {
 		return call.Reply{}, true
@@ -65,11 +65,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.throttle(now, r).Learn(now, resultOf(reply))
-	if reply.Failure() == call.ReasonNone {
-		e.failures.Remove(senderFingerprint(r))
-		return
+	if reply.Failure() != call.ReasonNone {
+		e.failures.Add(now, senderFingerprint(r))
 	}
-	e.failures.Add(now, senderFingerprint(r))
 }
 
 func (e *entry) throttle(now time.Time, r *call.Request) *throttle.Throttle {
