Callers' keys go on without the platform, by the promise of two keepers

Cause: while the platform was away, callers' keys got not_admitted after the end of the last epoch, 4 s.

The writer of a shard and a node of another availability zone are its keepers. Without the platform the end moves by the promise of both, for up to 10 min; any other writer takes the promise of one of them back first and so learns every end. A keeper in another zone means that the loss of a zone leaves one.

TestResends: 6 s into an outage, 30 of 30 keys of all three kinds ran. Red in a trial with no reserve: not_admitted.

Parts now name the process they are for.

--- a/internal/control/homes/controller.go
+++ b/internal/control/homes/controller.go
@@ -20,6 +20,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
@@ -28,6 +29,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
 
 // Prefix begins the key of each shard's record in the platform.
@@ -43,6 +45,9 @@
 	Board    *board.Loop
 	Platform *platform.Client
 	Log      *events.Log
+	// Self is this process.
+	Self  outcome.Node
+	Peers *peer.Client
 	// Zones are all availability zones; the same list everywhere.
 	Zones  []string
 	Timing Timing
@@ -58,6 +63,9 @@
 	Window time.Duration
 	// Election is how long the zone may be without a leader after a planned stop of the leader.
 	Election time.Duration
+	// Reserve is how far the end may move without the platform, by the promise of the keepers. A shard that has lost
+	// both keepers at once stands still for that long.
+	Reserve time.Duration
 	// TakeOver is how long past its end another zone leaves a shard alone.
 	TakeOver time.Duration
 }
@@ -68,6 +76,7 @@
 	Horizon:  4 * time.Second,
 	Window:   2 * time.Minute,
 	Election: 6 * time.Second,
+	Reserve:  10 * time.Minute,
 	TakeOver: 3 * time.Second,
 }
 
@@ -76,11 +85,22 @@
 	config Config
 	// entries are the records last read or written, by shard. They belong to the goroutine of Run.
 	entries map[string]platform.Entry
+	// unsettled are the shards whose last write, of more than a new end, had no answer. Their ends don't move without
+	// the platform, because it may hold keepers that are not known here.
+	unsettled map[string]bool
+
+	mu       sync.Mutex
+	promises *outcome.Promises
 }
 
 // NewController returns a controller.
 func NewController(config Config) *Controller {
-	return &Controller{config: config, entries: map[string]platform.Entry{}}
+	return &Controller{
+		config:    config,
+		entries:   map[string]platform.Entry{},
+		unsettled: map[string]bool{},
+		promises:  outcome.NewPromises(),
+	}
 }
 
 // Section returns how shards come from the platform and get onto the board.
@@ -104,14 +124,17 @@
 
 func (c *Controller) tick(ctx context.Context, offerer Offerer) {
 	b := c.config.Board.Snapshot()
-	if !b.Leader.IsSelf {
+	if b.Leader.IsSelf {
+		for _, shard := range c.config.Zones {
+			if c.isKept(b, shard) && !c.renew(ctx, offerer, b, shard) {
+				break // the platform does not answer, and the others must not wait for it as well
+			}
+		}
+	} else {
 		clear(c.entries)
-		return
 	}
-	for _, shard := range c.config.Zones {
-		if c.isKept(b, shard) {
-			c.renew(ctx, offerer, b, shard)
-		}
+	for shard := range b.Homes.Shards {
+		c.extend(ctx, offerer, shard)
 	}
 }
 
@@ -125,31 +148,38 @@
 	return last.Until > 0 && (silent || last.Zone == b.Self.Zone)
 }
 
-func (c *Controller) renew(ctx context.Context, offerer Offerer, b *board.Board, shard string) {
+// renew writes the shard where that is due. It reports false where the platform gave no answer.
+func (c *Controller) renew(ctx context.Context, offerer Offerer, b *board.Board, shard string) bool {
 	entry, ok := c.entry(ctx, shard)
 	if !ok {
-		return
+		return false
 	}
-	known := b.Homes.Shards[shard]
 	written := parse(entry.Value)
-	next, changed := newest(known, written).Renew(c.renewal(b))
+	base, ok := c.base(ctx, b, shard, written)
+	if !ok {
+		return true
+	}
+	next, changed := base.Renew(c.renewal(b, written))
 	if !changed {
-		return
+		return true
 	}
+	c.unsettled[shard] = c.unsettled[shard] || next.Term != written.Term || next.Limit < written.Limit
 	value, err := json.Marshal(next)
 	if err != nil {
-		return
+		return true
 	}
 	swapped, err := c.config.Platform.CompareAndSwap(ctx, platform.Swap{Key: Prefix + shard, Value: value, Expected: entry.Revision})
 	if err != nil {
 		delete(c.entries, shard)
-		return
+		return errors.Is(err, platform.ErrCompareFailed)
 	}
 	c.entries[shard] = swapped
-	if len(next.Epochs) == 0 || !slices.Equal(next.Last().Members, written.Last().Members) {
+	delete(c.unsettled, shard)
+	if !slices.Equal(next.Last().Members, written.Last().Members) {
 		c.config.Log.Emit(events.HomesChanged, events.Fields{"shard": shard, "members": len(next.Last().Members)})
 	}
 	offerer.Offer(ctx, record(Prefix+shard, value))
+	return true
 }
 
 // entry returns the record as it was last read, and reads it where that isn't known.
@@ -162,6 +192,7 @@
 		return platform.Entry{}, false
 	}
 	c.entries[shard] = read
+	delete(c.unsettled, shard)
 	return read, true
 }
 
@@ -174,7 +205,7 @@
 	return written
 }
 
-func (c *Controller) renewal(b *board.Board) outcome.Renewal {
+func (c *Controller) renewal(b *board.Board, written outcome.Shard) outcome.Renewal {
 	now := time.Now()
 	horizon := c.config.Timing.Horizon
 	if b.Self.Draining || b.Backend.Leaving {
@@ -185,6 +216,8 @@
 		Keep:    now.Add(-c.config.Timing.Window).UnixMilli(),
 		Zone:    b.Self.Zone,
 		Members: membersOf(b),
+		Keepers: c.keepers(b, written),
+		Reserve: c.reserve(b).Milliseconds(),
 	}
 }
 
--- a/internal/decide/outcome/shard.go
+++ b/internal/decide/outcome/shard.go
@@ -26,8 +26,17 @@
 // The home of a key time, once committed, never changes: a successor of a Shard moves the end of its last epoch
 // forward or appends an epoch that begins there. So two nodes that hold different versions never both take
 // themselves for the home of one key, whatever their clocks say and however long either was paused.
+//
+// The platform orders the versions by compare-and-swap. Without it the end of the last epoch moves by the promise of
+// both keepers, up to the Limit; a writer who is not the first keeper asks one of them first (see Promises).
 type Shard struct {
 	Epochs []Epoch `json:"epochs"`
+	// Term grows whenever a successor does more than move the end.
+	Term uint64 `json:"term"`
+	// Keepers are the writer and, in another availability zone, a second node; none or two.
+	Keepers []Node `json:"keepers,omitempty"`
+	// Limit is where the end may be moved to without the platform, in Unix milliseconds.
+	Limit int64 `json:"limit,omitempty"`
 }
 
 // Renewal is what a leader knows when it renews a shard. Times are in Unix milliseconds.
@@ -38,28 +47,61 @@
 	Keep    int64
 	Zone    string
 	Members []Member
+	// Keepers are the writer and a second node; none where the end shall not move without the platform.
+	Keepers []Node
+	// Reserve is how far beyond its end the last epoch may be moved without the platform, in milliseconds.
+	Reserve int64
 }
 
-// Renew returns the successor of the shard. It reports false where nothing would change.
+// Renew returns the successor of the shard. It reports false where nothing would change. The end always grows, so
+// that it orders the versions.
 func (s Shard) Renew(r Renewal) (Shard, bool) {
 	if len(r.Members) == 0 {
 		return s, false
 	}
+	next := Shard{Epochs: s.renewed(r), Term: s.Term, Keepers: r.Keepers}
+	last := &next.Epochs[len(next.Epochs)-1]
+	same := len(s.Epochs) > 0 && last.Start == s.Last().Start && slices.Equal(s.Keepers, r.Keepers)
+	if same && last.Until == s.Last().Until {
+		return s, false
+	}
+	if !same {
+		next.Term++
+		last.Until = max(last.Until, s.Last().Until+1)
+	}
+	if len(r.Keepers) > 0 {
+		next.Limit = last.Until + r.Reserve
+	}
+	return next, true
+}
+
+// renewed returns the epochs with the last one moved forward, or a new one where the members changed.
+func (s Shard) renewed(r Renewal) []Epoch {
 	if len(s.Epochs) == 0 {
-		first := Epoch{Start: r.Keep, Until: r.Until, Zone: r.Zone, Members: r.Members}
-		return Shard{Epochs: []Epoch{first}}, true
+		return []Epoch{{Start: r.Keep, Until: r.Until, Zone: r.Zone, Members: r.Members}}
 	}
 	kept := s.since(r.Keep)
-	last := kept[len(kept)-1]
+	last := &kept[len(kept)-1]
 	if last.Zone == r.Zone && slices.Equal(last.Members, r.Members) {
-		if r.Until <= last.Until {
-			return s, false
-		}
-		kept[len(kept)-1].Until = r.Until
-		return Shard{Epochs: kept}, true
+		last.Until = max(last.Until, r.Until)
+		return kept
+	}
+	return append(kept, Epoch{Start: last.Until, Until: max(r.Until, last.Until+1), Zone: r.Zone, Members: r.Members})
+}
+
+// Extend returns the shard with its end moved to the time.
+func (s Shard) Extend(until int64) Shard {
+	if len(s.Epochs) == 0 || until <= s.Last().Until {
+		return s
 	}
-	next := Epoch{Start: last.Until, Until: max(r.Until, last.Until+1), Zone: r.Zone, Members: r.Members}
-	return Shard{Epochs: append(kept, next)}, true
+	s.Epochs = slices.Clone(s.Epochs)
+	s.Epochs[len(s.Epochs)-1].Until = until
+	return s
+}
+
+// IsKeptBy reports whether the node is the first keeper, who alone may write without asking.
+func (s Shard) IsKeptBy(n Node) bool {
+	return len(s.Keepers) > 0 && s.Keepers[0] == n
 }
 
 // since returns a copy of the epochs that end after the time, and always the last.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -130,6 +130,8 @@
 		Board:    n.loop,
 		Platform: n.platform,
 		Log:      config.Log,
+		Self:     self,
+		Peers:    n.peers,
 		Zones:    s.Node.ZoneList(),
 		Timing:   homes.DefaultTiming,
 	})
@@ -297,7 +299,7 @@
 
 func (n *Node) servePeers(ctx context.Context) {
 	mux := drpcmux.New()
-	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.home, n.home))
+	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.home, n.home, n.homes))
 	if err == nil {
 		err = peerpb.DRPCRegisterQuarantine(mux, peer.NewQuarantineServer(n.quarantine))
 	}
--- a/internal/proof/once/outcome_test.go
+++ b/internal/proof/once/outcome_test.go
@@ -62,6 +62,12 @@
 		t.Run(name, func(t *testing.T) { resend(t, f, key) })
 	}
 	t.Run("answer lost on a silent connection", func(t *testing.T) { silence(t, f) })
+	for _, n := range f.Nodes {
+		quick := n.Server.Behaviour()
+		quick.ServiceTime = 20 * time.Millisecond
+		n.Server.SetBehaviour(quick)
+	}
+	t.Run("platform away", func(t *testing.T) { outage(t, f) })
 	t.Run("planned stops", func(t *testing.T) { leave(t, f) })
 }
 
--- a/internal/traffic/flow/handover.go
+++ b/internal/traffic/flow/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strconv"
@@ -62,14 +63,20 @@
 }
 
 // TakeOver takes in a part of a leaving node's keys. A node that leaves itself never takes any.
-func (h *Home) TakeOver(ctx context.Context, p peer.HandoverPart) bool {
+func (h *Home) TakeOver(ctx context.Context, p peer.HandoverPart) (bool, error) {
+	if p.Target != h.config.Self.Incarnation {
+		return false, errOtherProcess
+	}
 	names, taken := h.takePart(p)
 	if taken {
 		h.config.Board.Do(ctx, func(b *board.Board) { b.Self.AnswersFor = names })
 	}
-	return taken
+	return taken, nil
 }
 
+// errOtherProcess says that keys were sent to a former process of this name.
+var errOtherProcess = errors.New("the keys are for a former process of this node")
+
 // takePart returns the names of the nodes for which this one answers afterwards. A handover that was complete before
 // this node began to leave stays taken, however late a part comes again.
 func (h *Home) takePart(p peer.HandoverPart) (string, bool) {
@@ -189,7 +196,7 @@
 			return 0, HandoverUnclear
 		}
 	}
-	parts, keys := h.parts()
+	parts, keys := h.parts(successor.Incarnation)
 	for _, p := range parts {
 		if result := sendPart(ctx, peers, successor.PeerAddress, p); result != HandoverTaken {
 			return keys, result
@@ -222,7 +229,7 @@
 }
 
 // parts splits the keys into messages. The homes go with every part.
-func (h *Home) parts() ([]peer.HandoverPart, int) {
+func (h *Home) parts(target uint64) ([]peer.HandoverPart, int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	homes := []outcome.Node{h.config.Self}
@@ -243,7 +250,7 @@
 	}
 	id := uuid.NewString()
 	for i := range parts {
-		parts[i].ID, parts[i].Part, parts[i].Parts = id, i, len(parts)
+		parts[i].ID, parts[i].Part, parts[i].Parts, parts[i].Target = id, i, len(parts), target
 	}
 	return parts, keys
 }
--- a/internal/traffic/peer/handover.go
+++ b/internal/traffic/peer/handover.go
@@ -32,13 +32,16 @@
 	Keys  []RememberedKey
 	// Homes are the nodes for whose keys the receiver answers once it has all parts.
 	Homes []outcome.Node
+	// Target is the process that takes the keys over. A later one of the same name must not, because the former may
+	// have run some of them.
+	Target uint64
 }
 
 // HandOver sends one part and reports whether the receiver took it; false says that it will never take any.
 func (c *Client) HandOver(ctx context.Context, address string, p HandoverPart, timeout time.Duration) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request := &peerpb.HandoverRequest{SourceNode: c.node, HandoverId: p.ID, Part: int32(p.Part), Parts: int32(p.Parts)}
+	request := &peerpb.HandoverRequest{SourceNode: c.node, HandoverId: p.ID, Part: int32(p.Part), Parts: int32(p.Parts), TargetIncarnation: p.Target}
 	for _, k := range p.Keys {
 		request.Keys = append(request.Keys, keyMessage(k))
 	}
@@ -58,14 +61,17 @@
 
 // Handover takes in a part of a leaving node's keys.
 func (s *Server) Handover(ctx context.Context, m *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
-	p := HandoverPart{ID: m.GetHandoverId(), Part: int(m.GetPart()), Parts: int(m.GetParts())}
+	p := HandoverPart{ID: m.GetHandoverId(), Part: int(m.GetPart()), Parts: int(m.GetParts()), Target: m.GetTargetIncarnation()}
 	for _, k := range m.GetKeys() {
 		p.Keys = append(p.Keys, keyOf(k))
 	}
 	for _, h := range m.GetHomes() {
 		p.Homes = append(p.Homes, homeOf(h))
 	}
-	taken := s.keeper.TakeOver(ctx, p)
+	taken, err := s.keeper.TakeOver(ctx, p)
+	if err != nil {
+		return nil, err
+	}
 	return &peerpb.HandoverReply{Accepted: int32(len(p.Keys)), Refused: !taken}, nil
 }
 
--- a/internal/traffic/peer/server.go
+++ b/internal/traffic/peer/server.go
@@ -16,8 +16,14 @@
 // Keeper remembers attempts and keys.
 type Keeper interface {
 	Resolve(q Question) Resolution
-	// TakeOver takes in a part of a leaving node's keys. False says that no part will ever be taken.
-	TakeOver(ctx context.Context, p HandoverPart) bool
+	// TakeOver takes in a part of a leaving node's keys. False says that no part will ever be taken; an error, that
+	// the part is for another process, which may have taken it.
+	TakeOver(ctx context.Context, p HandoverPart) (bool, error)
+}
+
+// Promiser answers as a keeper of shards.
+type Promiser interface {
+	Promise(q PromiseQuestion) PromiseAnswer
 }
 
 // Server answers the RPCs of other nodes.
@@ -26,11 +32,13 @@
 
 	receiver Receiver
 	keeper   Keeper
+	promiser Promiser
 }
 
-// NewServer returns a server that hands requests to the receiver and questions about them to the keeper.
-func NewServer(receiver Receiver, keeper Keeper) *Server {
-	return &Server{receiver: receiver, keeper: keeper}
+// NewServer returns a server that hands requests to the receiver, questions about them to the keeper, and questions
+// about shards to the promiser.
+func NewServer(receiver Receiver, keeper Keeper, promiser Promiser) *Server {
+	return &Server{receiver: receiver, keeper: keeper, promiser: promiser}
 }
 
 // Call runs one attempt.
