--- a/internal/traffic/peer/promise.go
+++ b/internal/traffic/peer/promise.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"storj.io/drpc/drpcconn"
+	"storj.io/drpc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
 )
@@ -41,7 +41,7 @@
 		Incarnation:     q.Incarnation,
 	}
 	var answer *peerpb.PromiseReply
-	err := c.pool.UseNew(ctx, address, func(conn *drpcconn.Conn) (err error) {
+	err := c.pool.UseNew(ctx, address, func(conn drpc.Conn) (err error) {
 		answer, err = peerpb.NewDRPCPeerClient(conn).Promise(ctx, request)
 		return err
 	})
