--- a/cmd/hoistlab/once.go
+++ b/cmd/hoistlab/once.go
@@ -18,12 +18,16 @@
 // onceInstances gives two instances to each availability zone.
 const onceInstances = 6
 
+// onceSettle is the time in which the homes are agreed.
+const onceSettle = 3 * time.Second
+
 func onceCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("hoistlab once", flag.ContinueOnError)
 	duration := flags.Duration("duration", time.Minute, "length of the run")
 	seed := flags.Uint64("seed", 1, "seed of the faults and the callers")
 	callers := flags.Int("callers", 12, "callers that send bookings, one after the other")
 	calm := flags.Bool("calm", false, "without faults")
+	outage := flags.String("outage", "", "platform or zone: what is away for the whole run, in the place of other faults")
 	verbose := flags.Bool("verbose", false, "print the nodes' logs")
 	return &ffcli.Command{
 		Name:       "once",
@@ -31,7 +35,9 @@
 		ShortHelp:  "resend bookings under faults and compare the outcomes with the ledgers",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
-			return runOnce(ctx, once.Config{Duration: *duration, Seed: *seed, Callers: *callers, Calm: *calm}, *verbose)
+			config := once.Config{Duration: *duration, Seed: *seed, Callers: *callers, Calm: *calm, Outage: once.Outage(*outage)}
+			config.Polite = config.Outage != once.NoOutage
+			return runOnce(ctx, config, *verbose)
 		},
 	}
 }
@@ -60,6 +66,7 @@
 	if err := f.WaitReady(ready); err != nil {
 		return trace.Wrap(err)
 	}
+	time.Sleep(onceSettle)
 	config.Fleet, config.Service, config.Output = f, "bookings", os.Stderr
 	return writeOnce(once.Run(ctx, config), config.Seed)
 }
--- a/internal/decide/outcome/explore_test.go
+++ b/internal/decide/outcome/explore_test.go
@@ -384,6 +384,7 @@
 )
 
 func TestNoStateInWhichAKeyRunsTwice(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	steps, states := explore(guarded, modelDepth)
 	t.Logf("%d states in %d steps", states, modelDepth)
@@ -397,6 +398,7 @@
 
 // Each guard is needed: without it the exploration finds a key that runs twice.
 func TestGuardsAreNeeded(t *testing.T) {
+	t.Parallel()
 	without := map[string]func(*rules){
 		"home by the newest epoch, whatever the key's time": func(r *rules) {
 			r.home = func(s Shard, key string, _ int64) (Node, bool) { return s.Last().winner("", key) }
--- a/internal/lab/once/caller.go
+++ b/internal/lab/once/caller.go
@@ -51,6 +51,7 @@
 	Begin   time.Time
 	End     time.Time
 	Key     string
+	Target  string
 	Status  int
 	Outcome string
 	Reason  string
@@ -238,7 +239,7 @@
 
 // Post sends a request and returns what its caller saw.
 func Post(client *http.Client, o Order) (s Send) {
-	s = Send{Begin: time.Now(), Key: o.Key}
+	s = Send{Begin: time.Now(), Key: o.Key, Target: o.Target}
 	defer func() { s.End = time.Now() }()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
--- a/internal/lab/once/check.go
+++ b/internal/lab/once/check.go
@@ -17,6 +17,8 @@
 	Reasons  map[string]int `json:"reasons"`
 	// Kinds says how each kind of key fared.
 	Kinds map[KeyKind]KindCount `json:"kinds"`
+	// Shares says, for an outage, how the first sends of each kind of key fared at the nodes of each zone.
+	Shares map[string]Share `json:"shares,omitempty"`
 	// Violations are the promises that were broken; none are expected.
 	Violations []string `json:"violations"`
 	// Failed are the sends that callers who use nodes that are up saw fail.
--- a/internal/lab/once/faults.go
+++ b/internal/lab/once/faults.go
@@ -127,16 +127,22 @@
 
 // cut takes an availability zone off from the others and from the platform.
 func (f *faults) cut(ctx context.Context, zone string, lasts time.Duration) {
-	inside, outside := []string{}, []string{fleet.PlatformEnd}
-	for _, n := range f.fleet.Nodes {
+	inside, outside := sides(f.fleet, zone)
+	f.log("cut %s off for %s", zone, lasts)
+	f.hold(ctx, inside, outside, lasts)
+}
+
+// sides returns the nodes of the zone, and everything else.
+func sides(f *fleet.Fleet, zone string) (inside, outside []string) {
+	outside = []string{fleet.PlatformEnd}
+	for _, n := range f.Nodes {
 		if n.Zone == zone {
 			inside = append(inside, n.Name)
 		} else {
 			outside = append(outside, n.Name)
 		}
 	}
-	f.log("cut %s off for %s", zone, lasts)
-	f.hold(ctx, inside, outside, lasts)
+	return inside, outside
 }
 
 func (f *faults) cutNodes(ctx context.Context, a, b *fleet.Node, lasts time.Duration) {
--- a/internal/lab/once/once.go
+++ b/internal/lab/once/once.go
@@ -27,6 +27,9 @@
 	Calm bool
 	// Polite callers send each booking once, to a node that is up, and idempotent requests as well.
 	Polite bool
+	// Outage takes the platform or the first availability zone away for the whole run; the report's shares begin when
+	// the epochs agreed before have ended.
+	Outage Outage
 	// Output takes the schedule as it is carried out.
 	Output io.Writer
 }
@@ -36,6 +39,7 @@
 
 // Run sends bookings while faults go on, and checks the outcomes.
 func Run(ctx context.Context, config Config) Report {
+	start := time.Now()
 	running, cancel := context.WithTimeout(ctx, config.Duration)
 	defer cancel()
 	c := newCallers(config)
@@ -44,13 +48,20 @@
 		random := rand.New(rand.NewPCG(config.Seed, uint64(i)+1))
 		group.Go(func() { c.run(running, fmt.Sprintf("caller-%d", i), random) })
 	}
-	if !config.Calm {
+	if config.Outage != NoOutage {
+		config.Outage.begin(config.Fleet)
+		defer restore(config.Fleet)
+	} else if !config.Calm {
 		f := newFaults(config.Fleet, rand.New(rand.NewPCG(config.Seed, 0)), config.Output)
 		group.Go(func() { f.run(running) })
 	}
 	group.Wait()
 	sleep(ctx, settleTime)
-	return Check(c.bookings, runs(config.Fleet))
+	report := Check(c.bookings, runs(config.Fleet))
+	if config.Outage != NoOutage {
+		report.Shares = shares(c.bookings, config.Fleet, start.Add(outageSettles))
+	}
+	return report
 }
 
 func runs(f *fleet.Fleet) []server.Run {
--- a/internal/proof/once/outcome_test.go
+++ b/internal/proof/once/outcome_test.go
@@ -49,6 +49,7 @@
 }
 
 func TestResends(t *testing.T) {
+	t.Parallel()
 	deployment := once.Deployment(3)
 	deployment.Services[0].Behaviour.ServiceTime = 400 * time.Millisecond
 	deployment.Services[0].Behaviour.Spread = 0
--- a/internal/proof/once/roll_test.go
+++ b/internal/proof/once/roll_test.go
@@ -34,6 +34,7 @@
 
 // Every node is replaced, one after the other, while callers use the nodes that are up. No answer may fail.
 func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	deployment := once.Deployment(3)
 	deployment.Services[0].Slots = 20
