A shard that no zone has begun gets a keeper

Cause: the list of availability zones is static; a zone that had never been up left its third of callers' keys without a home (home_unknown) for good. A leader that has been up for 10 s now begins such a shard; the first write still compares with the absence of the record.

--- a/internal/control/homes/controller.go
+++ b/internal/control/homes/controller.go
@@ -66,6 +66,8 @@
 	// Reserve is how far the end may move without the platform, by the promise of the keepers. A shard that has lost
 	// both keepers at once stands still for that long.
 	Reserve time.Duration
+	// FirstKeeper is how long after its start a leader leaves alone a shard that no zone has begun.
+	FirstKeeper time.Duration
 	// TakeOver is how long past its end another zone leaves a shard alone.
 	TakeOver time.Duration
 }
@@ -77,12 +79,15 @@
 	Window:   2 * time.Minute,
 	Election: 6 * time.Second,
 	Reserve:  10 * time.Minute,
-	TakeOver: 3 * time.Second,
+
+	FirstKeeper: 10 * time.Second,
+	TakeOver:    3 * time.Second,
 }
 
 // Controller keeps shards.
 type Controller struct {
-	config Config
+	config  Config
+	started time.Time
 	// entries are the records last read or written, by shard. They belong to the goroutine of Run.
 	entries map[string]platform.Entry
 	// unsettled are the shards whose last write, of more than a new end, had no answer. Their ends don't move without
@@ -97,6 +102,7 @@
 func NewController(config Config) *Controller {
 	return &Controller{
 		config:    config,
+		started:   time.Now(),
 		entries:   map[string]platform.Entry{},
 		unsettled: map[string]bool{},
 		promises:  outcome.NewPromises(),
@@ -126,7 +132,7 @@
 	b := c.config.Board.Snapshot()
 	if b.Leader.IsSelf {
 		for _, shard := range c.config.Zones {
-			if c.isKept(b, shard) && !c.renew(ctx, offerer, b, shard) {
+			if c.isKept(time.Now(), b, shard) && !c.renew(ctx, offerer, b, shard) {
 				break // the platform does not answer, and the others must not wait for it as well
 			}
 		}
@@ -139,13 +145,16 @@
 }
 
 // isKept reports whether this zone keeps the shard: its own always, another one while its zone is silent.
-func (c *Controller) isKept(b *board.Board, shard string) bool {
+func (c *Controller) isKept(now time.Time, b *board.Board, shard string) bool {
 	if shard == b.Self.Zone {
 		return true
 	}
 	last := b.Homes.Shards[shard].Last()
-	silent := time.Since(time.UnixMilli(last.Until)) > c.config.Timing.TakeOver
-	return last.Until > 0 && (silent || last.Zone == b.Self.Zone)
+	if last.Until == 0 {
+		return now.Sub(c.started) > c.config.Timing.FirstKeeper
+	}
+	silent := now.Sub(time.UnixMilli(last.Until)) > c.config.Timing.TakeOver
+	return silent || last.Zone == b.Self.Zone
 }
 
 // renew writes the shard where that is due. It reports false where the platform gave no answer.
