--- a/internal/control/homes/controller.go
+++ b/internal/control/homes/controller.go
@@ -20,6 +20,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
@@ -28,6 +29,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
 
 // Prefix begins the key of each shard's record in the platform.
@@ -43,6 +45,9 @@
 	Board    *board.Loop
 	Platform *platform.Client
 	Log      *events.Log
+	// Self is this process.
+	Self  outcome.Node
+	Peers *peer.Client
 	// Zones are all availability zones; the same list everywhere.
 	Zones  []string
 	Timing Timing
@@ -58,6 +63,11 @@
 	Window time.Duration
 	// Election is how long the zone may be without a leader after a planned stop of the leader.
 	Election time.Duration
+	// Reserve is how far the end may move without the platform, by the promise of the keepers. A shard that has lost
+	// both keepers at once stands still for that long.
+	Reserve time.Duration
+	// FirstKeeper is how long after its start a leader leaves alone a shard that no zone has begun.
+	FirstKeeper time.Duration
 	// TakeOver is how long past its end another zone leaves a shard alone.
 	TakeOver time.Duration
 }
@@ -68,19 +78,35 @@
 	Horizon:  4 * time.Second,
 	Window:   2 * time.Minute,
 	Election: 6 * time.Second,
-	TakeOver: 3 * time.Second,
+	Reserve:  10 * time.Minute,
+
+	FirstKeeper: 10 * time.Second,
+	TakeOver:    3 * time.Second,
 }
 
 // Controller keeps shards.
 type Controller struct {
-	config Config
+	config  Config
+	started time.Time
 	// entries are the records last read or written, by shard. They belong to the goroutine of Run.
 	entries map[string]platform.Entry
+	// unsettled are the shards whose last write, of more than a new end, had no answer. Their ends don't move without
+	// the platform, because it may hold keepers that are not known here.
+	unsettled map[string]bool
+
+	mu       sync.Mutex
+	promises *outcome.Promises
 }
 
 // NewController returns a controller.
 func NewController(config Config) *Controller {
-	return &Controller{config: config, entries: map[string]platform.Entry{}}
+	return &Controller{
+		config:    config,
+		started:   time.Now(),
+		entries:   map[string]platform.Entry{},
+		unsettled: map[string]bool{},
+		promises:  outcome.NewPromises(),
+	}
 }
 
 // Section returns how shards come from the platform and get onto the board.
@@ -104,52 +130,65 @@
 
 func (c *Controller) tick(ctx context.Context, offerer Offerer) {
 	b := c.config.Board.Snapshot()
-	if !b.Leader.IsSelf {
+	if b.Leader.IsSelf {
+		for _, shard := range c.config.Zones {
+			if c.isKept(time.Now(), b, shard) && !c.renew(ctx, offerer, b, shard) {
+				break // the platform does not answer, and the others must not wait for it as well
+			}
+		}
+	} else {
 		clear(c.entries)
-		return
 	}
-	for _, shard := range c.config.Zones {
-		if c.isKept(b, shard) {
-			c.renew(ctx, offerer, b, shard)
-		}
+	for shard := range b.Homes.Shards {
+		c.extend(ctx, offerer, shard)
 	}
 }
 
 // isKept reports whether this zone keeps the shard: its own always, another one while its zone is silent.
-func (c *Controller) isKept(b *board.Board, shard string) bool {
+func (c *Controller) isKept(now time.Time, b *board.Board, shard string) bool {
 	if shard == b.Self.Zone {
 		return true
 	}
 	last := b.Homes.Shards[shard].Last()
-	silent := time.Since(time.UnixMilli(last.Until)) > c.config.Timing.TakeOver
-	return last.Until > 0 && (silent || last.Zone == b.Self.Zone)
+	if last.Until == 0 {
+		return now.Sub(c.started) > c.config.Timing.FirstKeeper
+	}
+	silent := now.Sub(time.UnixMilli(last.Until)) > c.config.Timing.TakeOver
+	return silent || last.Zone == b.Self.Zone
 }
 
-func (c *Controller) renew(ctx context.Context, offerer Offerer, b *board.Board, shard string) {
+// renew writes the shard where that is due. It reports false where the platform gave no answer.
+func (c *Controller) renew(ctx context.Context, offerer Offerer, b *board.Board, shard string) bool {
 	entry, ok := c.entry(ctx, shard)
 	if !ok {
-		return
+		return false
 	}
-	known := b.Homes.Shards[shard]
 	written := parse(entry.Value)
-	next, changed := newest(known, written).Renew(c.renewal(b))
+	base, ok := c.base(ctx, b, shard, written)
+	if !ok {
+		return true
+	}
+	next, changed := base.Renew(c.renewal(b, written))
 	if !changed {
-		return
+		return true
 	}
+	c.unsettled[shard] = c.unsettled[shard] || next.Term != written.Term || next.Limit < written.Limit
 	value, err := json.Marshal(next)
 	if err != nil {
-		return
+		return true
 	}
 	swapped, err := c.config.Platform.CompareAndSwap(ctx, platform.Swap{Key: Prefix + shard, Value: value, Expected: entry.Revision})
 	if err != nil {
 		delete(c.entries, shard)
-		return
+		return errors.Is(err, platform.ErrCompareFailed)
 	}
 	c.entries[shard] = swapped
-	if len(next.Epochs) == 0 || !slices.Equal(next.Last().Members, written.Last().Members) {
+	delete(c.unsettled, shard)
+	if !slices.Equal(next.Last().Members, written.Last().Members) {
 		c.config.Log.Emit(events.HomesChanged, events.Fields{"shard": shard, "members": len(next.Last().Members)})
 	}
 	offerer.Offer(ctx, record(Prefix+shard, value))
+	return true
 }
 
 // entry returns the record as it was last read, and reads it where that isn't known.
@@ -162,6 +201,7 @@
 		return platform.Entry{}, false
 	}
 	c.entries[shard] = read
+	delete(c.unsettled, shard)
 	return read, true
 }
 
@@ -174,7 +214,7 @@
 	return written
 }
 
-func (c *Controller) renewal(b *board.Board) outcome.Renewal {
+func (c *Controller) renewal(b *board.Board, written outcome.Shard) outcome.Renewal {
 	now := time.Now()
 	horizon := c.config.Timing.Horizon
 	if b.Self.Draining || b.Backend.Leaving {
@@ -185,6 +225,8 @@
 		Keep:    now.Add(-c.config.Timing.Window).UnixMilli(),
 		Zone:    b.Self.Zone,
 		Members: membersOf(b),
+		Keepers: c.keepers(b, written),
+		Reserve: c.reserve(b).Milliseconds(),
 	}
 }
 
