--- a/internal/control/catalogue/catalogue_test.go
+++ b/internal/control/catalogue/catalogue_test.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -113,3 +114,19 @@
 	selector, ok := f.(*ast.SelectorExpr)
 	return ok && strings.HasPrefix(selector.Sel.Name, "Emit")
 }
+
+func TestLinksOfThePagesExist(t *testing.T) {
+	is := is.New(t)
+	pages, err := filepath.Glob(root + "/docs/*.md")
+	is.NoErr(err)
+	links := regexp.MustCompile(`\]\(([^)#:]+)\)`)
+	for _, page := range append(pages, root+"/README.md") {
+		text, err := os.ReadFile(page)
+		is.NoErr(err)
+		for _, link := range links.FindAllStringSubmatch(string(text), -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(page), link[1])); err != nil {
+				t.Errorf("%s links to %s, which is not there", page, link[1])
+			}
+		}
+	}
+}
