--- a/internal/proof/shell/answers_test.go
+++ b/internal/proof/shell/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -80,16 +81,21 @@
 	statusPath  = "/bookings/status"
 )
 
+// usualDeadline is in milliseconds.
+const usualDeadline = "1000"
+
 // answer is one request and what came back.
 type answer struct {
-	id      string
-	path    string
-	key     string
-	body    []byte
-	status  int
-	outcome string
-	got     []byte
-	err     error
+	id   string
+	path string
+	key  string
+	// deadline is in milliseconds; empty for usualDeadline.
+	deadline string
+	body     []byte
+	status   int
+	outcome  string
+	got      []byte
+	err      error
 }
 
 func sendMany(t *testing.T, f *fleet.Fleet, random *rand.Rand) []answer {
@@ -131,7 +137,7 @@
 	if a.key != "" {
 		request.Header.Set(keyHeader, a.key)
 	}
-	request.Header.Set("Comfreyhoist-Deadline-Ms", "1000")
+	request.Header.Set(deadlineHeader, cmp.Or(a.deadline, usualDeadline))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		a.err = err
--- a/internal/proof/shell/damage_test.go
+++ b/internal/proof/shell/damage_test.go
@@ -17,6 +17,9 @@
 // damagedRequests are sent, one after the other, with one bit of each chunk flipped.
 const damagedRequests = 40
 
+// damagedDeadline is in milliseconds. A flipped bit in a length makes the other side wait for what never comes.
+const damagedDeadline = "250"
+
 // longestSmallBody keeps the bodies shorter than the fields around them.
 const longestSmallBody = 40
 
@@ -26,7 +29,7 @@
 	f := harness.Start(t, fleet.Config{Deployment: deployment(1)})
 	f.Network.Set("access_0", "bookings_0", proxy.Fault{Corrupt: true})
 	for i := range 5 {
-		a := answer{id: fmt.Sprintf("damaged-%d", i), path: bookingPath, body: bytes.Repeat([]byte("ballroom"), 1000)}
+		a := answer{id: fmt.Sprintf("damaged-%d", i), path: bookingPath, deadline: damagedDeadline, body: bytes.Repeat([]byte("ballroom"), 1000)}
 		send(t.Context(), f.Nodes[0].Caller, &a)
 		is.NoErr(a.err)
 		is.True(a.status >= http.StatusInternalServerError)
@@ -43,7 +46,7 @@
 			f.Network.Set(direction[0], direction[1], proxy.Fault{Scatter: true})
 			var answers []answer
 			for i := range damagedRequests {
-				a := answer{id: fmt.Sprintf("%s-%d", direction[0], i), path: bookingPath, body: bytes.Repeat([]byte("x"), i%longestSmallBody)}
+				a := answer{id: fmt.Sprintf("%s-%d", direction[0], i), path: bookingPath, deadline: damagedDeadline, body: bytes.Repeat([]byte("x"), i%longestSmallBody)}
 				send(t.Context(), f.Nodes[0].Caller, &a)
 				answers = append(answers, a)
 			}
