--- /dev/null
+++ b/internal/traffic/flow/views_test.go
@@ -0,0 +1,56 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+func TestWhatARefusalShowsOfAnInstance(t *testing.T) {
+	for name, test := range map[string]struct {
+		reply call.Reply
+		took  time.Duration
+		want  routing.Result
+	}{
+		"good answer":              {call.Reply{Outcome: call.Ran, Status: 404}, 0, routing.Good},
+		"server error":             {call.Reply{Outcome: call.Ran, Status: 500}, 0, routing.Failed},
+		"server error from deeper": {call.Reply{Outcome: call.Ran, Status: 500, Deeper: call.ReasonOverload}, 0, routing.Neutral},
+		"shed":                     {call.Refused(call.NotRun, call.ReasonOverload, 0), 0, routing.Shed},
+		"leaving":                  {call.Refused(call.NotRun, call.ReasonDraining, 0), 0, routing.Shed},
+		"out of reach":             {call.Refused(call.NotRun, call.ReasonPeerUnreachable, 0), 0, routing.Failed},
+		"caller went away":         {call.Refused(call.Unknown, call.ReasonCanceled, 0), 0, routing.Neutral},
+		"quarantined":              {call.Refused(call.NotRun, call.ReasonQuarantined, 0), 0, routing.Neutral},
+		"silent":                   {call.Refused(call.Unknown, call.ReasonPeerSilent, 0), time.Second, routing.Failed},
+		"impatient caller":         {call.Refused(call.Unknown, call.ReasonPeerSilent, 0), time.Millisecond, routing.Neutral},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(shown(&test.reply, test.took), test.want)
+		})
+	}
+}
+
+func TestViewsOfThoseThatLeftAreDropped(t *testing.T) {
+	is := is.New(t)
+	v := newViews(routing.DefaultConfig("sender", "z"))
+	now := time.Unix(1_000_000, 0)
+	members := board.Members{ByService: map[string][]membership.Member{"a": {{Node: "one", Zone: "z"}, {Node: "two", Zone: "z"}}}}
+	_, ok := v.choose("a", members.ByService["a"], now, routing.Request{})
+	is.True(ok)
+	is.Equal(len(v.byNode), 2)
+	node, ok := v.choose("a", members.ByService["a"][1:], now, routing.Request{})
+	is.True(ok)
+	is.Equal(node, "two")
+	is.Equal(len(v.byNode), 1)
+	v.begin("one") // an attempt of before is nobody's any more
+	v.end("one", now, now, 0, call.Reply{})
+	is.Equal(v.count("a"), 1)
+	_, ok = v.choose("a", nil, now, routing.Request{})
+	is.True(!ok)
+	is.Equal(len(v.byNode), 0)
+}
