hoistlab once: how long the first sends of each kind of key take

-polite sends each booking once, together with idempotent requests, so that the kinds can be compared.

--- a/cmd/hoistlab/once.go
+++ b/cmd/hoistlab/once.go
@@ -27,6 +27,7 @@
 	seed := flags.Uint64("seed", 1, "seed of the faults and the callers")
 	callers := flags.Int("callers", 12, "callers that send bookings, one after the other")
 	calm := flags.Bool("calm", false, "without faults")
+	polite := flags.Bool("polite", false, "send each booking once, and idempotent requests as well")
 	outage := flags.String("outage", "", "platform or zone: what is away for the whole run, in the place of other faults")
 	verbose := flags.Bool("verbose", false, "print the nodes' logs")
 	return &ffcli.Command{
@@ -36,7 +37,7 @@
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
 			config := once.Config{Duration: *duration, Seed: *seed, Callers: *callers, Calm: *calm, Outage: once.Outage(*outage)}
-			config.Polite = config.Outage != once.NoOutage
+			config.Polite = *polite || config.Outage != once.NoOutage
 			return runOnce(ctx, config, *verbose)
 		},
 	}
--- a/internal/lab/once/check.go
+++ b/internal/lab/once/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
@@ -32,6 +33,9 @@
 	Ran int `json:"ran"`
 	// FirstRan counts those whose first send was told so.
 	FirstRan int `json:"first_ran"`
+	// FirstMedian and FirstHigh are the median and the 99th percentile of how long those took.
+	FirstMedian time.Duration `json:"first_median"`
+	FirstHigh   time.Duration `json:"first_p99"`
 }
 
 // start is one key in the ledgers.
@@ -58,6 +62,7 @@
 		report.count(b)
 		report.check(b, starts)
 	}
+	report.measure(bookings)
 	return report
 }
 
@@ -101,6 +106,22 @@
 	}
 }
 
+// measure adds how long the first sends took that ran.
+func (r *Report) measure(bookings []Booking) {
+	took := map[KeyKind][]time.Duration{}
+	for _, b := range bookings {
+		if len(b.Sends) > 0 && b.Sends[0].Outcome == "ran" {
+			took[b.Kind] = append(took[b.Kind], b.Sends[0].End.Sub(b.Sends[0].Begin))
+		}
+	}
+	for kind, all := range took {
+		slices.Sort(all)
+		count := r.Kinds[kind]
+		count.FirstMedian, count.FirstHigh = all[len(all)/2], all[len(all)*99/100]
+		r.Kinds[kind] = count
+	}
+}
+
 // check looks at every answer of one booking.
 func (r *Report) check(b Booking, starts map[string]start) {
 	first := ""
