--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -55,6 +55,7 @@
 	Network *proxy.Network
 	Nodes   []*Node
 
+	subnet      subnet
 	platformURL string
 	cancel      context.CancelFunc
 	group       conc.WaitGroup
@@ -64,7 +65,7 @@
 // Start starts everything. Stop must be called, also after an error.
 func Start(ctx context.Context, config Config) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	f := &Fleet{config: config, Store: store.New(), Network: proxy.NewNetwork(config.Seed), cancel: cancel}
+	f := &Fleet{config: config, subnet: newSubnet(), Store: store.New(), Network: proxy.NewNetwork(config.Seed), cancel: cancel}
 	if err := f.startStore(ctx); err != nil {
 		return f, trace.Wrap(err)
 	}
@@ -139,7 +140,21 @@
 	for _, members := range dump.Board.Members.ByService {
 		known += len(members)
 	}
-	return known == len(f.Nodes)
+	return known == len(f.Nodes) && answersCallers(ctx, n.Caller)
+}
+
+// answersCallers waits until the node, which lets callers wait while it learns of services, has answered one. The
+// answer itself, that the path is unknown, doesn't matter.
+func answersCallers(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	return response.Body.Close() == nil
 }
 
 func (f *Fleet) startStore(ctx context.Context) error {
@@ -190,7 +205,7 @@
 		Name:    fmt.Sprintf("%s_%d", s.Name, number),
 		Zone:    zones[number%len(zones)],
 		Service: s.Name,
-		IP:      fmt.Sprintf("127.1.%d.%d", len(f.Nodes)/hostsPerNet, 1+len(f.Nodes)%hostsPerNet),
+		IP:      f.subnet.ip(len(f.Nodes)),
 		output:  f.config.Output,
 	}
 	addresses, err := freeAddresses(n.IP, 5)
@@ -217,9 +232,6 @@
 	return n, nil
 }
 
-// hostsPerNet is how many loopback IPs are used below one third byte.
-const hostsPerNet = 250
-
 // OperatorToken may edit every document of a fleet.
 const OperatorToken = "operator-token-of-the-lab"
 
@@ -250,20 +262,6 @@
 	}
 }
 
-// freeAddresses returns addresses on the IP whose ports were free a moment ago.
-func freeAddresses(ip string, count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		addresses = append(addresses, l.Addr().String())
-		defer func() { _ = l.Close() }()
-	}
-	return addresses, nil
-}
-
 // Build builds the product's program into the directory and returns its path.
 func Build(ctx context.Context, directory string) (string, error) {
 	path := directory + "/comfreyhoist"
