What is proved and what is not; the memory of keys bounded at 64 MiB

128 MiB for keys and the 133 MiB worked out for the rest of a node are above the 256 MB that a node may use; 64 MiB leaves room.

--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -43,7 +43,7 @@
 	Window:   homes.DefaultTiming.Window,
 	Ahead:    30 * time.Second,
 	MaxKeys:  200_000,
-	MaxBytes: 128 << 20,
+	MaxBytes: 64 << 20,
 }
 
 var retryBudget = retry.BudgetConfig{PerSuccess: 0.1, Max: 20}
