Work that always takes long is not asked about each time

Cause: an answer that took longer than 250 ms was asked about on a new connection, whatever is usual for its kind, so services of 400 ms cost a question and a connection for each call.

--- a/internal/traffic/flow/exchange.go
+++ b/internal/traffic/flow/exchange.go
@@ -20,9 +20,6 @@
 }
 
 const (
-	// progressBound is how long an answer may take before the other node is asked on a new connection. Each further
-	// question waits twice as long.
-	progressBound = 250 * time.Millisecond
 	// answerGrace is how long an answer may be on its way after the other node has ended the attempt.
 	answerGrace = 20 * time.Millisecond
 	// resolveTimeout bounds one such question.
@@ -41,6 +38,7 @@
 type exchange struct {
 	peers *peer.Client
 	local Runner
+	paces *paces
 	// self is the name of this node.
 	self string
 }
@@ -113,16 +111,21 @@
 	defer cancel()
 	answers := make(chan answer, 1)
 	sent := *attempt
+	start := time.Now()
 	group.Go(func() {
 		reply, err := x.peers.Call(ctx, address, &sent)
 		answers <- answer{reply, err}
 	})
-	patience := progressBound
+	kind := workKind{service: attempt.Service, kind: attempt.Kind}
+	patience := x.paces.bound(kind)
 	for {
 		timer := time.NewTimer(patience)
 		select {
 		case a := <-answers:
 			timer.Stop()
+			if a.err == nil && a.reply.Outcome == call.Ran {
+				x.paces.learn(kind, time.Since(start))
+			}
 			return a.reply, a.err
 		case <-timer.C:
 		}
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -235,5 +235,10 @@
 }
 
 func (s *Sender) exchange() *exchange {
-	return &exchange{peers: s.config.Peers, local: s.config.Receiver, self: s.config.Board.Snapshot().Self.Node}
+	return &exchange{
+		peers: s.config.Peers,
+		local: s.config.Receiver,
+		paces: s.paces,
+		self:  s.config.Board.Snapshot().Self.Node,
+	}
 }
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -41,6 +41,7 @@
 	config SenderConfig
 	views  *views
 	entry  *entry
+	paces  *paces
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -52,6 +53,7 @@
 		config:  config,
 		views:   newViews(config.Routing),
 		entry:   newEntry(config.Throttle),
+		paces:   newPaces(),
 		budgets: map[string]*retry.Budget{},
 	}
 }
