--- a/internal/control/catalogue/catalogue_test.go
+++ b/internal/control/catalogue/catalogue_test.go
@@ -63,6 +63,45 @@
 	}
 }
 
+// TestEveryEventIsEmitted finds entries of the catalogue that nothing in the program uses.
+func TestEveryEventIsEmitted(t *testing.T) {
+	source := sources(t)
+	for name := range declaredNumbers(t) {
+		if !strings.Contains(source, "events."+name) {
+			t.Errorf("%s is in the catalogue and emitted nowhere", name)
+		}
+	}
+}
+
+// TestEveryReasonIsTold finds reasons of the catalogue that nothing in the program uses.
+func TestEveryReasonIsTold(t *testing.T) {
+	source := sources(t)
+	constants := regexp.MustCompile(`(?m)^\t(Reason\w+) +Reason = `)
+	text, err := os.ReadFile(root + "/internal/traffic/call/reason.go")
+	is.New(t).NoErr(err)
+	for _, found := range constants.FindAllStringSubmatch(string(text), -1) {
+		if name := found[1]; name != "ReasonNone" && !strings.Contains(source, "call."+name) {
+			t.Errorf("%s is in the catalogue and told nowhere", name)
+		}
+	}
+}
+
+// sources returns the text of the program without its tests.
+func sources(t *testing.T) string {
+	t.Helper()
+	var all strings.Builder
+	err := filepath.WalkDir(root+"/internal", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		all.Write(text)
+		return err
+	})
+	is.New(t).NoErr(err)
+	return all.String()
+}
+
 func declaredNumbers(t *testing.T) map[string]bool {
 	t.Helper()
 	file, err := parser.ParseFile(token.NewFileSet(), root+"/internal/control/events/catalogue.go", nil, 0)
--- a/internal/control/zone/publish.go
+++ b/internal/control/zone/publish.go
@@ -49,6 +49,7 @@
 		c.members[m.Node] = m
 		if m.Zone == b.Self.Zone {
 			c.zoneChanges++
+			c.reportUp(members, m)
 		}
 		if m.State != membership.Down {
 			c.detector.Heard(m.Node, time.Now()) // The member itself made the record.
@@ -58,6 +59,13 @@
 	b.Members = members
 }
 
+// reportUp logs a member of the own zone that joined or came back.
+func (c *Controller) reportUp(before board.Members, m membership.Member) {
+	if _, known := before.ByNode[m.Node]; !known && m.State == membership.Up {
+		c.config.Log.Emit(events.MemberUp, events.Fields{"member": m.Node, "zone": m.Zone})
+	}
+}
+
 // replace puts the member in the place of its earlier self. The lists of the services are not changed but replaced.
 func replace(members board.Members, m membership.Member) {
 	if before, known := members.ByNode[m.Node]; known && before.Service != "" {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -100,6 +100,7 @@
 		Gate:       n.gate,
 		Backend:    n.client,
 		Quarantine: n.quarantine,
+		Events:     n.limiter,
 	})
 	n.home = flow.NewHome(flow.HomeConfig{
 		Board:    n.loop,
@@ -118,6 +119,7 @@
 		Budget:   retryBudget,
 		Routing:  routing.DefaultConfig(s.Node.Name, s.Node.Zone),
 		Throttle: throttle.DefaultConfig,
+		Events:   n.limiter,
 	})
 	n.keyed = flow.NewKeyedSender(flow.KeyedConfig{
 		Board:  n.loop,
--- a/internal/traffic/flow/exchange.go
+++ b/internal/traffic/flow/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -39,6 +40,7 @@
 	peers *peer.Client
 	local Runner
 	paces *paces
+	log   *events.Limiter
 	// self is the name of this node.
 	self string
 }
@@ -114,6 +116,7 @@
 	start := time.Now()
 	group.Go(func() {
 		reply, err := x.peers.Call(ctx, address, &sent)
+		x.reportUnreachable(err)
 		answers <- answer{reply, err}
 	})
 	kind := workKind{service: attempt.Service, kind: attempt.Kind}
@@ -151,6 +154,20 @@
 	}
 }
 
+// reportUnreachable logs a node that no connection could be made to.
+func (x *exchange) reportUnreachable(err error) {
+	var failure *peer.Error
+	if errors.As(err, &failure) && !failure.Sent && failure.Reason == call.ReasonPeerUnreachable {
+		x.log.Emit(time.Now(), events.PeerUnreachable, events.Fields{"peer": failure.Address, "error": failure.Cause.Error()})
+	}
+}
+
+// leave closes the kept connections to a node on one of which an attempt was lost.
+func (x *exchange) leave(address string) {
+	x.peers.Drop(address)
+	x.log.Emit(time.Now(), events.PeerSilent, events.Fields{"peer": address})
+}
+
 // answer is the end of one exchange.
 type answer struct {
 	reply call.Reply
@@ -167,7 +184,7 @@
 		Delegated:   attempt.Delegated,
 	}, resolveTimeout)
 	if err != nil {
-		x.peers.Drop(address)
+		x.leave(address)
 		return answer{}, false
 	}
 	return settled(address, resolution)
@@ -203,7 +220,7 @@
 	if err == nil && resolution.State == outcome.Running {
 		return answer{}, false
 	}
-	x.peers.Drop(address)
+	x.leave(address)
 	return answer{err: &peer.Error{Address: address, Sent: true, Reason: call.ReasonPeerSilent, Cause: errSilent}}, true
 }
 
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -239,6 +239,7 @@
 		peers: s.config.Peers,
 		local: s.config.Receiver,
 		paces: s.paces,
+		log:   s.config.Events,
 		self:  s.config.Board.Snapshot().Self.Node,
 	}
 }
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -18,6 +19,8 @@
 	Backend *backend.Client
 	// Quarantine keeps away requests that crash backend servers.
 	Quarantine *Quarantine
+	// Events takes what operators should know.
+	Events *events.Limiter
 }
 
 // Receiver runs requests on the local backend server.
@@ -67,6 +70,9 @@
 	result := v.config.Backend.Run(ctx, b.Backend.Address, r)
 	v.config.Gate.Leave(sample(r, result))
 	v.counters.ended(result)
+	if result.Broken {
+		v.config.Events.Emit(time.Now(), events.BackendFailed, events.Fields{"service": r.Service, "kind": r.Kind})
+	}
 	return result.Reply
 }
 
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
@@ -34,6 +35,8 @@
 	Budget   retry.BudgetConfig
 	Routing  routing.Config
 	Throttle throttle.Config
+	// Events takes what operators should know.
+	Events *events.Limiter
 }
 
 // Sender sends requests to instances.
