--- /dev/null
+++ b/cmd/hoistlab/fleet.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+)
+
+// readyTimeout bounds the start of a fleet.
+const readyTimeout = 30 * time.Second
+
+// withFleet builds the program, starts a fleet and runs f on it. The nodes' logs go to standard error where they are
+// wanted.
+func withFleet(ctx context.Context, config fleet.Config, verbose bool, f func(*fleet.Fleet) error) error {
+	directory, err := os.MkdirTemp("", "hoistlab")
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	config.Binary, err = fleet.Build(ctx, directory)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	config.Output = io.Discard
+	if verbose {
+		config.Output = os.Stderr
+	}
+	running, err := startFleet(ctx, config)
+	defer running.Stop()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return f(running)
+}
+
+// startFleet starts a fleet and waits until it is ready. It must be stopped, also after an error.
+func startFleet(ctx context.Context, config fleet.Config) (*fleet.Fleet, error) {
+	f, err := fleet.Start(ctx, config)
+	if err != nil {
+		return f, trace.Wrap(err)
+	}
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	return f, trace.Wrap(f.WaitReady(ready))
+}
