--- a/internal/control/zone/leader.go
+++ b/internal/control/zone/leader.go
@@ -309,12 +309,3 @@
 	}
 	return records
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/control/zone/watch.go
+++ b/internal/control/zone/watch.go
@@ -8,6 +8,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 )
 
 const (
@@ -44,7 +45,7 @@
 		changes, err := c.changes(ctx, after)
 		c.answered(ctx, err)
 		if err != nil {
-			sleep(ctx, watchRetry)
+			pause.For(ctx, watchRetry)
 			continue
 		}
 		if whole {
@@ -61,7 +62,7 @@
 		if c.reinstate(ctx, changes.Entries, whole) != nil {
 			listed = time.Time{}
 		}
-		sleep(ctx, watchEvery)
+		pause.For(ctx, watchEvery)
 	}
 }
 
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -19,6 +19,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
 )
 
@@ -138,7 +139,7 @@
 	defer group.Wait()
 	next := s.Start
 	for number := 0; next < stop; number++ {
-		if !sleepUntil(ctx, g.start.Add(next)) {
+		if !pause.Until(ctx, g.start.Add(next)) {
 			return
 		}
 		target := targets[random.IntN(len(targets))]
@@ -199,14 +200,3 @@
 	result.Reason = response.Header.Get(caller.ReasonHeader)
 	result.RetryAfter = response.Header.Get("Retry-After")
 }
-
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/lab/once/faults.go
+++ b/internal/lab/once/faults.go
@@ -12,6 +12,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/proxy"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/store"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 )
 
 // faults carries out a schedule that a seed gives.
@@ -44,7 +45,7 @@
 
 // run starts faults until the context ends, and then waits for the last to pass.
 func (f *faults) run(ctx context.Context) {
-	for sleep(ctx, f.between(leastPause, mostPause)) {
+	for pause.For(ctx, f.between(leastPause, mostPause)) {
 		f.one(ctx)
 	}
 	f.group.Wait()
@@ -100,7 +101,7 @@
 func (f *faults) kill(ctx context.Context, n *fleet.Node, lasts time.Duration) {
 	f.log("kill %s for %s", n.Name, lasts)
 	n.Kill()
-	sleep(ctx, lasts)
+	pause.For(ctx, lasts)
 	f.restart(n)
 }
 
@@ -114,7 +115,7 @@
 func (f *faults) freeze(ctx context.Context, n *fleet.Node, lasts time.Duration) {
 	f.log("freeze %s for %s", n.Name, lasts)
 	n.Freeze()
-	sleep(ctx, lasts)
+	pause.For(ctx, lasts)
 	n.Resume()
 	f.log("resume %s", n.Name)
 }
@@ -153,7 +154,7 @@
 func (f *faults) hold(ctx context.Context, group, other []string, lasts time.Duration) {
 	f.fleet.Network.SetBoth(group, other, proxy.Fault{Cut: true})
 	f.group.Go(func() {
-		sleep(ctx, lasts)
+		pause.For(ctx, lasts)
 		f.fleet.Network.SetBoth(group, other, proxy.Fault{})
 	})
 }
@@ -165,18 +166,7 @@
 	f.log("platform %+v for %s", chosen, lasts)
 	f.fleet.Store.SetFaults(chosen)
 	f.group.Go(func() {
-		sleep(ctx, lasts)
+		pause.For(ctx, lasts)
 		f.fleet.Store.SetFaults(store.Faults{})
 	})
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/lab/once/once.go
+++ b/internal/lab/once/once.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 )
 
 // Config sets a run up.
@@ -56,7 +57,7 @@
 		group.Go(func() { f.run(running) })
 	}
 	group.Wait()
-	sleep(ctx, settleTime)
+	pause.For(ctx, settleTime)
 	report := Check(c.bookings, runs(config.Fleet))
 	if config.Outage != NoOutage {
 		report.Shares = shares(c.bookings, config.Fleet, start.Add(outageSettles))
--- a/internal/lab/scenario/run.go
+++ b/internal/lab/scenario/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 )
 
 // Variant is what stands between callers and backend servers.
@@ -75,9 +76,9 @@
 		if factor <= 1 {
 			continue
 		}
-		sleepUntil(ctx, start.Add(on.start))
+		pause.Until(ctx, start.Add(on.start))
 		scaleServiceTime(f, config.Deployment.Deep, factor)
-		sleepUntil(ctx, start.Add(on.end))
+		pause.Until(ctx, start.Add(on.end))
 		scaleServiceTime(f, config.Deployment.Deep, 1/factor)
 	}
 }
@@ -103,12 +104,3 @@
 	}
 	return started
 }
-
-func sleepUntil(ctx context.Context, t time.Time) {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -14,6 +14,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 )
 
@@ -65,7 +66,7 @@
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
-	sleep(r.Context(), serviceTime(b))
+	pause.For(r.Context(), serviceTime(b))
 	if r.Context().Err() != nil {
 		return
 	}
@@ -170,7 +171,7 @@
 		if s.announceOnce(ctx) != nil {
 			wait /= 5
 		}
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 	}
 }
 
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -19,6 +19,8 @@
 	"github.com/gravitational/trace"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 )
 
 // Config sets a Server up.
@@ -135,7 +137,7 @@
 		if err := s.serve(ctx); err != nil {
 			return trace.Wrap(err)
 		}
-		sleep(ctx, s.Behaviour().RestartAfter)
+		pause.For(ctx, s.Behaviour().RestartAfter)
 	}
 	return nil
 }
@@ -184,15 +186,3 @@
 		s.open--
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/node/drain.go
+++ b/internal/process/node/drain.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
 )
 
@@ -87,7 +88,7 @@
 			b.Self.Successor = successor.Node
 		}
 	})
-	pause(ctx, drainSettle)
+	pause.For(ctx, drainSettle)
 	n.handOver(ctx)
 	n.waitIdle(ctx)
 	n.stopCalls()
@@ -128,13 +129,13 @@
 			b.Self.Successor = next.Node
 		}
 	})
-	pause(ctx, leavePoll)
+	pause.For(ctx, leavePoll)
 }
 
 // waitIdle returns when the backend server has no request, so that no call of its own can still come.
 func (n *Node) waitIdle(ctx context.Context) {
 	for ctx.Err() == nil && n.gate.Load().InFlight > 0 {
-		pause(ctx, gateTick)
+		pause.For(ctx, gateTick)
 	}
 }
 
@@ -145,7 +146,7 @@
 		if n.work.inFlight.Load() > 0 || n.gate.Load().InFlight > 0 {
 			quiet = time.Now()
 		}
-		pause(ctx, gateTick)
+		pause.For(ctx, gateTick)
 	}
 }
 
@@ -157,12 +158,3 @@
 		_ = server.Close()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
@@ -349,7 +350,7 @@
 		if len(b.Documents.ByService) > 0 && len(b.Homes.Shards) > 0 && len(b.Members.ByService) > 0 {
 			return
 		}
-		pause(ctx, gateTick)
+		pause.For(ctx, gateTick)
 	}
 }
 
--- a/internal/traffic/flow/exchange.go
+++ b/internal/traffic/flow/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
@@ -65,7 +66,7 @@
 	if target.Node == x.self {
 		return x.local.Receive(ctx, attempt), nil
 	}
-	pause := copyPause
+	delay := copyPause
 	for copies := 1; ; copies++ {
 		reply, err := x.send(ctx, target.PeerAddress, attempt, x.resolve)
 		if err == nil {
@@ -76,10 +77,10 @@
 			attempt.Resent = true
 			attempt.Confirm = ""
 		}
-		if !attempt.Resent || copies == maxCopies || errors.Is(err, errUnresolved) || !wait(ctx, pause) {
+		if !attempt.Resent || copies == maxCopies || errors.Is(err, errUnresolved) || !pause.For(ctx, delay) {
 			return call.Reply{}, &peer.Error{Address: target.PeerAddress, Sent: attempt.Resent, Reason: reasonOf(err), Cause: err}
 		}
-		pause *= 2
+		delay *= 2
 	}
 }
 
@@ -226,15 +227,3 @@
 
 // errSilent says that the other node is not working on an attempt although it was sent.
 var errSilent = errors.New("the other node is not working on the attempt")
-
-// wait pauses and reports false where the context ends before.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/traffic/flow/handover.go
+++ b/internal/traffic/flow/handover.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
@@ -192,7 +193,7 @@
 func (h *Home) HandOver(ctx context.Context, peers *peer.Client, successor membership.Member) (int, HandoverResult) {
 	h.leave()
 	for h.Size().Running > 0 {
-		if !wait(ctx, closePoll) {
+		if !pause.For(ctx, closePoll) {
 			return 0, HandoverUnclear
 		}
 	}
@@ -221,7 +222,7 @@
 			return HandoverTaken
 		case err == nil:
 			return HandoverRefused
-		case !wait(ctx, copyPause):
+		case !pause.For(ctx, copyPause):
 			return HandoverUnclear
 		}
 	}
--- a/internal/traffic/flow/home.go
+++ b/internal/traffic/flow/home.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
@@ -78,7 +79,7 @@
 
 // Run forgets old keys until the context ends.
 func (h *Home) Run(ctx context.Context) {
-	for wait(ctx, forgetEvery) {
+	for pause.For(ctx, forgetEvery) {
 		h.forget(time.Now())
 	}
 }
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
@@ -86,7 +87,7 @@
 			return openly(reply, attempt.Resent)
 		}
 		useSuccessor = !useSuccessor
-		if time.Now().After(patience) || !wait(ctx, relocatePause) {
+		if time.Now().After(patience) || !pause.For(ctx, relocatePause) {
 			return openly(unreached(reply, err), attempt.Resent)
 		}
 	}
--- a/internal/traffic/flow/move.go
+++ b/internal/traffic/flow/move.go
@@ -6,6 +6,7 @@
 	"github.com/google/uuid"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
@@ -42,7 +43,7 @@
 		case resolution.State == outcome.Done:
 			return resolution.Reply, false
 		}
-		if !wait(ctx, relocatePause) {
+		if !pause.For(ctx, relocatePause) {
 			return call.Refused(call.NotAdmitted, call.ReasonHomeUnknown, homeRetry), false
 		}
 	}
