--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -85,6 +85,14 @@
 		CallerAddress: s.Caller.Address,
 		Incarnation:   self.Incarnation,
 	}})
+	n.buildReceiver(s)
+	n.buildSender(s, self)
+	n.buildControl(s, self)
+	return n
+}
+
+// buildReceiver puts together what runs requests on the local backend server.
+func (n *Node) buildReceiver(s *settings.Settings) {
 	n.gate = backend.NewGate(gateConfig(s))
 	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody}, n.chains)
 	n.pool = peer.NewPool(poolConfig(s))
@@ -94,7 +102,7 @@
 		Table: quarantineConfig(s),
 		Board: n.loop,
 		Peers: n.peers,
-		Log:   config.Log,
+		Log:   n.config.Log,
 	})
 	n.receiver = flow.NewReceiver(flow.ReceiverConfig{
 		Board:      n.loop,
@@ -103,6 +111,10 @@
 		Quarantine: n.quarantine,
 		Events:     n.limiter,
 	})
+}
+
+// buildSender puts together what decides about keys and sends requests to instances.
+func (n *Node) buildSender(s *settings.Settings, self outcome.Node) {
 	n.home = flow.NewHome(flow.HomeConfig{
 		Board:    n.loop,
 		Self:     self,
@@ -128,11 +140,15 @@
 		Zones:  s.Node.ZoneList(),
 		Window: keyTable.Window,
 	})
+}
+
+// buildControl puts together what keeps the node in step with the others and with the platform.
+func (n *Node) buildControl(s *settings.Settings, self outcome.Node) {
 	n.platform = platform.NewClient(platformConfig(s))
 	n.homes = homes.NewController(homes.Config{
 		Board:    n.loop,
 		Platform: n.platform,
-		Log:      config.Log,
+		Log:      n.config.Log,
 		Self:     self,
 		Peers:    n.peers,
 		Zones:    s.Node.ZoneList(),
@@ -149,12 +165,11 @@
 			Timeout:     controlTimeout,
 		}),
 		Seeds:       s.Peer.SeedList(),
-		Log:         config.Log,
+		Log:         n.config.Log,
 		Timing:      zone.DefaultTiming,
 		Incarnation: self.Incarnation,
 		Sections:    map[string]zone.Section{homes.Prefix: n.homes.Section()},
 	})
-	return n
 }
 
 // Run listens and works until the context ends and the node has drained.
