--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -128,54 +128,72 @@
 }
 
 func (h *handler) request(r *http.Request, p httprouter.Params) (*call.Request, *call.Chain, *rejection) {
-	service := p.ByName("service")
-	path, refused := pathOf(r, p)
+	accepted, kind, refused := h.match(r, p)
+	if refused != nil {
+		return nil, nil, refused
+	}
+	request, refused := h.read(r, p, kind)
 	if refused != nil {
 		return nil, nil, refused
 	}
+	request.AttemptsLeft = accepted.Attempts
+	token := r.Header.Get(backend.ChainHeader)
+	if h.config.Chains.IsCanceled(token) {
+		return nil, nil, &rejection{call.ReasonCanceled, backend.ChainHeader + " names a request that was canceled"}
+	}
+	chain := h.config.Chains.Find(token)
+	inherit(request, r, kind, chain)
+	return request, chain, nil
+}
+
+// match finds the document and the kind that the request belongs to.
+func (h *handler) match(r *http.Request, p httprouter.Params) (*document.Document, document.Kind, *rejection) {
+	service := p.ByName("service")
 	accepted, ok := h.config.Board.Snapshot().Documents.ByService[service]
 	if !ok {
-		return nil, nil, &rejection{call.ReasonUnknownService, "service " + strconv.Quote(service) + " has no document"}
+		return nil, document.Kind{}, &rejection{call.ReasonUnknownService, "service " + strconv.Quote(service) + " has no document"}
 	}
 	if refused := checkHeaders(r.Header); refused != nil {
-		return nil, nil, refused
+		return nil, document.Kind{}, refused
 	}
 	kind, ok := accepted.Document.Match(r.Method, p.ByName("path"))
 	if !ok {
-		return nil, nil, &rejection{call.ReasonUnknownKind, "no kind of " + service + " matches " + r.Method + " " + p.ByName("path")}
+		text := "no kind of " + service + " matches " + r.Method + " " + p.ByName("path")
+		return nil, document.Kind{}, &rejection{call.ReasonUnknownKind, text}
+	}
+	return accepted.Document, kind, nil
+}
+
+// read takes the request in as its caller sent it.
+func (h *handler) read(r *http.Request, p httprouter.Params, kind document.Kind) (*call.Request, *rejection) {
+	path, refused := pathOf(r, p)
+	if refused != nil {
+		return nil, refused
 	}
 	deadline, refused := deadlineOf(r, kind)
 	if refused != nil {
-		return nil, nil, refused
+		return nil, refused
 	}
 	resends, refused := resendsOf(r)
 	if refused != nil {
-		return nil, nil, refused
+		return nil, refused
 	}
 	body, refused := h.body(r)
 	if refused != nil {
-		return nil, nil, refused
+		return nil, refused
 	}
-	request := &call.Request{
-		Service:      service,
-		Kind:         kind.Name,
-		Method:       r.Method,
-		Path:         path,
-		Header:       forwarded(r.Header),
-		Body:         body,
-		Idempotent:   kind.Idempotent,
-		Key:          r.Header.Get(backend.KeyHeader),
-		Deadline:     deadline,
-		AttemptsLeft: accepted.Document.Attempts,
-		Resends:      resends,
-	}
-	token := r.Header.Get(backend.ChainHeader)
-	if h.config.Chains.IsCanceled(token) {
-		return nil, nil, &rejection{call.ReasonCanceled, backend.ChainHeader + " names a request that was canceled"}
-	}
-	chain := h.config.Chains.Find(token)
-	inherit(request, r, kind, chain)
-	return request, chain, nil
+	return &call.Request{
+		Service:    p.ByName("service"),
+		Kind:       kind.Name,
+		Method:     r.Method,
+		Path:       path,
+		Header:     forwarded(r.Header),
+		Body:       body,
+		Idempotent: kind.Idempotent,
+		Key:        r.Header.Get(backend.KeyHeader),
+		Deadline:   deadline,
+		Resends:    resends,
+	}, nil
 }
 
 // inherit takes the root from the chain, or starts one.
