An answer that is too large is no crash of the backend server

Cause: the client reported it as a broken connection, so the quarantine blamed the request for a crash. It now has a reason of its own; the outcome stays unknown, since the request ran and its answer is lost. TestTooLargeAnswerIsNoCrash failed before (result.Broken was set whenever the exchange failed after sending) by reading; it was run after the change only.

--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -100,14 +100,17 @@
 	below := chain.ChildTime(end)
 	result := Result{Reply: reply, Took: end.Sub(start) - below, Held: end.Sub(start)}
 	if err != nil {
-		result.Reply = failedReply(ctx, r, err)
-		result.Broken = ctx.Err() == nil && err.sent
+		result.Reply = failedReply(ctx, err)
+		result.Broken = ctx.Err() == nil && err.sent && !errors.Is(err.cause, errAnswerTooLarge)
 	}
 	result.Overloaded = err == nil && result.Reply.Status == http.StatusServiceUnavailable && below == 0
 	chain.Settle(&result.Reply)
 	return result
 }
 
+// errAnswerTooLarge says that the backend server ran the request, but that its answer can't be passed on.
+var errAnswerTooLarge = errors.New("answer is too large")
+
 // exchangeError is a failed exchange with the backend server.
 type exchangeError struct {
 	sent  bool
@@ -138,7 +141,7 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.config.MaxBody+1))
 	if err == nil && int64(len(body)) > c.config.MaxBody {
-		err = errors.New("answer is too large")
+		err = errAnswerTooLarge
 	}
 	if err != nil {
 		return call.Reply{}, &exchangeError{sent: true, cause: err}
@@ -179,19 +182,24 @@
 	}
 }
 
-func failedReply(ctx context.Context, r *call.Request, err *exchangeError) call.Reply {
+func failedReply(ctx context.Context, err *exchangeError) call.Reply {
 	outcome := call.Unknown
 	if !err.sent {
 		outcome = call.NotRun
 	}
-	reason := call.ReasonBackendFailed
-	switch ctx.Err() {
-	case context.DeadlineExceeded:
-		reason = call.ReasonDeadline
-	case context.Canceled:
-		reason = call.ReasonCanceled
+	return call.Refused(outcome, failureReason(ctx, err), 0)
+}
+
+func failureReason(ctx context.Context, err *exchangeError) call.Reason {
+	switch {
+	case errors.Is(err.cause, errAnswerTooLarge):
+		return call.ReasonAnswerTooLarge
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return call.ReasonDeadline
+	case errors.Is(ctx.Err(), context.Canceled):
+		return call.ReasonCanceled
 	}
-	return call.Refused(outcome, reason, 0)
+	return call.ReasonBackendFailed
 }
 
 // hopByHop are the headers that concern one connection only.
--- a/internal/traffic/backend/client_test.go
+++ b/internal/traffic/backend/client_test.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// An answer that is too large is no crash of the backend server, so its request must not be blamed for one.
+func TestTooLargeAnswerIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 2<<10))
+	}))
+	defer server.Close()
+	result := newClient().Run(t.Context(), strings.TrimPrefix(server.URL, "http://"), newRequest(http.MethodGet, "", ""))
+	is.Equal(result.Reply.Reason, call.ReasonAnswerTooLarge)
+	is.Equal(result.Reply.Outcome, call.Unknown) // it ran, but the answer is lost
+	is.True(!result.Broken)
+}
+
 func TestCancellationReachesBackend(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/traffic/call/reason.go
+++ b/internal/traffic/call/reason.go
@@ -23,6 +23,7 @@
 	ReasonPeerUnreachable Reason = "peer_unreachable"
 	ReasonPeerSilent      Reason = "peer_silent"
 	ReasonBackendFailed   Reason = "backend_failed"
+	ReasonAnswerTooLarge  Reason = "answer_too_large"
 	ReasonQuarantined     Reason = "quarantined"
 	ReasonSuspected       Reason = "suspected"
 	ReasonHomeUnreachable Reason = "home_unreachable"
@@ -58,6 +59,7 @@
 	ReasonPeerUnreachable: {Status: http.StatusBadGateway, Text: "The connection to the instance failed."},
 	ReasonPeerSilent:      {Status: http.StatusGatewayTimeout, Text: "The instance stopped answering."},
 	ReasonBackendFailed:   {Status: http.StatusBadGateway, Text: "The backend server broke the connection before a whole answer."},
+	ReasonAnswerTooLarge:  {Status: http.StatusBadGateway, Final: true, Text: "The backend server ran the request, but its answer is larger than the node passes on."},
 	ReasonQuarantined:     {Status: http.StatusServiceUnavailable, Final: true, Text: "The request crashed backend servers and is refused for a time."},
 	ReasonSuspected:       {Status: http.StatusServiceUnavailable, Text: "A backend server crashed while it ran the request, and another such request is running."},
 	ReasonHomeUnreachable: {Status: http.StatusServiceUnavailable, Text: "The node that remembers this key can't be reached."},
