--- a/internal/decide/admission/limit.go
+++ b/internal/decide/admission/limit.go
@@ -102,8 +102,8 @@
 	healthyExcess = 1.25
 	// provenMargin is how far the limit may be above what was seen to run well before high latency shrinks it at once.
 	provenMargin = 1.25
-	// coldClean is how many clean windows a new limit counts as past, so that it grows fast from the start.
-	coldClean = 4
+	// coldClean is how many clean windows a new limit counts as past, so that it doubles from the start.
+	coldClean = 9
 	// shedValueMemory is how long the limit stays below a value at which the backend server shed.
 	shedValueMemory = time.Second
 )
--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -66,7 +66,7 @@
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
-	pause.For(r.Context(), serviceTime(b))
+	pause.For(r.Context(), serviceTime(b, s.coldness(b, time.Now())))
 	if r.Context().Err() != nil {
 		return
 	}
@@ -124,8 +124,8 @@
 	}
 }
 
-func serviceTime(b Behaviour) time.Duration {
-	factor := 1 + b.Spread*(2*rand.Float64()-1)
+func serviceTime(b Behaviour, coldness float64) time.Duration {
+	factor := coldness * (1 + b.Spread*(2*rand.Float64()-1))
 	return time.Duration(float64(b.ServiceTime) * factor)
 }
 
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -44,6 +44,9 @@
 	ServiceTime time.Duration `json:"service_time"`
 	// Spread is the part of ServiceTime by which single requests differ, from 0 to 1.
 	Spread float64 `json:"spread"`
+	// ColdFactor multiplies ServiceTime right after each start; it falls to 1 over ColdTime. 0 for no cold start.
+	ColdFactor float64       `json:"cold_factor"`
+	ColdTime   time.Duration `json:"cold_time"`
 	// Queue is how many requests may wait for a slot; more are shed with 503.
 	Queue int `json:"queue"`
 	// Calls are made, one after the other, for each request.
@@ -79,6 +82,7 @@
 
 	mu        sync.Mutex
 	behaviour Behaviour
+	started   time.Time
 	waiting   int
 	crashed   chan struct{}
 	crashes   int
@@ -147,6 +151,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	s.begin(time.Now())
 	server := &http.Server{Handler: s.router(), ConnState: s.countConnections}
 	ended := make(chan struct{})
 	var group conc.WaitGroup
@@ -164,6 +169,23 @@
 	return nil
 }
 
+func (s *Server) begin(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started = now
+}
+
+// coldness returns the factor by which requests take longer now because of a recent start.
+func (s *Server) coldness(b Behaviour, now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := b.ColdTime - now.Sub(s.started)
+	if left <= 0 || b.ColdFactor <= 1 {
+		return 1
+	}
+	return 1 + (b.ColdFactor-1)*float64(left)/float64(b.ColdTime)
+}
+
 func (s *Server) router() http.Handler {
 	router := httprouter.New()
 	router.GET("/lab/ledger", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
--- a/internal/proof/admission/admission_test.go
+++ b/internal/proof/admission/admission_test.go
@@ -56,6 +56,12 @@
 rank = 3
 idempotent = true
 deadline = 2m
+
+[kind bookings]
+path = /bookings/*
+rank = 3
+idempotent = false
+deadline = 2s
 `
 
 // serviceTime is long enough for the slots, not the processor, to bound what the fleet can do.
