Flow: the two hashes of a request are made by one function

The hash that tells requests under one key apart and the one that finds a request sent again were the same loop over other parts. Values are as they were.

--- a/internal/traffic/flow/entry.go
+++ b/internal/traffic/flow/entry.go
@@ -105,8 +105,13 @@
 
 // senderFingerprint is the same for a request that its caller sends again.
 func senderFingerprint(r *call.Request) uint64 {
+	return hashOf(r, r.Root.Caller, r.Service, r.Method, r.Path)
+}
+
+// hashOf returns a hash of the parts, which are kept apart, and of the request's body.
+func hashOf(r *call.Request, parts ...string) uint64 {
 	h := xxhash.New()
-	for _, part := range []string{r.Root.Caller, r.Service, r.Method, r.Path} {
+	for _, part := range parts {
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
--- a/internal/traffic/flow/home.go
+++ b/internal/traffic/flow/home.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
@@ -184,13 +183,7 @@
 
 // contentSum tells requests apart that come under one key.
 func contentSum(r *call.Request) uint64 {
-	h := xxhash.New()
-	for _, part := range []string{r.Service, r.Method, r.Path} {
-		_, _ = h.WriteString(part)
-		_, _ = h.WriteString("\x00")
-	}
-	_, _ = h.Write(r.Body)
-	return max(h.Sum64(), 1)
+	return max(hashOf(r, r.Service, r.Method, r.Path), 1)
 }
 
 type execution func(ctx context.Context, r *call.Request) call.Reply
