Zone: a restored platform is found out by its newest document

Cause: leaders knew a restored platform by its revision, which goes back. The zones' renewals write each second, so that the revision is past the one seen last before the next watch (a leader waits 400 ms between two), and a watch shows nothing of what is gone. Only the list each 30 s found it out.

Ruled out: a busy machine (it failed on a quiet one, 10.3 s) and the lag fault (the failing wait comes before the lag is set).

Change: each 2 s a leader reads the newest document that it holds; where the platform has an older one or none, everything is listed and written back. A watch waits 2 s at most, so that the look also happens where nothing changes.

Before: the new case, a restored platform whose revisions went on, fails (10 s). After: 3 runs of TestDocumentsAndMembers with both cases pass.

--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -95,6 +95,17 @@
 	ByService map[string]DocumentInForce `json:"by_service"`
 }
 
+// Newest returns the service whose document was accepted last, or false where there is no document.
+func (d Documents) Newest() (string, bool) {
+	newest, found := "", false
+	for service, in := range d.ByService {
+		if !found || in.Accepted.After(d.ByService[newest].Accepted) {
+			newest, found = service, true
+		}
+	}
+	return newest, found
+}
+
 // DocumentInForce is one document and its revision.
 type DocumentInForce struct {
 	Revision uint64 `json:"revision"`
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -81,7 +81,8 @@
 	DownAfter time.Duration
 	// LeaseTTL is the term of the leader's lease.
 	LeaseTTL time.Duration
-	// WatchWait is how long one watch waits at the platform.
+	// WatchWait is how long one watch waits at the platform. Between two watches a leader looks whether the platform
+	// went back to older content.
 	WatchWait time.Duration
 	// ZoneBeat is the time between heartbeats to the leader of each other zone.
 	ZoneBeat time.Duration
@@ -93,7 +94,7 @@
 	SilentAfter: 750 * time.Millisecond,
 	DownAfter:   1200 * time.Millisecond,
 	LeaseTTL:    1500 * time.Millisecond,
-	WatchWait:   20 * time.Second,
+	WatchWait:   2 * time.Second,
 	ZoneBeat:    time.Second,
 }
 
--- a/internal/control/zone/watch.go
+++ b/internal/control/zone/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -17,8 +18,10 @@
 	// watchEvery is the least time between two watches. Each change at the platform ends the watches of all zones; with
 	// the pause they are not called again for each change of each zone.
 	watchEvery = 400 * time.Millisecond
-	// relistEvery is the longest time without a look at everything, which finds a platform that was restored.
+	// relistEvery is the longest time without a look at everything.
 	relistEvery = 30 * time.Second
+	// checkEvery is the time between looks at whether the platform still holds the newest document.
+	checkEvery = 2 * time.Second
 )
 
 // startWatching watches the platform as long as this lease is held.
@@ -36,8 +39,12 @@
 // watch takes in all changes at the platform until the context ends.
 func (c *Controller) watch(ctx context.Context) {
 	var after uint64
-	var listed time.Time
+	var listed, checked time.Time
 	for ctx.Err() == nil {
+		if time.Since(checked) > checkEvery {
+			checked = time.Now()
+			listed = c.listedStill(ctx, listed)
+		}
 		if time.Since(listed) > relistEvery {
 			after = 0
 		}
@@ -66,6 +73,35 @@
 	}
 }
 
+// listedStill returns when everything was listed last, or never where the platform lost something since.
+func (c *Controller) listedStill(ctx context.Context, listed time.Time) time.Time {
+	if c.wentBack(ctx) {
+		return time.Time{}
+	}
+	return listed
+}
+
+// wentBack reports whether the platform lost the newest document held here, as one that was restored to older content
+// has. Its revision alone doesn't tell: later writes soon bring it past the one seen last, and a watch shows nothing of
+// what is gone. Whatever older content lacks, it lacks the newest document.
+func (c *Controller) wentBack(ctx context.Context) bool {
+	service, found := c.config.Board.Snapshot().Documents.Newest()
+	if !found {
+		return false
+	}
+	key := DocumentPrefix + service
+	held, _ := c.Held(ctx, key)
+	entry, err := c.config.Platform.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	stored, err := ParseStored(entry.Value)
+	return err == nil && stored.Version().Compare(held.Version) < 0
+}
+
 // changes returns everything where nothing was seen before, and else what comes after the revision.
 func (c *Controller) changes(ctx context.Context, after uint64) (platform.Changes, error) {
 	if after == 0 {
--- a/internal/lab/store/store.go
+++ b/internal/lab/store/store.go
@@ -116,6 +116,13 @@
 	s.wake()
 }
 
+// RestoredLater returns the content as it is after the given number of further writes, which left nothing behind. A
+// platform restored to it shows no revision that went back.
+func (c Content) RestoredLater(writes uint64) Content {
+	c.revision += writes
+	return c
+}
+
 func (s *Store) content(now time.Time) Content {
 	return Content{at: now, entries: maps.Clone(s.entries), deleted: maps.Clone(s.deleted), revision: s.revision}
 }
--- a/internal/proof/control/document_test.go
+++ b/internal/proof/control/document_test.go
@@ -62,7 +62,12 @@
 		harness.Eventually(t, inForceWithin, func() bool { return agree(t, f.Nodes, "lost-answer") })
 	})
 
-	t.Run("restored and lagging platform", func(t *testing.T) { testRestored(t, f) })
+	t.Run("restored and lagging platform", func(t *testing.T) { testRestored(t, f, f.Store.Save, 400) })
+
+	t.Run("restored platform whose revisions went on", func(t *testing.T) {
+		later := func() store.Content { return f.Store.Save().RestoredLater(writesSince) }
+		testRestored(t, f, later, 500)
+	})
 
 	t.Run("dead member gets no new work", func(t *testing.T) {
 		zoneNodes, _ := inZone(f, "lisbon_2")
@@ -74,12 +79,15 @@
 	})
 }
 
+// writesSince is more writes than the fleet makes from a copy of the platform's content until it is put back.
+const writesSince = 1000
+
 // testRestored puts the platform back to older content, and lets its reads lag, while a watch on all nodes looks for
-// one that takes the older document back.
-func testRestored(t *testing.T, f *fleet.Fleet) {
+// one that takes the older document back. Save returns the content that is put back; edit tells the documents apart.
+func testRestored(t *testing.T, f *fleet.Fleet, save func() store.Content, edit int) {
 	is := is.New(t)
-	older := f.Store.Save()
-	stored := put(t, f.Nodes[2], 400)
+	older := save()
+	stored := put(t, f.Nodes[2], edit)
 	harness.Eventually(t, inForceWithin, func() bool { return agree(t, f.Nodes, stored.Operation) })
 	f.Store.Restore(older)
 	harness.Eventually(t, healWithin, func() bool {
@@ -92,7 +100,7 @@
 	}
 	f.Store.SetFaults(store.Faults{})
 	is.True(platformHas(t, f, stored.Operation))
-	next := put(t, f.Nodes[3], 401)
+	next := put(t, f.Nodes[3], edit+1)
 	is.True(next.Revision > stored.Revision)
 	harness.Eventually(t, inForceWithin, func() bool { return agree(t, f.Nodes, next.Operation) })
 }
