Homes: the end of a shard moves by the keepers' promise, also while the platform answers

Cause: homes/<zone> with its member lists was written whole each second, which ended every leader's watch and was read by each of them. The end can move by the promise of the two keepers, as it did in an outage, so the record is now written only where members or keepers change, where a keeper gives no promise, and each 2 min to move the limit.

What followed from it: - A taker-over fences the keepers of the newest shard it knows, not only of the one written: after a restore the platform names older keepers. - A shard is taken over only where its zone has no leader at the platform: its end may be unknown here only because the two zones don't reach each other. A zone without nodes that may be homes is excepted. - A node that starts lists ends that are up to 2 min old. An entry node now asks the home of the last epoch, which alone decides; a refusal is told at once. - Second keepers are spread over all nodes; it was the first name for all zones. - A watch waits 2 s at most, because quiet watches held up the look for a restored platform.

Ruled out: two keys, the members and the end, each compared and swapped, need a fence between them; one that is written rarely needs none.

--- a/internal/control/homes/controller.go
+++ b/internal/control/homes/controller.go
@@ -3,7 +3,11 @@
 // appends an epoch where the members changed. Every write is a compare-and-swap on the record last read, so the
 // epochs form one line, whoever writes and however late.
 //
-// A shard whose zone has been silent for some time is kept by the leader of another zone until its own returns.
+// The end moves by the promise of the shard's two keepers, which costs the platform nothing. The record is written
+// where it changes otherwise, where a keeper gives no promise, and now and then to move the limit of the promises.
+//
+// A shard whose zone has been silent for some time, and has no leader at the platform, is kept by the leader of
+// another zone until its own returns.
 //
 // # Usage
 //
@@ -57,6 +61,8 @@
 type Timing struct {
 	// Renew is the time between renewals.
 	Renew time.Duration
+	// Write is the longest time between two writes of a record at the platform.
+	Write time.Duration
 	// Horizon is how far beyond the present a renewal moves the end of the last epoch.
 	Horizon time.Duration
 	// Window is how long callers may send a key again.
@@ -75,6 +81,7 @@
 // DefaultTiming holds where nothing else is set.
 var DefaultTiming = Timing{
 	Renew:    time.Second,
+	Write:    2 * time.Minute,
 	Horizon:  4 * time.Second,
 	Window:   2 * time.Minute,
 	Election: 6 * time.Second,
@@ -96,6 +103,8 @@
 
 	mu       sync.Mutex
 	promises *outcome.Promises
+	// noticed are the revisions of the records that the watch of the platform showed last, by shard.
+	noticed map[string]uint64
 }
 
 // NewController returns a controller.
@@ -106,12 +115,13 @@
 		entries:   map[string]platform.Entry{},
 		unsettled: map[string]bool{},
 		promises:  outcome.NewPromises(),
+		noticed:   map[string]uint64{},
 	}
 }
 
 // Section returns how shards come from the platform and get onto the board.
 func (c *Controller) Section() zone.Section {
-	return zone.Section{Decode: decode, Publish: publish, Renewed: true}
+	return zone.Section{Decode: c.decode, Publish: publish, Renewed: true}
 }
 
 // Run renews shards until the context ends.
@@ -132,7 +142,7 @@
 	b := c.config.Board.Snapshot()
 	if b.Leader.IsSelf {
 		for _, shard := range c.config.Zones {
-			if c.isKept(time.Now(), b, shard) && !c.renew(ctx, offerer, b, shard) {
+			if c.isKept(time.Now(), b, shard) && !c.keep(ctx, offerer, b, shard) {
 				break // the platform does not answer, and the others must not wait for it as well
 			}
 		}
@@ -140,7 +150,7 @@
 		clear(c.entries)
 	}
 	for shard := range b.Homes.Shards {
-		c.extend(ctx, offerer, shard)
+		c.extend(ctx, offerer, shard, c.config.Timing.Horizon/2)
 	}
 }
 
@@ -157,12 +167,57 @@
 	return silent || last.Zone == b.Self.Zone
 }
 
-// renew writes the shard where that is due. It reports false where the platform gave no answer.
-func (c *Controller) renew(ctx context.Context, offerer Offerer, b *board.Board, shard string) bool {
+// keep moves the end of the shard, by the keepers' promise or at the platform. It reports false where the platform was
+// needed and gave no answer.
+func (c *Controller) keep(ctx context.Context, offerer Offerer, b *board.Board, shard string) bool {
 	entry, ok := c.entry(ctx, shard)
 	if !ok {
 		return false
 	}
+	if !c.isDue(time.Now(), b, shard, entry) && c.extend(ctx, offerer, shard, c.config.Timing.Horizon) {
+		return true
+	}
+	led, err := c.isLed(ctx, b, shard)
+	if err != nil {
+		return false
+	}
+	return led || c.renew(ctx, offerer, shard, entry)
+}
+
+// isDue reports whether the record at the platform is to be written: it differs from what this leader would write by
+// more than the end, the watch showed another one, or the limit up to which the end may move without the platform
+// comes too near.
+func (c *Controller) isDue(now time.Time, b *board.Board, shard string, entry platform.Entry) bool {
+	known := b.Homes.Shards[shard]
+	written := parse(entry.Value)
+	reserve := c.reserve(b)
+	if known.Term != written.Term || !known.IsKeptBy(c.config.Self) || c.unsettled[shard] || !c.stands(shard, entry) {
+		return true
+	}
+	if reserve < c.config.Timing.Reserve || time.UnixMilli(written.Limit).Sub(now) < reserve-c.config.Timing.Write {
+		return true
+	}
+	next, changed := known.Renew(c.renewal(b, written))
+	return !changed || next.Term != written.Term
+}
+
+// isLed reports whether another zone keeps the shard, still has nodes that may be homes, and has a leader at the
+// platform. Then the end is unknown here only because the two zones don't reach each other.
+func (c *Controller) isLed(ctx context.Context, b *board.Board, shard string) (bool, error) {
+	keeper := b.Homes.Shards[shard].Last().Zone
+	if shard == b.Self.Zone || keeper == b.Self.Zone || len(membersOf(b, keeper)) == 0 {
+		return false, nil
+	}
+	_, err := c.config.Platform.Get(ctx, zone.LeaderPrefix+keeper)
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// renew writes the shard. It reports false where the platform gave no answer.
+func (c *Controller) renew(ctx context.Context, offerer Offerer, shard string, entry platform.Entry) bool {
+	b := c.config.Board.Snapshot()
 	written := parse(entry.Value)
 	base, ok := c.base(ctx, b, shard, written)
 	if !ok {
@@ -182,7 +237,7 @@
 		delete(c.entries, shard)
 		return errors.Is(err, platform.ErrCompareFailed)
 	}
-	c.entries[shard] = swapped
+	c.hold(shard, swapped)
 	delete(c.unsettled, shard)
 	if !slices.Equal(next.Last().Members, written.Last().Members) {
 		c.config.Log.Emit(events.HomesChanged, events.Fields{"shard": shard, "members": len(next.Last().Members)})
@@ -200,18 +255,39 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return platform.Entry{}, false
 	}
-	c.entries[shard] = read
+	c.hold(shard, read)
 	delete(c.unsettled, shard)
 	return read, true
 }
 
+// hold keeps an entry that the platform has just shown.
+func (c *Controller) hold(shard string, entry platform.Entry) {
+	c.entries[shard] = entry
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noticed[shard] = entry.Revision
+}
+
+// stands reports whether the watch has shown no other revision since the entry was read or written. An older one is
+// shown by a platform that lags, or that was restored to older content.
+func (c *Controller) stands(shard string, held platform.Entry) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.noticed[shard] == held.Revision
+}
+
 // newest returns the shard that reaches further: a platform that was restored from an older copy must not take the
-// epochs back.
+// epochs back. Of two limits in one term the further one counts.
 func newest(known, written outcome.Shard) outcome.Shard {
+	limit := max(known.Limit, written.Limit)
+	newer := written
 	if known.Last().Until > written.Last().Until {
-		return known
+		newer = known
+	}
+	if known.Term == written.Term {
+		newer.Limit = limit
 	}
-	return written
+	return newer
 }
 
 func (c *Controller) renewal(b *board.Board, written outcome.Shard) outcome.Renewal {
@@ -224,18 +300,18 @@
 		Until:   now.Add(horizon).UnixMilli(),
 		Keep:    now.Add(-c.config.Timing.Window).UnixMilli(),
 		Zone:    b.Self.Zone,
-		Members: membersOf(b),
+		Members: membersOf(b, b.Self.Zone),
 		Keepers: c.keepers(b, written),
 		Reserve: c.reserve(b).Milliseconds(),
 	}
 }
 
-// membersOf returns the nodes of the board's own zone that may be homes, by name.
-func membersOf(b *board.Board) []outcome.Member {
+// membersOf returns the nodes of the zone that may be homes, by name.
+func membersOf(b *board.Board, zone string) []outcome.Member {
 	var members []outcome.Member
 	for service, up := range b.Members.ByService {
 		for _, m := range up {
-			if m.Zone == b.Self.Zone && m.State == membership.Up {
+			if m.Zone == zone && m.State == membership.Up {
 				node := outcome.Node{Name: m.Node, Incarnation: m.Incarnation}
 				members = append(members, outcome.Member{Node: node, Service: service})
 			}
@@ -245,7 +321,10 @@
 	return members
 }
 
-func decode(e platform.Entry) []membership.Record {
+func (c *Controller) decode(e platform.Entry) []membership.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noticed[strings.TrimPrefix(e.Key, Prefix)] = e.Revision
 	return []membership.Record{record(e.Key, e.Value)}
 }
 
--- a/internal/control/homes/keeper.go
+++ b/internal/control/homes/keeper.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
-	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
@@ -17,19 +17,24 @@
 const promiseTimeout = 500 * time.Millisecond
 
 // keepers returns the node itself and a node of another availability zone, where there is one: then the loss of a
-// zone leaves a keeper who knows how far the shard was extended. The second keeper stays while it is up.
+// zone leaves a keeper who knows how far the shard was extended. The second keeper stays while it is up; the zones'
+// second keepers are spread over all nodes.
 func (c *Controller) keepers(b *board.Board, written outcome.Shard) []outcome.Node {
 	if written.IsKeptBy(c.config.Self) && len(written.Keepers) > 1 && mayKeep(b, written.Keepers[1]) {
 		return written.Keepers
 	}
-	for _, name := range slices.Sorted(maps.Keys(b.Members.ByNode)) {
-		m := b.Members.ByNode[name]
-		second := outcome.Node{Name: m.Node, Incarnation: m.Incarnation}
-		if mayKeep(b, second) {
-			return []outcome.Node{c.config.Self, second}
+	var second outcome.Node
+	var most uint64
+	for _, m := range b.Members.ByNode {
+		n := outcome.Node{Name: m.Node, Incarnation: m.Incarnation}
+		if hash := xxhash.Sum64String(b.Self.Zone + " " + m.Node); mayKeep(b, n) && hash >= most {
+			second, most = n, hash
 		}
 	}
-	return nil
+	if second.IsZero() {
+		return nil
+	}
+	return []outcome.Node{c.config.Self, second}
 }
 
 func mayKeep(b *board.Board, n outcome.Node) bool {
@@ -49,18 +54,18 @@
 // have moved it. It reports false where no keeper can be asked and the end may still move.
 func (c *Controller) base(ctx context.Context, b *board.Board, shard string, written outcome.Shard) (outcome.Shard, bool) {
 	base := newest(b.Homes.Shards[shard], written)
-	if len(written.Keepers) == 0 || written.IsKeptBy(c.config.Self) {
+	if len(base.Keepers) == 0 || base.IsKeptBy(c.config.Self) {
 		return base, true
 	}
-	for _, keeper := range written.Keepers {
-		if until, ok := c.fence(ctx, b, shard, written.Term, keeper); ok {
+	for _, keeper := range base.Keepers {
+		if until, ok := c.fence(ctx, b, shard, base.Term, keeper); ok {
 			return base.Extend(until), true
 		}
 	}
-	if time.Now().UnixMilli() < written.Limit {
+	if time.Now().UnixMilli() < base.Limit {
 		return base, false
 	}
-	return base.Extend(written.Limit), true
+	return base.Extend(base.Limit), true
 }
 
 // fence takes back a keeper's promise and returns the latest end that it promised.
@@ -95,26 +100,28 @@
 	return peer.PromiseAnswer{Known: true, Granted: c.promises.Grant(q.Shard, q.Term, q.Until)}
 }
 
-// extend moves the end of a shard of which this node is the first keeper, by the promise of both, where the platform
-// has not let it move in time.
-func (c *Controller) extend(ctx context.Context, offerer Offerer, shard string) {
+// extend moves the end of a shard of which this node is the first keeper, by the promise of both, where no more than
+// the given time is left. It reports whether the end was moved.
+func (c *Controller) extend(ctx context.Context, offerer Offerer, shard string, left time.Duration) bool {
 	b := c.config.Board.Snapshot()
 	known := b.Homes.Shards[shard]
 	now := time.Now()
 	if !known.IsKeptBy(c.config.Self) || len(known.Keepers) < 2 || c.unsettled[shard] {
-		return
+		return false
 	}
-	if time.UnixMilli(known.Last().Until).Sub(now) > c.config.Timing.Horizon/2 {
-		return
+	if time.UnixMilli(known.Last().Until).Sub(now) > left {
+		return false
 	}
 	until := min(now.Add(c.config.Timing.Horizon).UnixMilli(), known.Limit)
 	if until <= known.Last().Until || !c.promised(ctx, b, shard, known, until) {
-		return
+		return false
 	}
 	value, err := json.Marshal(known.Extend(until))
-	if err == nil {
-		offerer.Offer(ctx, record(Prefix+shard, value))
+	if err != nil {
+		return false
 	}
+	offerer.Offer(ctx, record(Prefix+shard, value))
+	return true
 }
 
 // promised asks this node itself first, so that whoever asks it later learns of the end.
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -30,7 +30,7 @@
 
 // Keys in the platform.
 const (
-	leaderPrefix   = "leader/"
+	LeaderPrefix   = "leader/"
 	zonePrefix     = "zone/"
 	DocumentPrefix = "document/"
 )
@@ -170,7 +170,7 @@
 	c.sections[membership.MemberPrefix] = Section{Publish: c.publishMembers}
 	c.sections[zonePrefix] = Section{Decode: decodeZone}
 	c.sections[DocumentPrefix] = Section{Decode: decodeDocument, Publish: c.publishDocuments}
-	c.sections[leaderPrefix] = Section{Decode: decodeLeader}
+	c.sections[LeaderPrefix] = Section{Decode: decodeLeader}
 	return c
 }
 
--- a/internal/control/zone/elect.go
+++ b/internal/control/zone/elect.go
@@ -36,7 +36,7 @@
 // readLeader reads who leads, and takes the lead where nobody does.
 func (c *Controller) readLeader(ctx context.Context) {
 	self := c.config.Board.Snapshot().Self
-	entry, err := c.config.Platform.Get(ctx, leaderPrefix+self.Zone)
+	entry, err := c.config.Platform.Get(ctx, LeaderPrefix+self.Zone)
 	c.answered(ctx, err)
 	named := parseLeader(entry.Value)
 	switch {
@@ -84,7 +84,7 @@
 }
 
 func entryKey(self board.Self) string {
-	return leaderPrefix + self.Zone
+	return LeaderPrefix + self.Zone
 }
 
 // nextTerm returns a term above all that the zone has seen.
--- a/internal/control/zone/leader.go
+++ b/internal/control/zone/leader.go
@@ -207,7 +207,7 @@
 	if t, known := c.lead.targets[zone]; known && tries == 0 {
 		return t
 	}
-	if r, found := c.records.Get(leaderPrefix + zone); found && tries%2 == 0 {
+	if r, found := c.records.Get(LeaderPrefix + zone); found && tries%2 == 0 {
 		v := parseLeader(r.Value)
 		return membership.Target{Node: v.Node, Address: v.PeerAddress}
 	}
--- a/internal/control/zone/watch.go
+++ b/internal/control/zone/watch.go
@@ -107,7 +107,7 @@
 	if after == 0 {
 		return c.config.Platform.List(ctx, "")
 	}
-	return c.config.Platform.Watch(ctx, "", after, c.config.Timing.WatchWait)
+	return c.config.Platform.Watch(ctx, "", after, min(c.config.Timing.WatchWait, checkEvery))
 }
 
 func (c *Controller) takeIn(ctx context.Context, entries []platform.Entry) {
@@ -128,7 +128,7 @@
 			}
 		}
 		for _, e := range entries {
-			zone, found := strings.CutPrefix(e.Key, leaderPrefix)
+			zone, found := strings.CutPrefix(e.Key, LeaderPrefix)
 			if found {
 				named[zone] = parseLeader(e.Value)
 			}
--- a/internal/decide/outcome/shard.go
+++ b/internal/decide/outcome/shard.go
@@ -149,6 +149,15 @@
 	return home, earlier, true
 }
 
+// Presumed returns where to ask about a key whose time lies after the end of the last epoch as it is known here: the home
+// if the end has been moved meanwhile without a change of members. Whether that is so only the home itself can tell.
+func (s Shard) Presumed(service, key string, unixMillis int64) (Node, bool) {
+	if unixMillis < s.Last().Until {
+		return Node{}, false
+	}
+	return s.Last().winner(service, key)
+}
+
 // winner returns the member with the highest hash for the key, among those of the service where there are any.
 func (e Epoch) winner(service, key string) (Node, bool) {
 	best, found := highest(e.Members, service, key)
--- /dev/null
+++ b/internal/decide/outcome/shard_test.go
@@ -0,0 +1,37 @@
+package outcome
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestPresumed(t *testing.T) {
+	first, last := Node{Name: "a", Incarnation: 1}, Node{Name: "b", Incarnation: 1}
+	shard := Shard{Epochs: []Epoch{
+		{Start: 10, Until: 20, Members: []Member{{Node: first}}},
+		{Start: 20, Until: 30, Members: []Member{{Node: last}}},
+	}}
+	for name, tc := range map[string]struct {
+		shard  Shard
+		millis int64
+		home   Node
+		found  bool
+	}{
+		"nothing agreed":     {millis: 30},
+		"before all epochs":  {shard: shard, millis: 9},
+		"in the last epoch":  {shard: shard, millis: 29},
+		"after the last end": {shard: shard, millis: 30, home: last, found: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			home, found := tc.shard.Presumed("", "key", tc.millis)
+			is.Equal(home, tc.home)
+			is.Equal(found, tc.found)
+			if found {
+				_, agreed := tc.shard.Home("", "key", tc.millis)
+				is.True(!agreed) // nobody runs a key on a presumption
+			}
+		})
+	}
+}
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -78,12 +78,13 @@
 	patience := time.Now().Add(relocatePatience)
 	useSuccessor := false
 	for {
-		target, refusal, ok := k.locate(attempt.Service, key, useSuccessor)
+		target, presumed, refusal, ok := k.locate(attempt.Service, key, useSuccessor)
 		if !ok {
 			return openly(refusal, attempt.Resent)
 		}
 		reply, err := k.config.Sender.toHome(ctx, target, attempt)
-		if err == nil && !moved(reply) {
+		final := !moved(reply) || (presumed && reply.Reason == call.ReasonHomeUnknown)
+		if err == nil && final {
 			return openly(reply, attempt.Resent)
 		}
 		useSuccessor = !useSuccessor
@@ -121,13 +122,36 @@
 }
 
 // locate returns the node that decides about the key, or the reply where there is none. While the home of a key
-// leaves, its successor is asked in turn with it.
-func (k *KeyedSender) locate(service string, key outcome.Key, useSuccessor bool) (membership.Member, call.Reply, bool) {
+// leaves, its successor is asked in turn with it. A node is presumed to decide where the end of the epochs that is known
+// here has passed: only the members of the last epoch know how far it was moved meanwhile.
+func (k *KeyedSender) locate(service string, key outcome.Key, useSuccessor bool) (m membership.Member, presumed bool, refusal call.Reply, ok bool) {
 	b := k.config.Board.Snapshot()
-	home, _, ok := homeOf(b, k.config.Zones, service, key, k.config.Window)
-	if !ok {
-		return membership.Member{}, noHome(key, time.Now(), k.config.Window), false
+	home, _, agreed := homeOf(b, k.config.Zones, service, key, k.config.Window)
+	if !agreed {
+		refusal = noHome(key, time.Now(), k.config.Window)
+		home, presumed = presumedHome(b, k.config.Zones, service, key)
+		if !presumed || refusal.Reason != call.ReasonHomeUnknown {
+			return m, false, refusal, false
+		}
+	}
+	m, unanswered, ok := answering(b, home, useSuccessor)
+	if !presumed {
+		refusal = unanswered
+	}
+	return m, presumed, refusal, ok
+}
+
+// presumedHome returns the node to ask about a key whose home is not known here.
+func presumedHome(b *board.Board, zones []string, service string, key outcome.Key) (outcome.Node, bool) {
+	millis := key.UnixMillis
+	if !key.Timed {
+		millis = time.Now().UnixMilli()
 	}
+	return b.Homes.Shards[outcome.ShardOf(zones, key.Text)].Presumed(service, key.Text, millis)
+}
+
+// answering returns the member that answers for the keys of the home, or the reply where there is none.
+func answering(b *board.Board, home outcome.Node, useSuccessor bool) (membership.Member, call.Reply, bool) {
 	if m, ok := present(b, home); ok {
 		if successor, ok := b.Members.ByNode[m.Successor]; ok && useSuccessor {
 			return successor, call.Reply{}, true
