Membership: renewals of the homes go to their zone and to the leaders only

Cause: each node took the renewals of all zones each second, and each leader took those of all zones from each other leader, so bytes grew with the square of the zones for a leader, and with zones times members towards its zone.

Now a leader passes on only the renewals that its own zone makes, to its members and to the other leaders. Changes of structure (members, keepers) still go to everyone; who follows no renewals gets the value as of the last such change, so that patches fit. The digests count the structure by its term, which mends what was missed. A node of another zone may so know an end that is minutes old; it asks the home of the last epoch, as a node that has just started does. While that home hands its keys over it goes on asking. A new leader takes over no other shard in its first 3 s, in which it learns the ends.

Ruled out: a patch from whatever value came before, for all; it does not fit who got no renewals, and the repair sends all homes whole. TestRenewalsStayInTheirZone has both kinds of reader.

Changed tests: TestPatches held that a renewed record leaves the digest at 0; now that a renewal leaves it as it is.

--- a/internal/control/homes/controller.go
+++ b/internal/control/homes/controller.go
@@ -95,6 +95,8 @@
 type Controller struct {
 	config  Config
 	started time.Time
+	// led is since when this node leads its zone; zero while it doesn't. It belongs to the goroutine of Run.
+	led time.Time
 	// entries are the records last read or written, by shard. They belong to the goroutine of Run.
 	entries map[string]platform.Entry
 	// unsettled are the shards whose last write, of more than a new end, had no answer. Their ends don't move without
@@ -121,7 +123,7 @@
 
 // Section returns how shards come from the platform and get onto the board.
 func (c *Controller) Section() zone.Section {
-	return zone.Section{Decode: c.decode, Publish: publish, Renewed: true}
+	return zone.Section{Decode: c.decode, Publish: publish, Structure: structure}
 }
 
 // Run renews shards until the context ends.
@@ -141,12 +143,16 @@
 func (c *Controller) tick(ctx context.Context, offerer Offerer) {
 	b := c.config.Board.Snapshot()
 	if b.Leader.IsSelf {
+		if c.led.IsZero() {
+			c.led = time.Now()
+		}
 		for _, shard := range c.config.Zones {
 			if c.isKept(time.Now(), b, shard) && !c.keep(ctx, offerer, b, shard) {
 				break // the platform does not answer, and the others must not wait for it as well
 			}
 		}
 	} else {
+		c.led = time.Time{}
 		clear(c.entries)
 	}
 	for shard := range b.Homes.Shards {
@@ -164,6 +170,7 @@
 		return now.Sub(c.started) > c.config.Timing.FirstKeeper
 	}
 	silent := now.Sub(time.UnixMilli(last.Until)) > c.config.Timing.TakeOver
+	silent = silent && now.Sub(c.led) > c.config.Timing.TakeOver // A follower didn't get the ends of other zones' shards.
 	return silent || last.Zone == b.Self.Zone
 }
 
@@ -337,6 +344,11 @@
 	}
 }
 
+func structure(value []byte) membership.Structure {
+	s := parse(value)
+	return membership.Structure{Term: s.Term, Zone: s.Last().Zone}
+}
+
 func parse(value []byte) outcome.Shard {
 	var s outcome.Shard
 	if json.Unmarshal(value, &s) != nil {
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -56,19 +56,20 @@
 	Decode func(platform.Entry) []membership.Record
 	// Publish renews the board. It runs in the control goroutine.
 	Publish func(b *board.Board, changed []membership.Record)
-	// Renewed says that the records are renewed all the time, so that comparing digests of them is of no use.
-	Renewed bool
+	// Structure reads what renewals leave as it is, where the records are renewed all the time; nil where they are not.
+	// A zone's renewals go to its own members and to the leaders of the other zones, changes of structure to all nodes.
+	Structure func(value []byte) membership.Structure
 }
 
-// renewed returns the prefixes of the sections whose records are renewed all the time.
-func renewed(sections map[string]Section) []string {
-	var prefixes []string
+// renewals returns the kinds of records that are renewed all the time.
+func renewals(sections map[string]Section) []membership.Renewal {
+	var found []membership.Renewal
 	for prefix, section := range sections {
-		if section.Renewed {
-			prefixes = append(prefixes, prefix)
+		if section.Structure != nil {
+			found = append(found, membership.Renewal{Prefix: prefix, Structure: section.Structure})
 		}
 	}
-	return prefixes
+	return found
 }
 
 // Timing holds the intervals of the control plane.
@@ -151,7 +152,7 @@
 		sections:    map[string]Section{},
 		kick:        make(chan struct{}, 1),
 		tasks:       newTasks(),
-		records:     membership.NewRecords(renewed(config.Sections)...),
+		records:     membership.NewRecords(renewals(config.Sections)...),
 		detector:    membership.NewDetector(config.Timing.DownAfter),
 		role:        membership.Following,
 		log:         config.Incarnation,
--- a/internal/control/zone/server.go
+++ b/internal/control/zone/server.go
@@ -37,7 +37,7 @@
 			c.election.Suggest(now, membership.Target{Node: m.GetNode(), Address: m.GetAddress()}, m.GetLeased())
 		}
 		c.answerLeader(reply, now)
-		c.answerChanges(reply, m)
+		c.answerChanges(reply, m, b.Self.Zone)
 	})
 	return reply, ctx.Err()
 }
@@ -54,21 +54,29 @@
 }
 
 // answerChanges adds what the sender has not seen. One that has seen nothing of this log gets the records that are
-// left out of the digests, and compares digests for the others.
-func (c *Controller) answerChanges(reply *zonepb.BeatReply, m *zonepb.BeatRequest) {
+// renewed all the time, and compares digests for the others.
+func (c *Controller) answerChanges(reply *zonepb.BeatReply, m *zonepb.BeatRequest, own string) {
 	reply.Log = c.log
 	reply.Digest = c.records.Digest()
 	reply.Next = c.records.Last()
+	follows := followsOf(m, own)
 	if m.GetLog() != c.log {
-		reply.Newer = recordMessages(c.records.Renewed())
+		reply.Newer = recordMessages(c.records.Renewed(follows))
 		return
 	}
-	newer, next := c.records.Since(m.GetSeen(), maxRecordBytes)
+	newer, next := c.records.Since(m.GetSeen(), maxRecordBytes, follows)
 	reply.Newer = changeMessages(newer)
 	reply.Next = next
 	reply.More = next < c.records.Last()
 }
 
+// followsOf returns which renewals the sender of the heartbeat gets here: those that the own zone makes, where it
+// belongs to that zone or leads another one.
+func followsOf(m *zonepb.BeatRequest, own string) membership.Follows {
+	concerned := m.GetZone() == own || m.GetLeads()
+	return func(zone string) bool { return concerned && zone == own }
+}
+
 // Exchange compares digests, takes in what is offered and returns what is wanted.
 func (s *Server) Exchange(ctx context.Context, m *zonepb.ExchangeRequest) (*zonepb.ExchangeReply, error) {
 	c := s.controller
--- a/internal/decide/membership/election_test.go
+++ b/internal/decide/membership/election_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -239,18 +240,18 @@
 	is := is.New(t)
 	s := membership.NewRecords()
 	s.Merge(record("a", 1), record("b", 1), record("a", 2), record("a", 1))
-	newer, next := s.Since(0, 100)
+	newer, next := s.Since(0, 100, nil)
 	is.Equal(recordsOf(newer), []membership.Record{record("b", 1), record("a", 2)}) // each record once, the newest
 	is.Equal(next, s.Last())
-	newer, next = s.Since(0, 1)
+	newer, next = s.Since(0, 1, nil)
 	is.Equal(len(newer), 1) // as many as fit
-	newer, next = s.Since(next, 1)
+	newer, next = s.Since(next, 1, nil)
 	is.Equal(recordsOf(newer), []membership.Record{record("a", 2)})
 	is.Equal(next, s.Last())
 	for i := range uint64(1000) {
 		s.Merge(record("a", i))
 	}
-	newer, _ = s.Since(0, 100)
+	newer, _ = s.Since(0, 100, nil)
 	is.Equal(recordsOf(newer), []membership.Record{record("b", 1), record("a", 999)}) // also after the log was compacted
 }
 
@@ -260,12 +261,12 @@
 	long := func(sequence uint64, until int) membership.Record {
 		return membership.Record{Key: "homes/a", Version: membership.Version{Sequence: sequence}, Value: value(until)}
 	}
-	s := membership.NewRecords("homes/")
+	s := membership.NewRecords(membership.Renewal{Prefix: "homes/"})
 	s.Merge(long(1, 100))
-	seen := s.Last()
+	seen, digest := s.Last(), s.Digest()
 	s.Merge(long(2, 207))
-	is.Equal(s.Digest(), uint64(0)) // left out of the digests
-	changes, _ := s.Since(seen, 1<<20)
+	is.Equal(s.Digest(), digest) // renewals are left out of the digests
+	changes, _ := s.Since(seen, 1<<20, nil)
 	is.True(changes[0].Patched)
 	is.True(len(changes[0].Patch.Middle) <= 3)
 	made, fits := changes[0].Patch.Apply(long(1, 100))
@@ -279,10 +280,86 @@
 	is.True(!fits)
 	_, fits = changes[0].Patch.Apply(membership.Record{})
 	is.True(!fits)
-	changes, _ = s.Since(0, 1<<20)
+	changes, _ = s.Since(0, 1<<20, nil)
 	is.True(!changes[0].Patched) // one who has not seen the earlier value gets the whole
 }
 
+// TestRenewalsStayInTheirZone renews a record of two zones at random, and has one reader follow all zones and one none.
+func TestRenewalsStayInTheirZone(t *testing.T) {
+	for seed := range uint64(20) {
+		is := is.New(t)
+		random := rand.New(rand.NewPCG(seed, 0))
+		structure := func(value []byte) membership.Structure {
+			return membership.Structure{Term: uint64(value[0]), Zone: string(value[1])}
+		}
+		s := membership.NewRecords(membership.Renewal{Prefix: "homes/", Structure: structure})
+		all, none := newReader(s, nil), newReader(s, func(string) bool { return false })
+		value := append([]byte{1, 'a'}, bytes.Repeat([]byte("x"), 200)...)
+		structural := 0
+		for i := range uint64(200) {
+			value = bytes.Clone(value)
+			value[100] = byte(i) // A renewal changes the end only.
+			if random.IntN(10) == 0 || i == 0 {
+				structural++
+				value[0], value[1] = byte(structural), byte('a'+random.IntN(2))
+			}
+			s.Merge(membership.Record{Key: "homes/a", Version: membership.Version{Epoch: i + 1}, Value: value}, record("b", i))
+			if random.IntN(3) == 0 {
+				all.read(is)
+				none.read(is)
+			}
+		}
+		all.read(is)
+		none.read(is)
+		held, _ := s.Get("homes/a")
+		is.Equal(all.held["homes/a"], held)
+		is.Equal(structure(none.held["homes/a"].Value), structure(held.Value))
+		is.Equal(none.held["b"], all.held["b"])
+		is.True(none.taken <= structural) // no renewal
+	}
+}
+
+// reader reads a store's changes again and again, little by little, as another node does.
+type reader struct {
+	from    *membership.Records
+	follows membership.Follows
+	seen    uint64
+	held    map[string]membership.Record
+	taken   int
+}
+
+func newReader(from *membership.Records, follows membership.Follows) *reader {
+	return &reader{from: from, follows: follows, held: map[string]membership.Record{}}
+}
+
+func (r *reader) read(is *is.I) {
+	for r.seen < r.from.Last() {
+		changes, next := r.from.Since(r.seen, 1, r.follows)
+		for _, c := range changes {
+			r.take(is, c)
+		}
+		is.True(next > r.seen)
+		r.seen = next
+	}
+}
+
+func (r *reader) take(is *is.I, c membership.Change) {
+	held := r.held[c.Record.Key]
+	if c.Record.Version.Compare(held.Version) <= 0 {
+		return
+	}
+	made := c.Record
+	if c.Patched {
+		var fits bool
+		made, fits = c.Patch.Apply(held)
+		is.True(fits) // the patch is from what this reader holds
+	}
+	r.held[c.Record.Key] = made
+	if c.Record.Key != "b" {
+		r.taken++
+	}
+}
+
 func TestBucketsShowWhereTwoDiffer(t *testing.T) {
 	is := is.New(t)
 	a, b := membership.NewRecords(), membership.NewRecords()
--- a/internal/decide/membership/records.go
+++ b/internal/decide/membership/records.go
@@ -5,7 +5,7 @@
 //
 //	records := membership.NewRecords()
 //	changed := records.Merge(received...)
-//	newer, next := records.Since(seen, maxBytes)
+//	newer, next := records.Since(seen, maxBytes, nil)
 //
 //	election := membership.NewElection(config)
 //	plan := election.Plan(now, members)
@@ -43,12 +43,12 @@
 	Value   []byte
 }
 
-func (r Record) hash() uint64 {
+func hash(key string, v Version) uint64 {
 	h := xxhash.New()
-	_, _ = h.WriteString(r.Key)
+	_, _ = h.WriteString(key)
 	var numbers [16]byte
-	binary.LittleEndian.PutUint64(numbers[:8], r.Version.Epoch)
-	binary.LittleEndian.PutUint64(numbers[8:], r.Version.Sequence)
+	binary.LittleEndian.PutUint64(numbers[:8], v.Epoch)
+	binary.LittleEndian.PutUint64(numbers[8:], v.Sequence)
 	_, _ = h.Write(numbers[:])
 	return h.Sum64()
 }
@@ -62,9 +62,9 @@
 
 // Records holds the newest record under each key that a node has seen, and the order in which they came.
 type Records struct {
-	// renewed are the prefixes of keys whose records are renewed all the time. They are left out of the digests, which
-	// would never agree otherwise.
-	renewed []string
+	renewals []Renewal
+	// renewed are the keys of the records of these kinds.
+	renewed map[string]bool
 	byKey   map[string]numbered
 	digests [Buckets]uint64
 	// changes are in order; one is stale where the key has changed again.
@@ -72,24 +72,14 @@
 	last    uint64
 }
 
-// numbered is a record with the number of the change that brought it.
-type numbered struct {
-	Record
-
-	number uint64
-	// before is the record that this one replaced, and beforeNumber the number of the change that had brought it.
-	before       Record
-	beforeNumber uint64
-}
-
 type change struct {
 	number uint64
 	key    string
 }
 
-// NewRecords returns an empty store. Keys with the given prefixes are renewed all the time and left out of the digests.
-func NewRecords(renewed ...string) *Records {
-	return &Records{renewed: renewed, byKey: map[string]numbered{}}
+// NewRecords returns an empty store. The digests cover only the structure of records that are renewed all the time.
+func NewRecords(renewals ...Renewal) *Records {
+	return &Records{renewals: renewals, renewed: map[string]bool{}, byKey: map[string]numbered{}}
 }
 
 // Merge takes the records that are newer than those held and returns them.
@@ -100,12 +90,8 @@
 		if stands && r.Version.Compare(held.Version) <= 0 {
 			continue
 		}
-		if stands {
-			s.toggle(held.Record)
-		}
-		s.toggle(r)
 		s.last++
-		s.byKey[r.Key] = numbered{Record: r, number: s.last, before: held.Record, beforeNumber: held.number}
+		s.replace(held, r)
 		s.changes = append(s.changes, change{number: s.last, key: r.Key})
 		changed = append(changed, r)
 	}
@@ -113,35 +99,33 @@
 	return changed
 }
 
+// replace puts the record in the place of the one held, which may be none.
+func (s *Records) replace(held numbered, r Record) {
+	structure, renewed := s.structureOf(r)
+	next := held.followed(r, s.last, renewed, structure)
+	if held.number != 0 {
+		s.toggle(held)
+	}
+	s.toggle(next)
+	s.byKey[r.Key] = next
+	if renewed {
+		s.renewed[r.Key] = true
+	}
+}
+
 // Drop forgets the record under the key.
 func (s *Records) Drop(key string) {
 	held, stands := s.byKey[key]
 	if stands {
-		s.toggle(held.Record)
+		s.toggle(held)
 		delete(s.byKey, key)
+		delete(s.renewed, key)
 	}
 }
 
 // toggle puts the record into the digest of its bucket, or takes it out.
-func (s *Records) toggle(r Record) {
-	if !s.isRenewed(r.Key) {
-		s.digests[bucketOf(r.Key)] ^= r.hash()
-	}
-}
-
-func (s *Records) isRenewed(key string) bool {
-	return slices.ContainsFunc(s.renewed, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
-}
-
-// Renewed returns the records that are left out of the digests.
-func (s *Records) Renewed() []Record {
-	var records []Record
-	for key, r := range s.byKey {
-		if s.isRenewed(key) {
-			records = append(records, r.Record)
-		}
-	}
-	return records
+func (s *Records) toggle(n numbered) {
+	s.digests[bucketOf(n.Key)] ^= hash(n.Key, n.mark())
 }
 
 // leastChanges are kept without a look for stale ones.
@@ -191,18 +175,24 @@
 }
 
 // Since returns what came after the change of the given number, in order, up to so many bytes of values but at least
-// one, and the number to go on from.
-func (s *Records) Since(after uint64, bytes int) (changes []Change, next uint64) {
+// one, and the number to go on from. One who follows only some zones, where follows is not nil, gets changes of
+// structure in the place of the others' renewals; they come first and whatever their size.
+func (s *Records) Since(after uint64, bytes int, follows Follows) (changes []Change, next uint64) {
 	start, _ := slices.BinarySearchFunc(s.changes, after+1, func(c change, n uint64) int { return cmp.Compare(c.number, n) })
+	if start == len(s.changes) {
+		return nil, s.last
+	}
 	seen := after
+	changes = s.structures(seen, follows)
+	unordered := len(changes)
 	for _, c := range s.changes[start:] {
-		r := s.byKey[c.key]
-		if r.number != c.number {
+		n := s.byKey[c.key]
+		if n.number != c.number || n.isLimited(follows) {
 			continue
 		}
-		found := r.change(seen)
+		found := n.change(seen)
 		bytes -= found.size()
-		if len(changes) > 0 && bytes < 0 {
+		if len(changes) > unordered && bytes < 0 {
 			return changes, after
 		}
 		changes = append(changes, found)
@@ -211,15 +201,6 @@
 	return changes, s.last
 }
 
-// change returns the record as a patch for one who has seen the changes up to the number, where that spares bytes.
-func (r numbered) change(seen uint64) Change {
-	if r.beforeNumber == 0 || r.beforeNumber > seen {
-		return Change{Record: r.Record}
-	}
-	patch, worthWhile := NewPatch(r.before, r.Record)
-	return Change{Record: r.Record, Patch: patch, Patched: worthWhile}
-}
-
 func (c Change) size() int {
 	if c.Patched {
 		return len(c.Patch.Middle)
@@ -246,9 +227,6 @@
 	versions := map[string]Version{}
 	for key, r := range s.byKey {
 		bucket := bucketOf(key)
-		if s.isRenewed(key) {
-			continue
-		}
 		if bucket >= len(digests) || digests[bucket] != s.digests[bucket] {
 			versions[key] = r.Version
 		}
--- a/internal/lab/capacity/bench_test.go
+++ b/internal/lab/capacity/bench_test.go
@@ -88,7 +88,7 @@
 	last := store.Last()
 	b.ReportAllocs()
 	for b.Loop() {
-		store.Since(last, 1<<20)
+		store.Since(last, 1<<20, nil)
 	}
 }
 
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -123,7 +123,8 @@
 
 // locate returns the node that decides about the key, or the reply where there is none. While the home of a key
 // leaves, its successor is asked in turn with it. A node is presumed to decide where the end of the epochs that is known
-// here has passed: only the members of the last epoch know how far it was moved meanwhile.
+// here has passed: only the members of the last epoch know how far it was moved meanwhile. What such a node refuses is
+// asked again only while its keys change hands.
 func (k *KeyedSender) locate(service string, key outcome.Key, useSuccessor bool) (m membership.Member, presumed bool, refusal call.Reply, ok bool) {
 	b := k.config.Board.Snapshot()
 	home, _, agreed := homeOf(b, k.config.Zones, service, key, k.config.Window)
@@ -138,7 +139,8 @@
 	if !presumed {
 		refusal = unanswered
 	}
-	return m, presumed, refusal, ok
+	stays := m.Node == home.Name && m.State == membership.Up
+	return m, presumed && stays, refusal, ok
 }
 
 // presumedHome returns the node to ask about a key whose home is not known here.
