A node says that its backend server is gone, and the others pass it over

A backend server that ends or hangs while its node lives stayed in everybody's list: each node found out by failed requests of its own, again after each ejection.

Now a node follows refused and broken connections, answers and announcements (internal/decide/liveness), and its record says that the backend server is lost. Missing announcements count only where they came regularly and nothing is answered either, since an overloaded backend server may be late with them.

The stand-in announces itself only while it serves, and can hang.

Before (the record's field taken out): both cases of TestLostBackendServerIsPassedOver fail, the lost one stays in the list. A first form without a probe after a broken connection failed too: where nothing more is sent, nobody sees a refused connection. After: 3 runs of TestLostBackendServerIsPassedOver and TestCrashingRequestIsQuarantined pass.

--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/liveness"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 )
@@ -57,6 +58,13 @@
 	Connections int       `json:"connections"`
 	Leaving     bool      `json:"leaving"`
 	AnnouncedAt time.Time `json:"announced_at"`
+	// State is whether the backend server is there.
+	State liveness.State `json:"state"`
+}
+
+// IsLost reports whether the backend server announced itself and is not there now.
+func (b Backend) IsLost() bool {
+	return b.State == liveness.Refusing || b.State == liveness.Silent
 }
 
 // Members are the nodes known here. Written by the zone controller.
--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -25,6 +25,8 @@
 	BackendLeaving     Number = 1102
 	BackendFailed      Number = 1103
 	RequestQuarantined Number = 1104
+	BackendLost        Number = 1105
+	BackendBack        Number = 1106
 	PeerUnreachable    Number = 1201
 	PeerSilent         Number = 1202
 	PeerGarbage        Number = 1203
@@ -68,6 +70,8 @@
 	BackendLeaving:     {Name: "backend_leaving", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server announced that it leaves."},
 	BackendFailed:      {Name: "backend_failed", Level: zerolog.WarnLevel, Since: "0.1", Text: "The backend server broke a connection in the middle of a request.", Action: "If it repeats, look for a crash of the backend server."},
 	RequestQuarantined: {Name: "request_quarantined", Level: zerolog.WarnLevel, Since: "0.1", Text: "A request that crashed backend servers is refused for a time.", Action: "Find the request by its fingerprint in the dump and mend the backend server."},
+	BackendLost:        {Name: "backend_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "The backend server refuses connections, or hangs: it neither announces itself nor answers. Other nodes send it nothing.", Action: "Start the backend server again; the node takes work for it as soon as it is there."},
+	BackendBack:        {Name: "backend_back", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server is there again and gets work."},
 	PeerUnreachable:    {Name: "peer_unreachable", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node failed.", Action: "If it lasts, check the network between the two nodes and whether the other one runs."},
 	PeerSilent:         {Name: "peer_silent", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node went silent and was closed.", Action: "If it repeats, look for a device between the two nodes that loses track of connections."},
 	PeerGarbage:        {Name: "peer_garbage", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to the peer address broke off or sent something that isn't drpc; at most one a second is logged, with the number left out.", Action: "Find out who connects to the peer address."},
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -317,6 +317,7 @@
 		Slots:         b.Backend.Slots,
 		Connections:   b.Backend.Connections,
 		State:         state,
+		Lost:          b.Backend.IsLost(),
 		Successor:     b.Self.Successor,
 		AnswersFor:    b.Self.AnswersFor,
 	}
--- a/internal/control/zone/publish.go
+++ b/internal/control/zone/publish.go
@@ -82,7 +82,7 @@
 		return
 	}
 	members.ByNode[m.Node] = m
-	if m.Service != "" && m.State == membership.Up {
+	if m.TakesWork() {
 		members.ByService[m.Service] = insert(members.ByService[m.Service], m)
 	}
 }
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -32,6 +32,8 @@
 	Slots       int    `json:"slots,omitempty"`
 	Connections int    `json:"connections,omitempty"`
 	State       State  `json:"state"`
+	// Lost says that the backend server is not there, though the node is.
+	Lost bool `json:"lost,omitempty"`
 	// DownSince is when a leader marked the member down, in seconds of Unix time.
 	DownSince int64 `json:"down_since,omitempty"`
 	// Successor answers for the keys of a member that leaves; empty for none.
@@ -40,6 +42,11 @@
 	AnswersFor string `json:"answers_for,omitempty"`
 }
 
+// TakesWork reports whether requests may be sent to the member's backend server.
+func (m Member) TakesWork() bool {
+	return m.Service != "" && m.State == Up && !m.Lost
+}
+
 // Record returns the member as a record.
 func (m Member) Record(v Version) Record {
 	value, err := json.Marshal(m)
--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -48,6 +48,10 @@
 		return
 	}
 	b := s.Behaviour()
+	if b.Hung {
+		<-r.Context().Done()
+		return
+	}
 	if b.FailFast {
 		http.Error(w, "failing", http.StatusInternalServerError)
 		return
@@ -168,7 +172,7 @@
 func (s *Server) announce(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := announceEvery
-		if s.announceOnce(ctx) != nil {
+		if !s.Behaviour().Hung && s.announceOnce(ctx) != nil {
 			wait /= 5
 		}
 		pause.For(ctx, wait)
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -61,6 +61,8 @@
 	RestartAfter time.Duration `json:"restart_after"`
 	// Echo answers with the request's own body.
 	Echo bool `json:"echo"`
+	// Hung makes the server neither answer nor announce itself, though it accepts connections.
+	Hung bool `json:"hung"`
 	// Leaving is announced to the node.
 	Leaving bool `json:"leaving"`
 }
@@ -132,11 +134,8 @@
 	return s.behaviour
 }
 
-// Run serves until the context ends. After a crash it starts again.
+// Run serves and announces itself until the context ends. After a crash it starts again.
 func (s *Server) Run(ctx context.Context) error {
-	var group conc.WaitGroup
-	defer group.Wait()
-	group.Go(func() { s.announce(ctx) })
 	for ctx.Err() == nil {
 		if err := s.serve(ctx); err != nil {
 			return trace.Wrap(err)
@@ -153,15 +152,15 @@
 	}
 	s.begin(time.Now())
 	server := &http.Server{Handler: s.router(), ConnState: s.countConnections}
-	ended := make(chan struct{})
+	ctx, stop := context.WithCancel(ctx)
 	var group conc.WaitGroup
 	defer group.Wait()
-	defer close(ended)
+	defer stop()
+	group.Go(func() { s.announce(ctx) })
 	group.Go(func() {
 		select {
 		case <-ctx.Done():
 		case <-s.crashed:
-		case <-ended:
 		}
 		_ = server.Close()
 	})
--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -46,7 +46,7 @@
 
 func (n *Node) ready(w http.ResponseWriter) {
 	b := n.loop.Snapshot()
-	if b.Self.Draining || b.Backend.Service == "" || len(b.Documents.ByService) == 0 {
+	if b.Self.Draining || b.Backend.Service == "" || b.Backend.IsLost() || len(b.Documents.ByService) == 0 {
 		http.Error(w, "draining, no backend server or no documents", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -57,6 +57,7 @@
 	controlPool *peer.Pool
 	receiver    *flow.Receiver
 	sender      *flow.Sender
+	presence    *backend.Presence
 	quarantine  *flow.Quarantine
 	controller  *zone.Controller
 	platform    *platform.Client
@@ -94,7 +95,8 @@
 // buildReceiver puts together what runs requests on the local backend server.
 func (n *Node) buildReceiver(s *settings.Settings) {
 	n.gate = backend.NewGate(gateConfig(s))
-	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody}, n.chains)
+	n.presence = backend.NewPresence()
+	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody, Presence: n.presence}, n.chains)
 	n.pool = peer.NewPool(poolConfig(s))
 	n.controlPool = peer.NewPool(poolConfig(s))
 	n.peers = peer.NewClient(n.pool, s.Node.Name)
@@ -245,6 +247,7 @@
 	group.Go(func() { n.homes.Run(ctx, n.controller) })
 	group.Go(func() { n.home.Run(ctx) })
 	group.Go(func() { n.advanceGate(ctx) })
+	group.Go(func() { n.watchBackend(ctx) })
 	group.Go(func() { n.quarantine.Run(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
 	calls, stopCalls := context.WithCancel(ctx)
@@ -279,29 +282,6 @@
 	return router
 }
 
-// announced takes in what the local backend server says of itself.
-func (n *Node) announced(ctx context.Context, a backend.Announcement) {
-	n.gate.Announce(a.Slots, a.Connections)
-	n.client.SetConnections(a.Connections)
-	before := n.loop.Snapshot().Backend
-	n.loop.Do(ctx, func(b *board.Board) {
-		b.Backend = board.Backend{
-			Service:     a.Service,
-			Address:     a.Address,
-			Slots:       a.Slots,
-			Connections: a.Connections,
-			Leaving:     a.Leaving,
-			AnnouncedAt: time.Now(),
-		}
-	})
-	if before.Service != a.Service || before.Address != a.Address {
-		n.config.Log.Emit(events.BackendAnnounced, events.Fields{"service": a.Service, "address": a.Address})
-	}
-	if a.Leaving && !before.Leaving {
-		n.config.Log.Emit(events.BackendLeaving, events.Fields{"service": a.Service})
-	}
-}
-
 func (n *Node) advanceGate(ctx context.Context) {
 	ticker := time.NewTicker(gateTick)
 	defer ticker.Stop()
--- a/internal/process/node/table.go
+++ b/internal/process/node/table.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 )
 
 // WriteTable prints the dump for people. Ages count up to the time.
@@ -86,7 +88,7 @@
 	t.section("MEMBERS", "NODE", "ZONE", "SERVICE", "STATE", "SLOTS", "SILENT FOR", "ADDRESS")
 	for _, node := range slices.Sorted(maps.Keys(d.Board.Members.ByNode)) {
 		m := d.Board.Members.ByNode[node]
-		t.row(m.Node, m.Zone, orNone(m.Service), m.State, m.Slots, d.silence(node), m.PeerAddress)
+		t.row(m.Node, m.Zone, orNone(m.Service), stateOf(m), m.Slots, d.silence(node), m.PeerAddress)
 	}
 	for _, node := range d.Control.Down {
 		t.row(node, "", "", "down", "", "", "")
@@ -164,3 +166,11 @@
 		t.row(address, d.Connections[address], d.ControlConnections[address])
 	}
 }
+
+// stateOf returns the member's state as the table shows it.
+func stateOf(m membership.Member) string {
+	if m.State == membership.Up && m.Lost {
+		return "backend lost"
+	}
+	return string(m.State)
+}
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -37,6 +37,8 @@
 type ClientConfig struct {
 	// MaxBody bounds the body of an answer, in bytes.
 	MaxBody int64
+	// Presence learns whether the backend server answers or refuses connections; nil for nobody.
+	Presence *Presence
 }
 
 // Client runs requests on the local backend server.
@@ -136,8 +138,10 @@
 	defer c.retire(client)
 	response, err := client.Do(request)
 	if err != nil {
+		c.config.Presence.noteError(ctx, err)
 		return call.Reply{}, &exchangeError{sent: sent, cause: err}
 	}
+	c.config.Presence.noteAnswer()
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.config.MaxBody+1))
 	if err == nil && int64(len(body)) > c.config.MaxBody {
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -48,7 +48,7 @@
 
 func (v *Receiver) receive(ctx context.Context, r *call.Request) call.Reply {
 	b := v.config.Board.Snapshot()
-	if b.Backend.Service != r.Service || b.Backend.Address == "" {
+	if b.Backend.Service != r.Service || b.Backend.Address == "" || b.Backend.IsLost() {
 		return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
 	}
 	if b.Self.Draining || b.Backend.Leaving {
