Proof: attempts stay in their bound down a chain of twelve levels

A second proof runs 12 levels with two instances each, all failing 3 of 10 requests, callers that send again five times at once, and a killed node. Both proofs now check all three bounds of docs/RETRIES.md from the ledgers: runs at each level, runs in all, and further attempts in all (what ran at a level beyond the runs of the level above). The check of the first proof is kept and the others come to it.

--- a/internal/proof/routing/chain_test.go
+++ b/internal/proof/routing/chain_test.go
@@ -21,18 +21,20 @@
 }
 
 const (
-	levels    = 6
-	allowance = 2
+	// levels is the length of an ordinary chain, and mostLevels of the longest.
+	levels     = 6
+	mostLevels = 12
+	allowance  = 2
 )
 
 // deepChain is a chain of services, each of which calls the next.
-func deepChain(instances int, serviceTime time.Duration) fleet.Deployment {
+func deepChain(levels, instances int, serviceTime time.Duration) fleet.Deployment {
 	d := fleet.Deployment{Zones: []string{"lisbon_1", "lisbon_2"}}
 	for level := range levels {
-		name := fmt.Sprintf("level%d", level)
+		name := levelName(level)
 		b := server.Behaviour{ServiceTime: serviceTime, Queue: 10}
 		if level+1 < levels {
-			b.Calls = []server.Downstream{{Service: fmt.Sprintf("level%d", level+1), Method: http.MethodGet, Path: "/look"}}
+			b.Calls = []server.Downstream{{Service: levelName(level + 1), Method: http.MethodGet, Path: "/look"}}
 		}
 		d.Services = append(d.Services, fleet.Service{
 			Name:        name,
@@ -46,6 +48,10 @@
 	return d
 }
 
+func levelName(level int) string {
+	return fmt.Sprint("level", level)
+}
+
 func levelDocument(name string) string {
 	return fmt.Sprintf(`[service]
 name = %s
@@ -96,8 +102,7 @@
 }
 
 func TestRetriesBoundedDownTheChain(t *testing.T) {
-	is := is.New(t)
-	f := harness.Start(t, fleet.Config{Deployment: deepChain(2, 5*time.Millisecond)})
+	f := harness.Start(t, fleet.Config{Deployment: deepChain(levels, 2, 5*time.Millisecond)})
 	setAll(f, func(b *server.Behaviour) { b.FailRate = 0.4 })
 	var group conc.WaitGroup
 	defer group.Wait()
@@ -111,19 +116,72 @@
 		Duration: 3 * time.Second,
 		Seed:     1,
 	})
+	checkRuns(t, f, results, levels)
+}
+
+// The longest chain, while every level fails and callers send again hard.
+func TestRetriesBoundedDownTheLongestChain(t *testing.T) {
+	is := is.New(t)
+	f := harness.Start(t, fleet.Config{Deployment: deepChain(mostLevels, 2, 2*time.Millisecond)})
+	setAll(f, func(b *server.Behaviour) { b.FailRate = 0.3 })
+	timer := time.AfterFunc(2*time.Second, f.Nodes[15].Kill) // a node of the eighth level, whose replies are lost
+	defer timer.Stop()
+	results := load.Run(t.Context(), load.Config{
+		Streams:  []load.Stream{lookups(20, 5)},
+		Targets:  f.Callers(),
+		Duration: 3 * time.Second,
+		Seed:     1,
+	})
+	checkRuns(t, f, results, mostLevels)
+	for level := range mostLevels {
+		is.True(ranAt(f, level) > 0) // the chain was gone down to its end
+	}
+}
+
+// checkRuns holds the ledgers against the bounds of docs/RETRIES.md, where each send is a root request of its own.
+func checkRuns(t *testing.T, f *fleet.Fleet, results []load.Result, levels int) {
+	t.Helper()
+	is := is.New(t)
 	sends := map[string]int{}
-	retried := 0
 	for _, r := range results {
 		sends[r.ID] = r.Sends
 	}
+	sent, ran, retried, attempts := 0, 0, 0, 0
 	for request, byService := range runsByRequest(f) {
-		for service, runs := range byService {
-			is.True(sends[request] > 0)
-			if runs > sends[request]*(1+allowance) {
-				t.Errorf("%s ran %d times on %s for %d sends", request, runs, service, sends[request])
+		is.True(sends[request] > 0)
+		runs, further := 0, 0
+		above := sends[request] // each run makes one call, so what runs beyond those above was a further attempt
+		for level := range levels {
+			own := byService[levelName(level)]
+			if own > sends[request]*(1+allowance) {
+				t.Errorf("%s ran %d times at level %d for %d sends", request, own, level, sends[request])
 			}
-			retried += max(0, runs-sends[request])
+			runs += own
+			further += max(0, own-above)
+			retried += max(0, own-sends[request])
+			above = own
+		}
+		if further > sends[request]*allowance {
+			t.Errorf("%s had %d further attempts for %d sends", request, further, sends[request])
 		}
+		if runs > levels*sends[request]*(1+allowance) {
+			t.Errorf("%s ran %d times in all for %d sends", request, runs, sends[request])
+		}
+		sent += sends[request]
+		ran += runs
+		attempts += further
 	}
+	t.Logf("%d sends, %d runs, at least %d further attempts", sent, ran, attempts)
 	is.True(retried > 0) // nodes did try again, else the bound says nothing
 }
+
+// ranAt returns how many requests ran at the level.
+func ranAt(f *fleet.Fleet, level int) int {
+	ran := 0
+	for _, byService := range runsByRequest(f) {
+		if byService[levelName(level)] > 0 {
+			ran++
+		}
+	}
+	return ran
+}
