Stand-in backend server: health and load endpoints that lag and lie

Nodes ask no health or load endpoint, so nothing showed what lies there do. The stand-in now has both; by configuration they tell what was true some time ago, or something else altogether, and questions are counted, as are the requests that the stand-in shed. Asking them as a hint was weighed and left (docs/DESIGN.md): a wrong hint must be outvoted by the requests in any case.

TestLyingEndpointsMisleadNobody: one of three backend servers fails fast and one takes four times as long, both tell that they are healthy and idle; the good one tells that it fails and is full.

--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -20,17 +20,28 @@
 
 // Report is what a server tells an experiment about itself.
 type Report struct {
-	Service         string `json:"service"`
-	Runs            []Run  `json:"runs"`
-	Crashes         int    `json:"crashes"`
-	PeakConnections int    `json:"peak_connections"`
+	Service string `json:"service"`
+	Runs    []Run  `json:"runs"`
+	Crashes int    `json:"crashes"`
+	// Shed counts the requests that got no slot and no place in the queue.
+	Shed            int `json:"shed"`
+	PeakConnections int `json:"peak_connections"`
+	// Asked counts the questions at the health and load endpoints.
+	Asked int `json:"asked"`
 }
 
 // Report returns the ledger and the counters.
 func (s *Server) Report() Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Report{Service: s.config.Service, Runs: s.ledger.Runs(), Crashes: s.crashes, PeakConnections: s.peak}
+	return Report{
+		Service:         s.config.Service,
+		Runs:            s.ledger.Runs(),
+		Crashes:         s.crashes,
+		Shed:            s.shed,
+		PeakConnections: s.peak,
+		Asked:           s.asked,
+	}
 }
 
 func (s *Server) handleBehaviour(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -108,6 +119,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if change > 0 && s.waiting >= bound {
+		s.shed++
 		return false
 	}
 	s.waiting += change
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -1,5 +1,5 @@
 // Package server is a stand-in for a backend server: slots, service time, calls to other services through the local
-// node, faults, and a ledger of which request ran how often.
+// node, faults, health and load endpoints that may lag or lie, and a ledger of which request ran how often.
 //
 // # Usage
 //
@@ -63,6 +63,8 @@
 	Echo bool `json:"echo"`
 	// Leaving is announced to the node.
 	Leaving bool `json:"leaving"`
+	// Endpoints is how the health and load endpoints mislead.
+	Endpoints Endpoints `json:"endpoints"`
 }
 
 // Downstream is a call to another service.
@@ -84,10 +86,13 @@
 	behaviour Behaviour
 	started   time.Time
 	waiting   int
+	shed      int
 	crashed   chan struct{}
 	crashes   int
 	peak      int
 	open      int
+	observed  status
+	asked     int
 	ledger    *Ledger
 }
 
@@ -137,6 +142,7 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 	group.Go(func() { s.announce(ctx) })
+	group.Go(func() { s.observe(ctx) })
 	for ctx.Err() == nil {
 		if err := s.serve(ctx); err != nil {
 			return trace.Wrap(err)
@@ -192,6 +198,8 @@
 		writeJSON(w, s.Report())
 	})
 	router.PUT("/lab/behaviour", s.handleBehaviour)
+	router.GET(HealthPath, s.handleHealth)
+	router.GET(LoadPath, s.handleLoad)
 	router.NotFound = http.HandlerFunc(s.handleRequest)
 	router.HandleMethodNotAllowed = false
 	return router
--- a/internal/proof/routing/uneven_test.go
+++ b/internal/proof/routing/uneven_test.go
@@ -1,6 +1,7 @@
 package routing_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
@@ -49,3 +50,74 @@
 	is.True(failed > 0)
 	is.True(10*failed < len(results)) // an equal part would be a third
 }
+
+// ask reads what a backend server tells at one of its endpoints.
+func ask(t *testing.T, n *fleet.Node, path string, told any) {
+	t.Helper()
+	response, err := http.Get("http://" + n.Server.Address() + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(told); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const (
+	// usualTime is the service time of a good backend server; the slow one takes slowFactor times as long.
+	usualTime  = 100 * time.Millisecond
+	slowFactor = 4
+	// unevenSlots is what each of the backend servers has, and unevenCapacity what a good and a slow one of them run
+	// together, in requests a second.
+	unevenSlots    = 10
+	unevenCapacity = unevenSlots * float64(time.Second/usualTime) * (1 + 1.0/slowFactor)
+)
+
+// One backend server fails and one is slow, and both say that all is well; the good one says that it fails and is full.
+func TestLyingEndpointsMisleadNobody(t *testing.T) {
+	is := is.New(t)
+	f := harness.Start(t, fleet.Config{Deployment: plain(3)})
+	failing, slow, good := f.Nodes[0], f.Nodes[1], f.Nodes[2]
+	idle, full := &server.Load{Slots: unevenSlots}, &server.Load{Slots: unevenSlots, Busy: unevenSlots, Waiting: unevenSlots}
+	for n, e := range map[*fleet.Node]server.Endpoints{
+		failing: {Health: server.Healthy, Load: idle},
+		slow:    {Health: server.Healthy, Load: idle},
+		good:    {Health: server.Failing, Load: full},
+	} {
+		b := n.Server.Behaviour()
+		b.ServiceTime, b.Endpoints = usualTime, e
+		b.FailFast = n == failing
+		if n == slow {
+			b.ServiceTime *= slowFactor
+		}
+		n.Server.SetBehaviour(b)
+	}
+	const learned, end = 2 * time.Second, 5 * time.Second
+	results := load.Run(t.Context(), load.Config{
+		Streams:  []load.Stream{lookups(1.6*unevenCapacity, 0)},
+		Targets:  f.Callers(),
+		Duration: end,
+		Seed:     1,
+	})
+	failed := 0
+	for _, r := range results {
+		if r.Status == http.StatusInternalServerError {
+			failed++
+		}
+	}
+	rate := float64(tallied(results, learned, end).good) / (end - learned).Seconds()
+	t.Logf("%.0f good answers a second of %.0f possible; %d of %d requests went to the failing server; runs: %d good, %d slow",
+		rate, unevenCapacity, failed, len(results), len(good.Server.Ledger().Runs()), len(slow.Server.Ledger().Runs()))
+	is.True(rate >= 0.9*unevenCapacity)
+	is.True(10*failed < len(results)) // an equal part would be a third
+	for _, n := range f.Nodes {
+		is.Equal(n.Server.Report().Shed, 0)
+		is.Equal(n.Server.Report().Asked, 0)
+	}
+	var health server.Health
+	ask(t, failing, server.HealthPath, &health)
+	is.Equal(health, server.Healthy)
+	ask(t, good, server.HealthPath, &health)
+	is.Equal(health, server.Failing)
+}
