A paused leader's stale batch of its zone is refused, by the platform's record

Cause: the expected revision in writeZone had no test of its own. A leader that is paused past its lease does not begin a write (its clock went on), so the stale write that can occur is one that was under way when the pause began.

The stand-in platform now keeps a record of swaps and can hold one of them back on its way.

Ruled out: slowing the whole platform down, which also holds the successor.

--- a/internal/lab/store/http.go
+++ b/internal/lab/store/http.go
@@ -117,7 +117,8 @@
 	if len(w.Value) > maxValue {
 		return http.StatusRequestEntityTooLarge, nil
 	}
-	entry, ok := s.swap(w)
+	held := s.await(w.Key)
+	entry, ok := s.swap(w, held)
 	if !ok {
 		return http.StatusConflict, nil
 	}
--- a/internal/lab/store/store.go
+++ b/internal/lab/store/store.go
@@ -50,6 +50,9 @@
 	faults   Faults
 	counts   Counts
 	past     []Content
+	// writes are the latest swaps, and holds those that are to be held back, by key.
+	writes []Write
+	holds  map[string]*Hold
 }
 
 // Content is all keys of a store at one moment.
@@ -72,6 +75,7 @@
 		deleted: map[string]uint64{},
 		leases:  map[string]time.Time{},
 		changed: make(chan struct{}),
+		holds:   map[string]*Hold{},
 	}
 }
 
@@ -143,10 +147,17 @@
 	return found.entry, ok
 }
 
-func (s *Store) swap(w platform.Swap) (platform.Entry, bool) {
+// swap carries a write out and keeps it in the record.
+func (s *Store) swap(w platform.Swap, held bool) (platform.Entry, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapse(time.Now())
+	entry, ok := s.compareAndSwap(w)
+	s.note(Write{Swap: w, Revision: entry.Revision, Held: held})
+	return entry, ok
+}
+
+func (s *Store) compareAndSwap(w platform.Swap) (platform.Entry, bool) {
 	if s.entries[w.Key].entry.Revision != w.Expected {
 		return platform.Entry{}, false
 	}
