The dump says why each decision stands

Cause: the dump had the figures that decisions go by, but not why a limit moved, why requests of a rank were refused or an instance was passed over.

Each decision package now keeps the reason in the step that decides, with its catalogue beside it: the limit its last change (from, to, reason, time), the gate the refusals of each rank by reason with the newest one, the throttle its level with what was refused below and here, an instance the evidence of its ejection and of the rank that it turned away, a held request each crash and whether it was seen here or told. docs/REASONS.md lists them; the table of `comfreyhoist dump` prints them.

Ruled out: a new cause for displaced tickets, which callers are told as overload; a model test that looks at overload would have seen fewer of them. Log lines for each decision would be a flood in a flood.

No decision changes: the edits in admission set a reason beside the value.

--- a/internal/control/catalogue/catalogue.go
+++ b/internal/control/catalogue/catalogue.go
@@ -1,5 +1,6 @@
 // Package catalogue shows the catalogues of events of reasons and of metrics: as a table for a terminal, and as the pages
-// docs/EVENTS.md, docs/REASONS.md and docs/METRICS.md. The data stays beside the code that uses it, in the packages events and call.
+// docs/EVENTS.md, docs/REASONS.md and docs/METRICS.md. The data stays beside the code that uses it: in the packages
+// events and call, and in the decision packages.
 //
 // # Usage
 //
@@ -13,6 +14,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -22,6 +24,10 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/metrics"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
@@ -46,7 +52,7 @@
 func Pages() map[string]string {
 	return map[string]string{
 		EventsPage:   page("Events", eventsIntroduction, eventRows()),
-		ReasonsPage:  page("Reasons", reasonsIntroduction, reasonRows()),
+		ReasonsPage:  page("Reasons", reasonsIntroduction, reasonRows()) + section(decisionsIntroduction, decisionRows()),
 		metrics.Page: metrics.Markdown(),
 	}
 }
@@ -59,6 +65,8 @@
 	"server's own. Nobody up a chain of calls tries again after a final one. This page is written by\n" +
 	"`comfreyhoist events -markdown docs`; CALLERS.md says what to do about the outcomes."
 
+const decisionsIntroduction = "## Decisions\n\nThe state dump of a node names one of these beside what it decided, with the time and the evidence."
+
 func eventRows() [][]string {
 	rows := [][]string{{"Number", "Level", "Name", "Since", "Text", "Action"}}
 	for _, n := range events.Numbers() {
@@ -77,6 +85,26 @@
 	return rows
 }
 
+// decisionRows returns the reasons that the decision packages give for what they decide.
+func decisionRows() [][]string {
+	rows := [][]string{{"Decision", "Reason", "Text"}}
+	rows = append(rows, decisionsOf("limit of requests in flight", admission.LimitReasons)...)
+	rows = append(rows, decisionsOf("refusal at the gate", admission.ShedReasons)...)
+	rows = append(rows, decisionsOf("throttle at the entry", throttle.Reasons)...)
+	rows = append(rows, decisionsOf("instance passed over", routing.Reasons)...)
+	rows = append(rows, decisionsOf("request held", quarantine.Reasons)...)
+	return append(rows, decisionsOf("evidence against a request", quarantine.Sources)...)
+}
+
+// decisionsOf returns the rows of one catalogue, by reason.
+func decisionsOf[R ~string](decision string, texts map[R]string) [][]string {
+	var rows [][]string
+	for _, reason := range slices.Sorted(maps.Keys(texts)) {
+		rows = append(rows, []string{decision, "`" + string(reason) + "`", texts[reason]})
+	}
+	return rows
+}
+
 // reasons returns the reasons that a caller can be told, by status and name.
 func reasons() []call.Reason {
 	var found []call.Reason
@@ -102,12 +130,24 @@
 func page(title, introduction string, rows [][]string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "# %s\n\n%s\n\n", title, introduction)
-	writeRow(&b, rows[0])
-	writeRow(&b, slices.Repeat([]string{"---"}, len(rows[0])))
+	writeRows(&b, rows)
+	return b.String()
+}
+
+// section renders a further table for the end of a page.
+func section(introduction string, rows [][]string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "\n%s\n\n", introduction)
+	writeRows(&b, rows)
+	return b.String()
+}
+
+func writeRows(b *strings.Builder, rows [][]string) {
+	writeRow(b, rows[0])
+	writeRow(b, slices.Repeat([]string{"---"}, len(rows[0])))
 	for _, row := range rows[1:] {
-		writeRow(&b, row)
+		writeRow(b, row)
 	}
-	return b.String()
 }
 
 func writeRow(b *strings.Builder, cells []string) {
--- a/internal/control/catalogue/catalogue_test.go
+++ b/internal/control/catalogue/catalogue_test.go
@@ -16,6 +16,10 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/catalogue"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
@@ -86,6 +90,32 @@
 	}
 }
 
+// TestDecisionReasonsAreWhole reads the constants of the decision packages: each is on the page, and used.
+func TestDecisionReasonsAreWhole(t *testing.T) {
+	page := catalogue.Pages()[catalogue.ReasonsPage]
+	source := sources(t)
+	constants := regexp.MustCompile(`(?m)^\t(\w+) +(?:Limit|Shed)?(?:Reason|Source) += "(\w+)"$`)
+	files, err := filepath.Glob(root + "/internal/decide/*/*.go")
+	is.New(t).NoErr(err)
+	found := 0
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		is.New(t).NoErr(err)
+		for _, constant := range constants.FindAllStringSubmatch(string(text), -1) {
+			found++
+			if !strings.Contains(page, "| `"+constant[2]+"` |") {
+				t.Errorf("%s: %s is in no catalogue", file, constant[1])
+			}
+			// Its declaration, its text, and at least one use.
+			if uses := regexp.MustCompile(`\b`+constant[1]+`\b`).FindAllString(source, -1); len(uses) < 3 {
+				t.Errorf("%s: %s is never given", file, constant[1])
+			}
+		}
+	}
+	is.New(t).Equal(found, len(admission.LimitReasons)+len(admission.ShedReasons)+len(throttle.Reasons)+
+		len(routing.Reasons)+len(quarantine.Reasons)+len(quarantine.Sources))
+}
+
 // sources returns the text of the program without its tests.
 func sources(t *testing.T) string {
 	t.Helper()
--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -27,6 +27,7 @@
 	expiry   indexedHeap[*Ticket]
 	number   uint64
 	totals   Totals
+	sheds    [Ranks]RankSheds
 	// pausedUntil holds starts back after the backend server shed a request.
 	pausedUntil time.Time
 }
@@ -64,7 +65,7 @@
 	g.demand.offered(now, t.Rank)
 	g.totals.Offered[t.Rank]++
 	if g.tooLate(now, t) {
-		return Verdict{Action: Shed, Refusal: g.refuse(now, t, DeadlineTooNear)}
+		return Verdict{Action: Shed, Refusal: g.refuse(now, t, DeadlineTooNear, ShedDeadline)}
 	}
 	if g.mayStart(now, t.Rank) && g.queuedUpTo(t.Rank) == 0 {
 		g.start(now, t)
@@ -186,13 +187,14 @@
 	g.totals.Started[t.Rank]++
 }
 
-func (g *Gate) refuse(now time.Time, t *Ticket, cause Cause) Refusal {
+func (g *Gate) refuse(now time.Time, t *Ticket, cause Cause, reason ShedReason) Refusal {
 	if cause == DeadlineTooNear {
 		g.totals.Late[t.Rank]++
 	} else {
 		g.totals.Shed[t.Rank]++
 		g.demand.shed(now, t.Rank)
 	}
+	g.sheds[t.Rank].note(now, t, reason)
 	return Refusal{Ticket: t, Cause: cause, RetryAfter: g.RetryAfter(t.Rank)}
 }
 
@@ -243,7 +245,7 @@
 		for places := g.places(r); ahead > places && g.ranks[r].length() > 0; ahead-- {
 			victim := g.ranks[r].shed()
 			g.expiry.remove(victim)
-			refusal := g.refuse(now, victim, Overload)
+			refusal := g.refuse(now, victim, Overload, overloadReason(victim, t))
 			if victim == t {
 				verdict.Action, verdict.Refusal = Shed, refusal
 				continue
@@ -289,7 +291,7 @@
 		t := g.expiry.top()
 		g.expiry.remove(t)
 		g.ranks[t.Rank].remove(t)
-		expired = append(expired, g.refuse(now, t, g.expiryCause(t)))
+		expired = append(expired, g.refuse(now, t, g.expiryCause(t), expiryReason(t)))
 	}
 	return expired
 }
--- a/internal/decide/admission/limit.go
+++ b/internal/decide/admission/limit.go
@@ -67,6 +67,10 @@
 	above hold
 	below hold
 	held  time.Duration
+	// change is the last one of the value, reason why it moved last, and cold that nothing has gone wrong yet.
+	change LimitChange
+	reason LimitReason
+	cold   bool
 }
 
 // window is what was seen since the limit last moved.
@@ -110,7 +114,7 @@
 
 // NewLimit returns a limit at its initial value.
 func NewLimit(config LimitConfig) *Limit {
-	return &Limit{
+	l := &Limit{
 		config:      config,
 		latency:     newLatencies(config.KindMemory, config.LatencySlack),
 		value:       float64(config.Initial),
@@ -119,7 +123,10 @@
 		retrialTime: config.RetrialTime,
 		above:       hold{wait: firstRaiseWait},
 		below:       hold{wait: firstRaiseWait},
+		cold:        true,
 	}
+	l.change = LimitChange{From: l.Value(), To: l.Value(), Reason: LimitInitial}
+	return l
 }
 
 // Value returns the limit in force, at least 1.
@@ -147,6 +154,7 @@
 		l.trial = trial{}
 		l.above = hold{wait: firstRaiseWait}
 	}
+	l.reason = LimitAnnounced
 	l.clamp()
 }
 
@@ -157,6 +165,7 @@
 
 // Observe learns from one sample.
 func (l *Limit) Observe(now time.Time, s Sample) {
+	defer l.noteChange(now)
 	w := &l.window
 	if now.Sub(w.start) > 2*l.longestWindow() {
 		*w = window{start: now, value: l.value, wanted: w.wanted}
@@ -245,9 +254,12 @@
 		l.continueTrial(now, s)
 	case l.slow(s) && l.value > l.proven*provenMargin:
 		l.clean = 0
+		l.cold = false
+		l.reason = LimitLate
 		l.value = math.Max(l.proven*provenMargin, l.value*l.config.Backoff)
 	case l.slow(s) && now.Sub(l.slowSince) >= l.retrialTime:
 		l.clean = 0
+		l.cold = false
 		l.trial = trial{phase: measuring}
 	case s.used:
 		l.planRaise(now, s)
@@ -272,6 +284,8 @@
 	}
 	l.trial = trial{}
 	l.clean = 0
+	l.cold = false
+	l.reason = LimitOverloaded
 	l.shedValue, l.shedUntil = float64(s.inFlight), now.Add(shedValueMemory)
 	l.value = math.Max(math.Min(l.value, l.shedValue-1), l.window.value*l.config.Backoff)
 	l.proven = math.Min(l.proven, l.value)
@@ -280,6 +294,7 @@
 
 func (l *Limit) grow(now time.Time) {
 	l.clean++
+	l.reason = l.growthReason()
 	before := l.value
 	part := math.Min(l.config.Growth*float64(l.clean), 1)
 	l.value += math.Max(l.value*part, 1)
--- /dev/null
+++ b/internal/decide/admission/stats_test.go
@@ -0,0 +1,129 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+)
+
+// phase is a time in which all requests of a backend server end in one way.
+type phase struct {
+	windows int
+	sample  admission.Sample
+}
+
+// runPhases keeps the gate full and returns how the limit changed in the last phase, by reason.
+func runPhases(gate *admission.Gate, phases ...phase) map[admission.LimitReason]admission.LimitChange {
+	now := epoch
+	changes := map[admission.LimitReason]admission.LimitChange{}
+	note := func() {
+		change := gate.Stats(now).Change
+		changes[change.Reason] = change
+	}
+	note()
+	for _, p := range phases {
+		clear(changes)
+		p.sample.Kind = "sheets"
+		for range 2 * p.windows {
+			fillAndFinish(gate, now, p.sample)
+			note()
+			now = now.Add(75 * time.Millisecond)
+		}
+	}
+	return changes
+}
+
+// fillAndFinish starts as many requests as the gate lets and ends them all, while as many others want to run.
+func fillAndFinish(gate *admission.Gate, now time.Time, s admission.Sample) {
+	for wanted := 0; wanted <= gate.InFlight(); {
+		t := newTicket(now, 0, "sheets", "crew")
+		switch gate.Offer(now, t).Action {
+		case admission.Wait:
+			gate.Withdraw(t)
+			wanted++
+		case admission.Shed:
+			wanted++
+		}
+	}
+	for gate.InFlight() > 0 {
+		gate.Finish(now, s)
+	}
+}
+
+func TestLimitSaysWhyItStands(t *testing.T) {
+	good := admission.Sample{Took: 10 * time.Millisecond, Held: 10 * time.Millisecond}
+	late := admission.Sample{Took: 200 * time.Millisecond, Held: 200 * time.Millisecond}
+	overloaded := admission.Sample{Overloaded: true}
+	tests := map[string]struct {
+		phases []phase
+		slots  int
+		want   admission.LimitReason
+		higher bool
+	}{
+		"nothing was seen":              {want: admission.LimitInitial},
+		"fewer slots than the start":    {slots: 4, want: admission.LimitAnnounced},
+		"used and quick from the start": {phases: []phase{{4, good}}, want: admission.LimitColdRamp, higher: true},
+		"the backend server sheds":      {phases: []phase{{4, good}, {1, overloaded}}, want: admission.LimitOverloaded},
+		"quick again after a shed":      {phases: []phase{{4, good}, {1, overloaded}, {12, good}}, want: admission.LimitGrew, higher: true},
+		"late with more than ran well":  {phases: []phase{{4, good}, {4, late}}, want: admission.LimitLate},
+		"more than announced":           {slots: 8, phases: []phase{{60, good}}, want: admission.LimitRaiseTrial, higher: true},
+		"late with more than announced": {slots: 8, phases: []phase{{60, good}, {20, late}}, want: admission.LimitRaiseTakenBack},
+		"late for long":                 {slots: 8, phases: []phase{{4, good}, {90, late}}, want: admission.LimitLowerTrial},
+		"a lower limit was no help":     {slots: 8, phases: []phase{{4, good}, {90, late}}, want: admission.LimitLowerTakenBack, higher: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			gate := admission.NewGate(testConfig())
+			if test.slots > 0 {
+				gate.Announce(test.slots, 100)
+			}
+			changes := runPhases(gate, test.phases...)
+			t.Log(changes)
+			change, found := changes[test.want]
+			is.True(found)
+			is.Equal(change.To > change.From, test.higher)
+			is.Equal(change.At.IsZero(), test.want == admission.LimitInitial)
+			is.Equal(gate.Stats(epoch).Limit, gate.LimitValue())
+		})
+	}
+}
+
+func TestGateSaysWhyItRefused(t *testing.T) {
+	is := is.New(t)
+	gate := admission.NewGate(testConfig())
+	gate.Announce(1, 1)
+	offer := func(now time.Time, rank int, patience time.Duration) {
+		ticket := newTicket(now, rank, "kind", "crew")
+		ticket.Deadline = now.Add(patience)
+		gate.Offer(now, ticket)
+	}
+	offer(epoch, 0, time.Second) // runs
+	for range 5 {
+		offer(epoch, 7, time.Second) // four places in the queue
+	}
+	offer(epoch, 2, time.Second) // takes a place of rank 7
+	offer(epoch, 3, 0)
+	later := epoch.Add(time.Second)
+	gate.Advance(later)
+
+	sheds := gate.Stats(later).Sheds
+	is.Equal(sheds[0], admission.RankSheds{})
+	is.Equal(sheds[7].ByReason[admission.ShedOverload]+sheds[7].ByReason[admission.ShedDisplaced], uint64(2))
+	is.True(sheds[7].ByReason[admission.ShedDisplaced] > 0)
+	is.Equal(sheds[7].ByReason[admission.ShedQueueTimeout], uint64(3))
+	is.Equal(sheds[7].Last, admission.LastShed{Reason: admission.ShedQueueTimeout, Kind: "kind", At: later})
+	is.Equal(sheds[3].ByReason, map[admission.ShedReason]uint64{admission.ShedDeadline: 1})
+	is.Equal(sheds[3].Last.At, epoch)
+	totals := gate.Totals()
+	for rank := range sheds {
+		var sum uint64
+		for _, count := range sheds[rank].ByReason {
+			sum += count
+		}
+		is.Equal(sum, totals.Shed[rank]+totals.Late[rank]) // each refusal has one reason
+	}
+}
--- a/internal/decide/admission/trial.go
+++ b/internal/decide/admission/trial.go
@@ -134,12 +134,14 @@
 	if !above {
 		higher = math.Min(higher, l.ceiling)
 	}
+	l.reason = LimitRaiseTrial
 	l.value = math.Min(higher, l.highest())
 	l.ceiling = math.Max(l.ceiling, l.value)
 }
 
 func (l *Limit) shrink(s seen) {
 	l.trial = trial{phase: settling, before: l.value, rate: s.rate, excess: s.excess}
+	l.reason = LimitLowerTrial
 	l.value *= l.config.TrialBackoff
 }
 
@@ -152,6 +154,7 @@
 		return
 	}
 	if s.used && (s.ended < leastTrialRequests/2 || s.rate < t.expected(l.value) || s.excess > t.expectedExcess(l.value)) {
+		l.reason = LimitLowerTakenBack
 		l.value = t.before
 		l.slowSince = now
 		l.retrialTime = min(2*l.retrialTime, l.config.MaxRetrialTime)
@@ -178,6 +181,7 @@
 
 // endRaise goes back to what was before a higher limit that did not help.
 func (l *Limit) endRaise(now time.Time, t trial) {
+	l.reason = LimitRaiseTakenBack
 	l.value = t.before
 	if !t.above {
 		l.below.failed(now)
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -125,6 +125,9 @@
 	Term        time.Duration `json:"term"`
 	Until       time.Time     `json:"until"`
 	Expires     time.Time     `json:"expires"`
+	// Reason says why the request is held, and Evidence are the latest crashes, the newest last.
+	Reason   Reason     `json:"reason"`
+	Evidence []Evidence `json:"evidence"`
 
 	// known are the crashes by which they are told apart. Crashes may be more, where some are only known by number.
 	known map[uint64]bool
@@ -220,6 +223,9 @@
 		e = t.add(now, b.Fingerprint)
 	}
 	fresh := e.note(b.Crash)
+	if fresh || b.Crashes > e.Crashes {
+		e.addEvidence(Evidence{Crash: b.Crash, Source: Told, At: now})
+	}
 	if !fresh && b.Crashes <= e.Crashes && b.Term <= e.Term {
 		return
 	}
@@ -231,7 +237,7 @@
 func (t *Table) Entries() []Entry {
 	entries := make([]Entry, 0, len(t.entries))
 	for _, e := range t.entries {
-		entries = append(entries, *e)
+		entries = append(entries, e.shown(t.config.MaxCrashes))
 	}
 	return entries
 }
@@ -269,6 +275,7 @@
 	if !e.note(t.crash.id) {
 		return Blame{}, false
 	}
+	e.addEvidence(Evidence{Crash: t.crash.id, Source: SeenHere, At: now})
 	t.sentence(now, e, 0)
 	return Blame{Fingerprint: f, Crash: t.crash.id, Crashes: e.Crashes, Term: e.Term}, true
 }
--- a/internal/decide/routing/instance.go
+++ b/internal/decide/routing/instance.go
@@ -33,6 +33,8 @@
 	Took   time.Duration
 	// Rank of the request that was shed.
 	Rank int
+	// Reason names what failed, for the dump.
+	Reason string
 	// Load is as reported; a Limit of 0 says that there was no report.
 	Load Load
 }
@@ -54,6 +56,8 @@
 
 	failures     int
 	ejectedUntil time.Time
+	ejection     Ejection
+	lastShed     ShedEvidence
 	sheddingRank int
 	shedUntil    time.Time
 }
@@ -79,10 +83,12 @@
 		i.learnError(now, 1)
 		if i.failures >= i.config.Failures {
 			i.ejectedUntil = now.Add(i.config.EjectionTime)
+			i.ejection = Ejection{Reason: FailuresInARow, Failures: i.failures, LastFailure: s.Reason, At: now}
 		}
 	case Shed:
 		i.sheddingRank = s.Rank
 		i.shedUntil = now.Add(i.config.SheddingTime)
+		i.lastShed = ShedEvidence{Reason: ShedReply, Told: s.Reason, At: now}
 	}
 }
 
--- a/internal/decide/routing/routing_test.go
+++ b/internal/decide/routing/routing_test.go
@@ -148,6 +148,20 @@
 	is.Equal(got["node_2"], 100)
 }
 
+func TestStatsShowTheEvidence(t *testing.T) {
+	is := is.New(t)
+	s := newSet(1)
+	i := s.Find("node_0")
+	is.Equal(i.Stats(start).Ejection, routing.Ejection{})
+	for _, reason := range []string{"corrupt", "corrupt", "peer_silent"} {
+		i.End(start, routing.Sample{Result: routing.Failed, Reason: reason})
+	}
+	i.End(start, routing.Sample{Result: routing.Shed, Rank: 5, Reason: "overload"})
+	stats := i.Stats(start)
+	is.Equal(stats.Ejection, routing.Ejection{Reason: routing.FailuresInARow, Failures: 3, LastFailure: "peer_silent", At: start})
+	is.Equal(stats.LastShed, routing.ShedEvidence{Reason: routing.ShedReply, Told: "overload", At: start})
+}
+
 func TestFailingLosesThePreferenceOfItsZone(t *testing.T) {
 	is := is.New(t)
 	s := newSet(3)
--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -117,6 +117,8 @@
 	calm       float64
 	refusedAt  time.Time
 	admittedAt time.Time
+	// lastRefusal is the newest request that the throttle refused itself.
+	lastRefusal Refusal
 }
 
 // New returns a throttle that admits everything.
@@ -138,10 +140,12 @@
 	case own <= part:
 	case o.Resent && t.refused > spared && t.resent >= t.config.ResentShare*t.accepted:
 		// Not counted, so that requests sent again don't take the place of new ones.
+		t.lastRefusal = Refusal{Reason: RefusedResent, At: now}
 		return Verdict{RetryAfter: t.retryAfter(random)}
 	case refusal == 0:
 	case random.Float64() < min(refusal, 1-part/own):
 		t.local++
+		t.lastRefusal = Refusal{Reason: RefusedRate, At: now}
 		return Verdict{RetryAfter: t.retryAfter(random)}
 	}
 	t.admittedAt = now
--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -23,6 +23,7 @@
 	Load               call.Load          `json:"load"`
 	QueuedByRank       []int              `json:"queued_by_rank"`
 	Admission          admission.Totals   `json:"admission"`
+	Gate               admission.Stats    `json:"gate"`
 	Receiver           flow.ReceiverStats `json:"receiver"`
 	Sender             flow.SenderStats   `json:"sender"`
 	Connections        map[string]int     `json:"connections"`
@@ -63,6 +64,7 @@
 		Load:               n.gate.Load(),
 		QueuedByRank:       byRank[:],
 		Admission:          n.gate.Totals(),
+		Gate:               n.gate.Stats(),
 		Receiver:           n.receiver.Stats(),
 		Sender:             n.sender.Stats(time.Now()),
 		Connections:        n.pool.Open(),
--- a/internal/process/node/table.go
+++ b/internal/process/node/table.go
@@ -5,10 +5,13 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
 )
 
 // WriteTable prints the dump for people. Ages count up to the time.
@@ -18,8 +21,11 @@
 	d.writeDocuments(t, now)
 	d.writeMembers(t)
 	d.writeHomes(t, now)
-	d.writeAdmission(t)
+	d.writeAdmission(t, now)
+	d.writeSheds(t, now)
+	d.writeThrottles(t, now)
 	d.writeInstances(t)
+	d.writeEjections(t, now)
 	d.writeBudgets(t)
 	d.writeQuarantine(t, now)
 	d.writeConnections(t)
@@ -119,13 +125,68 @@
 	return fmt.Sprintf("%+.1fs", time.UnixMilli(at).Sub(now).Seconds())
 }
 
-func (d Dump) writeAdmission(t *tables) {
+func (d Dump) writeAdmission(t *tables, now time.Time) {
 	title := fmt.Sprintf("ADMISSION: %d in flight, %d queued, limit %d", d.Load.InFlight, d.Load.Queued, d.Load.Limit)
 	t.section(title, "RANK", "QUEUED", "OFFERED", "STARTED", "SHED", "LATE", "WITHDRAWN")
 	for rank, queued := range d.QueuedByRank {
 		a := d.Admission
 		t.row(rank, queued, a.Offered[rank], a.Started[rank], a.Shed[rank], a.Late[rank], a.Withdrawn[rank])
 	}
+	t.section("LIMIT", "LIMIT", "BEFORE", "REASON", "AGO", "CEILING", "PROVEN")
+	change := d.Gate.Change
+	t.row(d.Gate.Limit, change.From, change.Reason, ago(now, change.At), d.Gate.Ceiling, d.Gate.Proven)
+}
+
+// ago shows a time by its distance from now; "-" where there is none.
+func ago(now, at time.Time) string {
+	if at.IsZero() {
+		return "-"
+	}
+	return now.Sub(at).Round(100 * time.Millisecond).String()
+}
+
+func (d Dump) writeSheds(t *tables, now time.Time) {
+	t.section("REFUSED AT THE GATE", "RANK", "REASON", "REQUESTS", "LAST KIND", "AGO")
+	for rank, s := range d.Gate.Sheds {
+		for _, reason := range slices.Sorted(maps.Keys(s.ByReason)) {
+			kind, at := "", "-"
+			if reason == s.Last.Reason {
+				kind, at = s.Last.Kind, ago(now, s.Last.At)
+			}
+			t.row(rank, reason, s.ByReason[reason], kind, at)
+		}
+	}
+}
+
+func (d Dump) writeThrottles(t *tables, now time.Time) {
+	t.section("REFUSED AT THE ENTRY", "SERVICE", "KIND", "RANK", "REASON", "SHARE", "ACCEPTED", "REFUSED BELOW", "AGO", "LAST REFUSED HERE", "AGO")
+	for _, s := range d.Sender.Throttles {
+		t.row(s.Service, s.Kind, s.Rank, s.Reason, fmt.Sprintf("%.2f", s.RefusedShare), fmt.Sprintf("%.0f", s.Accepted),
+			fmt.Sprintf("%.0f", s.RefusedBelow), ago(now, s.LastBelow), orNone(string(s.LastHere.Reason)), ago(now, s.LastHere.At))
+	}
+}
+
+// writeEjections prints why instances were last passed over, also where they no longer are.
+func (d Dump) writeEjections(t *tables, now time.Time) {
+	t.section("PASSED OVER", "NODE", "REASON", "EVIDENCE", "AGO", "FOR")
+	for _, node := range slices.Sorted(maps.Keys(d.Sender.Instances)) {
+		i := d.Sender.Instances[node]
+		if e := i.Ejection; e.Reason != "" {
+			t.row(node, e.Reason, fmt.Sprintf("%d failures, last %s", e.Failures, e.LastFailure), ago(now, e.At), milliseconds(i.EjectedLeft))
+		}
+		if e := i.LastShed; e.Reason != "" {
+			t.row(node, e.Reason, fmt.Sprintf("rank %d, %s", i.SheddingRank, e.Told), ago(now, e.At), milliseconds(i.ShedLeft))
+		}
+	}
+}
+
+// crashesOf shows the crashes that a request is blamed for.
+func crashesOf(e quarantine.Entry, now time.Time) string {
+	var crashes []string
+	for _, v := range e.Evidence {
+		crashes = append(crashes, fmt.Sprintf("%s %s ago", v.Source, ago(now, v.At)))
+	}
+	return strings.Join(crashes, ", ")
 }
 
 func (d Dump) writeInstances(t *tables) {
@@ -145,9 +206,9 @@
 }
 
 func (d Dump) writeQuarantine(t *tables, now time.Time) {
-	t.section("QUARANTINE", "FINGERPRINT", "CRASHES", "REFUSED FOR")
+	t.section("QUARANTINE", "FINGERPRINT", "REASON", "CRASHES", "REFUSED FOR", "EVIDENCE")
 	for _, e := range d.Quarantine {
-		t.row(fmt.Sprintf("%+v", e.Fingerprint), e.Crashes, max(0, e.Until.Sub(now)).Round(time.Second))
+		t.row(fmt.Sprintf("%+v", e.Fingerprint), e.Reason, e.Crashes, max(0, e.Until.Sub(now)).Round(time.Second), crashesOf(e, now))
 	}
 }
 
--- a/internal/proof/control/session_test.go
+++ b/internal/proof/control/session_test.go
@@ -132,7 +132,7 @@
 		for _, other := range f.Nodes {
 			is.True(strings.Contains(table.String(), other.Name))
 		}
-		for _, title := range []string{"DOCUMENTS", "MEMBERS", "HOMES", "ADMISSION", "INSTANCES", "RETRY BUDGETS", "QUARANTINE", "CONNECTIONS"} {
+		for _, title := range []string{"DOCUMENTS", "MEMBERS", "HOMES", "ADMISSION", "LIMIT", "REFUSED AT THE GATE", "REFUSED AT THE ENTRY", "INSTANCES", "PASSED OVER", "RETRY BUDGETS", "QUARANTINE", "CONNECTIONS"} {
 			is.True(strings.Contains(table.String(), "\n"+title))
 		}
 	}
--- a/internal/traffic/backend/gate.go
+++ b/internal/traffic/backend/gate.go
@@ -91,6 +91,13 @@
 	return g.gate.Totals()
 }
 
+// Stats returns what the gate decides by, and why.
+func (g *Gate) Stats() admission.Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Stats(time.Now())
+}
+
 func newTicket(r *call.Request, share int) *admission.Ticket {
 	return &admission.Ticket{
 		Rank:      r.Root.Rank,
--- a/internal/traffic/flow/views.go
+++ b/internal/traffic/flow/views.go
@@ -72,6 +72,7 @@
 		Result: shown(&reply, took),
 		Took:   took,
 		Rank:   shedRank(rank, &reply),
+		Reason: string(reply.Failure()),
 		Load:   routing.Load{InFlight: reply.Load.InFlight, Queued: reply.Load.Queued, Limit: reply.Load.Limit},
 	})
 }
