A token may name a person of its team; history and events name that person

Cause: history gave the team as the editor, so who made an edit of a team of several was not to be found out.

A pair in operator.tokens is team:token as before, or team/editor:token. The editor is stored as "team/editor" in the field that was there, so that nodes of the earlier version keep it during a rolling upgrade. Ruled out: a field of its own for the person, which such a node would drop when it adds an edit. New faults: an editor without a plain name, an editor twice, one token for two holders. No fault shows a token.

Changes to existing tests: NewTokens takes holders in the place of team names (operator_test); the checks stay.

--- a/internal/control/operator/editor.go
+++ b/internal/control/operator/editor.go
@@ -23,8 +23,8 @@
 type Edit struct {
 	Service string
 	Source  []byte
-	// Team is the team of the token; EveryTeam for the operators'.
-	Team string
+	// By is whose token it was; of EveryTeam for the operators.
+	By Identity
 	// Expected is the tag of the document that is replaced; empty where none may stand.
 	Expected string
 	// Operation identifies the edit; sent again under the same id, it is carried out once.
@@ -95,7 +95,7 @@
 
 // check validates the whole document.
 func check(edit Edit) (zone.StoredDocument, error) {
-	next := zone.StoredDocument{Source: string(edit.Source), Operation: edit.Operation, Editor: edit.Team, Time: edit.Time}
+	next := zone.StoredDocument{Source: string(edit.Source), Operation: edit.Operation, Editor: edit.By.String(), Time: edit.Time}
 	if len(edit.Source) > zone.MaxSourceBytes {
 		return next, refuse(CodeTooLarge, "the document is larger than %d bytes", zone.MaxSourceBytes)
 	}
@@ -106,8 +106,8 @@
 	if parsed.Service != edit.Service {
 		return next, refuse(CodeInvalidDocument, "the document names service %q, the address %q", parsed.Service, edit.Service)
 	}
-	if edit.Team != EveryTeam && edit.Team != parsed.Team {
-		return next, refuse(CodeForbidden, "the document's team is %q, the token's %q", parsed.Team, edit.Team)
+	if edit.By.Team != EveryTeam && edit.By.Team != parsed.Team {
+		return next, refuse(CodeForbidden, "the document's team is %q, the token's %q", parsed.Team, edit.By.Team)
 	}
 	return next, nil
 }
@@ -121,8 +121,8 @@
 		return nil
 	}
 	parsed, err := document.Parse([]byte(stands.Source))
-	owned := err == nil && parsed.Team == edit.Team
-	if !owned && edit.Team != EveryTeam {
+	owned := err == nil && parsed.Team == edit.By.Team
+	if !owned && edit.By.Team != EveryTeam {
 		return refuse(CodeForbidden, "the document belongs to another team")
 	}
 	if edit.Expected == "" {
@@ -164,7 +164,9 @@
 		next, err = e.settle(ctx, now, edit)
 	}
 	if err != nil {
-		e.config.Log.Emit(events.DocumentRefused, events.Fields{"service": edit.Service, "operation": edit.Operation, "error": err.Error()})
+		e.config.Log.Emit(events.DocumentRefused, events.Fields{
+			"service": edit.Service, "operation": edit.Operation, "editor": edit.By.String(), "error": err.Error(),
+		})
 		return next, err
 	}
 	e.accept(ctx, key, next)
--- a/internal/control/operator/operator_test.go
+++ b/internal/control/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -29,6 +30,8 @@
 	bookingsToken = "token-of-the-bookings-team"
 	accessToken   = "token-of-the-access-team"
 	everyToken    = "token-of-the-operators"
+	anaToken      = "token-of-ana-of-the-bookings-team"
+	ruiToken      = "token-of-rui-of-the-operators"
 )
 
 // heldRecords stands for the records of one node.
@@ -77,7 +80,13 @@
 			Records:  records,
 			Log:      events.NewLog(log, zerolog.DebugLevel, "node"),
 		}),
-		Tokens: operator.NewTokens(map[string]string{"bookings-team": bookingsToken, "access-team": accessToken, "*": everyToken}),
+		Tokens: operator.NewTokens(map[operator.Identity]string{
+			{Team: "bookings-team"}:                bookingsToken,
+			{Team: "bookings-team", Editor: "ana"}: anaToken,
+			{Team: "access-team"}:                  accessToken,
+			{Team: "*"}:                            everyToken,
+			{Team: "*", Editor: "rui"}:             ruiToken,
+		}),
 	})
 	server := httptest.NewServer(router)
 	t.Cleanup(server.Close)
@@ -262,6 +271,34 @@
 	is.True(!strings.Contains(log.String(), bookingsToken))
 }
 
+func TestHistoryAndEventsNameTheEditor(t *testing.T) {
+	is := is.New(t)
+	_, url := newStore(t)
+	var log strings.Builder
+	s := newSide(t, url, &log)
+	tag := ""
+	want := []string{"bookings-team", "bookings-team/ana", "*/rui"}
+	for i, token := range []string{bookingsToken, anaToken, ruiToken} {
+		stored, err := s.client(token).Put(t.Context(), "bookings", source("bookings-team", fmt.Sprintf("%ds", i+1)), tag, "")
+		is.NoErr(err)
+		is.Equal(stored.Editor, want[i])
+		is.True(strings.Contains(log.String(), `"editor":"`+want[i]+`"`))
+		tag = stored.Tag()
+	}
+	edits, err := s.client(anaToken).History(t.Context(), "bookings")
+	is.NoErr(err)
+	is.Equal(len(edits), len(want))
+	for i, edit := range edits {
+		is.Equal(edit.Editor, want[len(want)-1-i])
+	}
+	_, err = s.client(anaToken).Put(t.Context(), "bookings", source("access-team", "9s"), tag, "")
+	is.Equal(codeOf(err), operator.CodeForbidden) // a person may do what the team may
+	is.Equal(codeOf(s.client(anaToken).Drain(t.Context())), operator.CodeForbidden)
+	for _, token := range []string{bookingsToken, anaToken, ruiToken} {
+		is.True(!strings.Contains(log.String(), token))
+	}
+}
+
 func TestHistoryIsBounded(t *testing.T) {
 	is := is.New(t)
 	var stored zone.StoredDocument
--- a/internal/control/operator/server.go
+++ b/internal/control/operator/server.go
@@ -1,13 +1,14 @@
 // Package operator speaks to the operators: the administration API of a node, and the client of the command line.
 //
 // Each team edits the document of its own service with its own bearer token; the token of team "*" may edit every
-// document and stop the node. A document is accepted when it has been written to the platform by compare-and-swap;
+// document and stop the node. A token may name a person of its team, whom the history and the events then name. A
+// document is accepted when it has been written to the platform by compare-and-swap;
 // from then on it spreads to all nodes and is never taken back.
 //
 // # Usage
 //
 //	router := httprouter.New()
-//	operator.Register(router, operator.Config{Editor: operator.NewEditor(...), Tokens: operator.NewTokens(byTeam), ...})
+//	operator.Register(router, operator.Config{Editor: operator.NewEditor(...), Tokens: operator.NewTokens(byHolder), ...})
 //
 //	client := operator.NewClient(operator.ClientConfig{Address: "10.0.1.21:7003", Token: token})
 //	stored, err := client.Get(ctx, "bookings")
@@ -77,19 +78,19 @@
 type request struct {
 	*http.Request
 
-	team    string
+	by      Identity
 	service string
 }
 
 // authorized lets requests with a known token through and writes the errors of f.
 func (s *server) authorized(f func(http.ResponseWriter, request) error) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-		team, known := s.config.Tokens.Team(bearer(r))
+		holder, known := s.config.Tokens.Holder(bearer(r))
 		if !known {
 			writeError(w, refuse(CodeUnauthorized, "the bearer token is missing or unknown"))
 			return
 		}
-		if err := f(w, request{Request: r, team: team, service: p.ByName("service")}); err != nil {
+		if err := f(w, request{Request: r, by: holder, service: p.ByName("service")}); err != nil {
 			writeError(w, err)
 		}
 	}
@@ -149,7 +150,7 @@
 	stored, err := s.config.Editor.Put(r.Context(), Edit{
 		Service:   r.service,
 		Source:    source,
-		Team:      r.team,
+		By:        r.by,
 		Expected:  strings.Trim(r.Header.Get("If-Match"), `"`),
 		Operation: operation,
 		Time:      time.Now().UTC(),
@@ -175,7 +176,7 @@
 }
 
 func (s *server) drain(w http.ResponseWriter, r request) error {
-	if r.team != EveryTeam {
+	if r.by.Team != EveryTeam {
 		return refuse(CodeForbidden, "only the token of team %q may stop a node", EveryTeam)
 	}
 	w.WriteHeader(http.StatusAccepted)
@@ -184,7 +185,7 @@
 }
 
 func (s *server) dump(w http.ResponseWriter, r request) error {
-	if r.team != EveryTeam {
+	if r.by.Team != EveryTeam {
 		return refuse(CodeForbidden, "only the token of team %q may read the state of a node", EveryTeam)
 	}
 	s.config.Dump(w, r.Request)
--- a/internal/control/operator/tokens.go
+++ b/internal/control/operator/tokens.go
@@ -10,32 +10,47 @@
 // EveryTeam is the team whose token may edit each document and stop the node.
 const EveryTeam = "*"
 
-// Tokens knows the team of each bearer token. It keeps hashes only, so that no token gets into logs or dumps.
+// Identity is whose a bearer token is.
+type Identity struct {
+	Team string
+	// Editor is a person of the team; empty for the team as a whole.
+	Editor string
+}
+
+// String names the identity in histories and events: "team", or "team/editor".
+func (i Identity) String() string {
+	if i.Editor == "" {
+		return i.Team
+	}
+	return i.Team + "/" + i.Editor
+}
+
+// Tokens knows whose each bearer token is. It keeps hashes only, so that no token gets into logs or dumps.
 type Tokens struct {
-	teams  []string
-	hashes [][sha256.Size]byte
+	holders []Identity
+	hashes  [][sha256.Size]byte
 }
 
-// NewTokens returns the tokens of the teams.
-func NewTokens(byTeam map[string]string) *Tokens {
+// NewTokens returns the tokens of the holders, which are no two the same.
+func NewTokens(byHolder map[Identity]string) *Tokens {
 	t := &Tokens{}
-	for team, token := range byTeam {
-		t.teams = append(t.teams, team)
+	for holder, token := range byHolder {
+		t.holders = append(t.holders, holder)
 		t.hashes = append(t.hashes, sha256.Sum256([]byte(token)))
 	}
 	return t
 }
 
-// Team returns the team of the token. The comparison takes the same time whatever the token is.
-func (t *Tokens) Team(token string) (string, bool) {
+// Holder returns whose the token is. The comparison takes the same time whatever the token is.
+func (t *Tokens) Holder(token string) (Identity, bool) {
 	hash := sha256.Sum256([]byte(token))
-	team, found := "", false
+	holder, found := Identity{}, false
 	for i := range t.hashes {
 		if subtle.ConstantTimeCompare(hash[:], t.hashes[i][:]) == 1 {
-			team, found = t.teams[i], true
+			holder, found = t.holders[i], true
 		}
 	}
-	return team, found
+	return holder, found
 }
 
 func bearer(r *http.Request) string {
--- a/internal/control/settings/settings.go
+++ b/internal/control/settings/settings.go
@@ -81,7 +81,7 @@
 // Operator is the listener of the administration API.
 type Operator struct {
 	Address string
-	// Tokens are team:token pairs, separated by commas. Team "*" may edit every document.
+	// Tokens are pairs team:token or team/editor:token, separated by commas. Team "*" may edit every document.
 	Tokens string
 }
 
@@ -114,6 +114,7 @@
 	maxBodyTimeout        = 2 * time.Minute
 	zoneListSeparator     = ","
 	tokenTeamSeparator    = ":"
+	tokenEditorSeparator  = "/"
 	everyTeam             = "*"
 	environmentVarsPrefix = "COMFREYHOIST"
 	configFlag            = "config"
@@ -138,7 +139,7 @@
 	flags.StringVar(&s.Backend.Address, "backend.address", "", "IP and port for the local backend server's announcements and for health, metrics and the dump")
 	flags.DurationVar(&s.Backend.MaxWait, "backend.max_wait", defaultMaxWait, "longest wait for a slot")
 	flags.StringVar(&s.Operator.Address, "operator.address", "", "IP and port of the administration API; empty for none")
-	flags.StringVar(&s.Operator.Tokens, "operator.tokens", "", "team:token pairs, separated by commas")
+	flags.StringVar(&s.Operator.Tokens, "operator.tokens", "", "team:token or team/editor:token pairs, separated by commas")
 	flags.StringVar(&s.Platform.URL, "platform.url", "", "URL of the platform's key-value service")
 	flags.DurationVar(&s.Platform.Timeout, "platform.timeout", defaultPlatformWait, "time for one answer of the platform")
 	flags.StringVar(&s.Log.Level, "log.level", "info", "debug, info, warn or error")
@@ -213,25 +214,6 @@
 	return splitList(p.Seeds)
 }
 
-// TeamTokens returns the token of each team.
-func (o Operator) TeamTokens() (map[string]string, error) {
-	tokens := map[string]string{}
-	for _, pair := range splitList(o.Tokens) {
-		team, token, found := strings.Cut(pair, tokenTeamSeparator)
-		if !found || team == "" {
-			return nil, trace.BadParameter("a pair is not team:token")
-		}
-		if len(token) < leastTokenBytes {
-			return nil, trace.BadParameter("the token of %q is shorter than %d bytes", team, leastTokenBytes)
-		}
-		if _, stands := tokens[team]; stands {
-			return nil, trace.BadParameter("the team %q stands twice", team)
-		}
-		tokens[team] = token
-	}
-	return tokens, nil
-}
-
 func splitList(list string) []string {
 	var items []string
 	for _, item := range strings.Split(list, zoneListSeparator) {
@@ -311,7 +293,7 @@
 }
 
 func (c *checker) tokens(o Operator) {
-	tokens, err := o.TeamTokens()
+	tokens, err := o.TokenList()
 	if err != nil {
 		c.fault("operator.tokens", trace.UserMessage(err))
 		return
--- a/internal/control/settings/settings_test.go
+++ b/internal/control/settings/settings_test.go
@@ -80,6 +80,13 @@
 		"too long":          {sound + "timeout = 1h", "node.ini:13: [platform] timeout: must be more than 0 and at most 30s"},
 		"bad level":         {sound + "[log]\nlevel = loud", "node.ini:14: [log] level: must be debug, info, warn or error"},
 		"short token":       {sound + "[operator]\ntokens = a:b", "node.ini:14: [operator] tokens: the token of \"a\" is shorter than 16 bytes"},
+		"team twice":        {sound + "[operator]\ntokens = a:0123456789abcdef,a:fedcba9876543210", "node.ini:14: [operator] tokens: the team \"a\" stands twice"},
+		"editor twice":      {sound + "[operator]\ntokens = a/ana:0123456789abcdef,a/ana:fedcba9876543210", "node.ini:14: [operator] tokens: the editor \"a/ana\" stands twice"},
+		"one token for two": {sound + "[operator]\ntokens = a/ana:0123456789abcdef,a/rui:0123456789abcdef", "node.ini:14: [operator] tokens: \"a/ana\" and \"a/rui\" have the same token"},
+		"no editor":         {sound + "[operator]\ntokens = a/:0123456789abcdef", "node.ini:14: [operator] tokens: the editor of \"a/\" must be letters, digits, and . _ @ - after the first, at most 64 in all"},
+		"editor's token":    {sound + "[operator]\ntokens = a/ana:b", "node.ini:14: [operator] tokens: the token of \"a/ana\" is shorter than 16 bytes"},
+		"no team":           {sound + "[operator]\ntokens = /ana:0123456789abcdef", "node.ini:14: [operator] tokens: a pair is not team:token or team/editor:token"},
+		"editors":           {sound + "[operator]\ntokens = a:0123456789abcdef,a/ana:fedcba9876543210,*/rui:fedcba987654321x", ""},
 		"nobody may use it": {sound + "[operator]\naddress = 127.0.0.1:7003", "node.ini:13: [operator] tokens: must be set where operator.address is, or nobody may use it"},
 		"one address twice": {strings.Replace(sound, ":7002", ":7000", 1), "node.ini:10: [backend] address: is the same as caller.address"},
 		"zone not listed":   {strings.Replace(sound, "zones = lisbon_1", "zones = porto_1", 1), "node.ini:4: [node] zones: must hold node.zone"},
@@ -104,6 +111,17 @@
 	is.True(strings.Contains(text, path+":10: [backend] address: the host must be an IP"))
 }
 
+func TestTokensNameEditors(t *testing.T) {
+	is := is.New(t)
+	tokens, err := settings.Operator{Tokens: "access-team:0123456789abcdef, access-team/ana:a:b/c:0123456789abcdef, */rui:fedcba9876543210"}.TokenList()
+	is.NoErr(err)
+	is.Equal(tokens, []settings.Token{
+		{Team: "access-team", Secret: "0123456789abcdef"},
+		{Team: "access-team", Editor: "ana", Secret: "a:b/c:0123456789abcdef"}, // what follows the first colon is the token
+		{Team: "*", Editor: "rui", Secret: "fedcba9876543210"},
+	})
+}
+
 func FuzzCheckFile(f *testing.F) {
 	f.Add(sound)
 	f.Add("[a]\nb = c\n[a]\n= d\n'q' = \"x\n\\")
--- a/internal/control/zone/document.go
+++ b/internal/control/zone/document.go
@@ -34,9 +34,10 @@
 	Revision uint64 `json:"revision"`
 	Source   string `json:"source"`
 	// Operation identifies the edit, so that a lost answer can be settled.
-	Operation string    `json:"operation"`
-	Editor    string    `json:"editor"`
-	Time      time.Time `json:"time"`
+	Operation string `json:"operation"`
+	// Editor is who made the edit: a team, or "team/editor" where the token named a person.
+	Editor string    `json:"editor"`
+	Time   time.Time `json:"time"`
 	// History holds the earlier edits, the newest first. It stays in the platform and is not spread to the nodes.
 	History []StoredDocument `json:"history,omitempty"`
 }
--- a/internal/process/node/operator.go
+++ b/internal/process/node/operator.go
@@ -7,12 +7,13 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/operator"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 )
 
 // operatorRouter serves the administration API.
 func (n *Node) operatorRouter() *httprouter.Router {
 	router := httprouter.New()
-	tokens, err := n.config.Settings.Operator.TeamTokens()
+	tokens, err := n.config.Settings.Operator.TokenList()
 	if err != nil {
 		n.config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return router
@@ -24,9 +25,18 @@
 			Records:  n.controller,
 			Log:      n.config.Log,
 		}),
-		Tokens: operator.NewTokens(tokens),
+		Tokens: operator.NewTokens(byHolder(tokens)),
 		Drain:  n.stop,
 		Dump:   func(w http.ResponseWriter, r *http.Request) { n.writeDump(r.Context(), w) },
 	})
 	return router
 }
+
+// byHolder returns the tokens of the settings by whose they are.
+func byHolder(tokens []settings.Token) map[operator.Identity]string {
+	holders := make(map[operator.Identity]string, len(tokens))
+	for _, t := range tokens {
+		holders[operator.Identity{Team: t.Team, Editor: t.Editor}] = t.Secret
+	}
+	return holders
+}
