One printer of tables for the dump, the documents and the events

Cause: cmd/comfreyhoist and internal/process/node each had a printer of their own, and the catalogue a third call of the same library. They are one now, internal/process/terminal. Rows of the document commands no longer end in spaces. The tables of hoistlab stay: the lab prints to files as well.

The output of `comfreyhoist events` is the same byte for byte before and after. terminal, node, cmd, catalogue and TestDump* of proof/control pass with race.

--- a/cmd/comfreyhoist/document.go
+++ b/cmd/comfreyhoist/document.go
@@ -7,7 +7,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"text/tabwriter"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -16,6 +15,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/operator"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/zone"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/terminal"
 )
 
 // target holds the flags of the commands that call a node's administration API.
@@ -134,11 +134,11 @@
 		if t.json {
 			return printJSON(summaries)
 		}
-		table := newTable("SERVICE", "TEAM", "REVISION", "EDITOR", "ACCEPTED")
+		table := terminal.NewTable(os.Stdout, "SERVICE", "TEAM", "REVISION", "EDITOR", "ACCEPTED")
 		for _, s := range summaries {
-			table.row(s.Service, s.Team, s.Revision, s.Editor, s.Accepted.Format(time.RFC3339))
+			table.Row(s.Service, s.Team, s.Revision, s.Editor, s.Accepted.Format(time.RFC3339))
 		}
-		return table.flush()
+		return trace.Wrap(table.Flush())
 	})
 }
 
@@ -162,11 +162,11 @@
 }
 
 func printEdits(edits []zone.StoredDocument) error {
-	table := newTable("TAG", "EDITOR", "ACCEPTED", "OPERATION", "BYTES")
+	table := terminal.NewTable(os.Stdout, "TAG", "EDITOR", "ACCEPTED", "OPERATION", "BYTES")
 	for _, e := range edits {
-		table.row(e.Tag(), e.Editor, e.Time.Format(time.RFC3339), e.Operation, len(e.Source))
+		table.Row(e.Tag(), e.Editor, e.Time.Format(time.RFC3339), e.Operation, len(e.Source))
 	}
-	return table.flush()
+	return trace.Wrap(table.Flush())
 }
 
 func printJSON(value any) error {
@@ -174,28 +174,3 @@
 	encoder.SetIndent("", "  ")
 	return trace.Wrap(encoder.Encode(value))
 }
-
-// table prints rows in columns.
-type table struct {
-	writer *tabwriter.Writer
-}
-
-// columnGap is the least number of spaces between columns.
-const columnGap = 2
-
-func newTable(headings ...any) table {
-	t := table{writer: tabwriter.NewWriter(os.Stdout, 0, 0, columnGap, ' ', 0)}
-	t.row(headings...)
-	return t
-}
-
-func (t table) row(cells ...any) {
-	for _, cell := range cells {
-		_, _ = fmt.Fprintf(t.writer, "%v\t", cell)
-	}
-	_, _ = fmt.Fprintln(t.writer)
-}
-
-func (t table) flush() error {
-	return trace.Wrap(t.writer.Flush())
-}
--- a/internal/control/catalogue/catalogue.go
+++ b/internal/control/catalogue/catalogue.go
@@ -18,7 +18,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/gravitational/trace"
 
@@ -28,6 +27,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/terminal"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
@@ -39,15 +39,21 @@
 
 // WriteEvents prints the events as a table.
 func WriteEvents(w io.Writer) error {
-	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	table := terminal.NewTable(w)
 	for _, row := range eventRows() {
-		if _, err := fmt.Fprintln(table, strings.Join(row, "\t")); err != nil {
-			return trace.Wrap(err)
-		}
+		table.Row(cellsOf(row)...)
 	}
 	return trace.Wrap(table.Flush())
 }
 
+func cellsOf(row []string) []any {
+	cells := make([]any, 0, len(row))
+	for _, cell := range row {
+		cells = append(cells, cell)
+	}
+	return cells
+}
+
 // Pages returns the pages by the names of their files.
 func Pages() map[string]string {
 	return map[string]string{
--- a/internal/process/node/table.go
+++ b/internal/process/node/table.go
@@ -6,17 +6,17 @@
 	"maps"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/terminal"
 )
 
 // WriteTable prints the dump for people. Ages count up to the time.
 func (d Dump) WriteTable(w io.Writer, now time.Time) error {
-	t := &tables{writer: tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)}
+	t := terminal.NewTable(w)
 	d.writeNode(t)
 	d.writeDocuments(t, now)
 	d.writeMembers(t)
@@ -29,44 +29,21 @@
 	d.writeBudgets(t)
 	d.writeQuarantine(t, now)
 	d.writeConnections(t)
-	return trace.Wrap(t.writer.Flush())
+	return trace.Wrap(t.Flush())
 }
 
-// columnGap is the least number of spaces between columns.
-const columnGap = 2
-
-// tables prints sections of rows; the first error stays with the writer, which gives it back on Flush.
-type tables struct {
-	writer *tabwriter.Writer
-}
-
-func (t *tables) section(title string, headings ...any) {
-	_, _ = fmt.Fprintf(t.writer, "\n%s\n", title)
-	t.row(headings...)
-}
-
-func (t *tables) row(cells ...any) {
-	for i, cell := range cells {
-		if i > 0 {
-			_, _ = fmt.Fprint(t.writer, "\t")
-		}
-		_, _ = fmt.Fprint(t.writer, cell)
-	}
-	_, _ = fmt.Fprintln(t.writer)
-}
-
-func (d Dump) writeNode(t *tables) {
+func (d Dump) writeNode(t *terminal.Table) {
 	b := d.Board
-	t.row("node", b.Self.Node)
-	t.row("zone", b.Self.Zone)
-	t.row("draining", b.Self.Draining)
-	t.row("backend server", fmt.Sprintf("%s at %s, %d slots, %d connections", b.Backend.Service, b.Backend.Address, b.Backend.Slots, b.Backend.Connections))
-	t.row("role", d.Control.Role)
-	t.row("leader", fmt.Sprintf("%s, leased %t", orNone(b.Leader.Node), b.Leader.Leased))
-	t.row("followed", fmt.Sprintf("%s, relayed %t", orNone(d.Control.Followed), d.Control.Relayed))
-	t.row("lease", fmt.Sprintf("term %d, %s left", d.Control.Term, milliseconds(d.Control.LeaseLeft)))
-	t.row("platform", fmt.Sprintf("reachable %t", b.Platform.Reachable))
-	t.row("records", fmt.Sprintf("%d, digest %016x", d.Control.Records, d.Control.Digest))
+	t.Row("node", b.Self.Node)
+	t.Row("zone", b.Self.Zone)
+	t.Row("draining", b.Self.Draining)
+	t.Row("backend server", fmt.Sprintf("%s at %s, %d slots, %d connections", b.Backend.Service, b.Backend.Address, b.Backend.Slots, b.Backend.Connections))
+	t.Row("role", d.Control.Role)
+	t.Row("leader", fmt.Sprintf("%s, leased %t", orNone(b.Leader.Node), b.Leader.Leased))
+	t.Row("followed", fmt.Sprintf("%s, relayed %t", orNone(d.Control.Followed), d.Control.Relayed))
+	t.Row("lease", fmt.Sprintf("term %d, %s left", d.Control.Term, milliseconds(d.Control.LeaseLeft)))
+	t.Row("platform", fmt.Sprintf("reachable %t", b.Platform.Reachable))
+	t.Row("records", fmt.Sprintf("%d, digest %016x", d.Control.Records, d.Control.Digest))
 }
 
 func orNone(name string) string {
@@ -80,25 +57,25 @@
 	return time.Duration(count) * time.Millisecond
 }
 
-func (d Dump) writeDocuments(t *tables, now time.Time) {
-	t.section("DOCUMENTS", "SERVICE", "TEAM", "REVISION", "EDITOR", "OPERATION", "IN FORCE FOR")
+func (d Dump) writeDocuments(t *terminal.Table, now time.Time) {
+	t.Section("DOCUMENTS", "SERVICE", "TEAM", "REVISION", "EDITOR", "OPERATION", "IN FORCE FOR")
 	for _, service := range slices.Sorted(maps.Keys(d.Board.Documents.ByService)) {
 		in := d.Board.Documents.ByService[service]
-		t.row(service, in.Document.Team, in.Revision, in.Editor, in.Operation, now.Sub(in.InForce).Round(time.Second))
+		t.Row(service, in.Document.Team, in.Revision, in.Editor, in.Operation, now.Sub(in.InForce).Round(time.Second))
 	}
 }
 
-func (d Dump) writeMembers(t *tables) {
-	t.section("MEMBERS", "NODE", "ZONE", "SERVICE", "STATE", "SLOTS", "SILENT FOR", "ADDRESS")
+func (d Dump) writeMembers(t *terminal.Table) {
+	t.Section("MEMBERS", "NODE", "ZONE", "SERVICE", "STATE", "SLOTS", "SILENT FOR", "ADDRESS")
 	for _, node := range slices.Sorted(maps.Keys(d.Board.Members.ByNode)) {
 		m := d.Board.Members.ByNode[node]
-		t.row(m.Node, m.Zone, orNone(m.Service), m.State, m.Slots, d.silence(node), m.PeerAddress)
+		t.Row(m.Node, m.Zone, orNone(m.Service), m.State, m.Slots, d.silence(node), m.PeerAddress)
 	}
 	for _, node := range d.Control.Down {
-		t.row(node, "", "", "down", "", "", "")
+		t.Row(node, "", "", "down", "", "", "")
 	}
 	for _, zone := range slices.Sorted(maps.Keys(d.Control.Lapsed)) {
-		t.row("", zone, "", "no leader", "", milliseconds(d.Control.Lapsed[zone]), "")
+		t.Row("", zone, "", "no leader", "", milliseconds(d.Control.Lapsed[zone]), "")
 	}
 }
 
@@ -111,11 +88,11 @@
 	return milliseconds(silent).String()
 }
 
-func (d Dump) writeHomes(t *tables, now time.Time) {
-	t.section("HOMES", "SHARD", "KEPT BY", "FROM", "UNTIL", "MEMBERS")
+func (d Dump) writeHomes(t *terminal.Table, now time.Time) {
+	t.Section("HOMES", "SHARD", "KEPT BY", "FROM", "UNTIL", "MEMBERS")
 	for _, name := range slices.Sorted(maps.Keys(d.Board.Homes.Shards)) {
 		for _, e := range d.Board.Homes.Shards[name].Epochs {
-			t.row(name, e.Zone, since(now, e.Start), since(now, e.Until), len(e.Members))
+			t.Row(name, e.Zone, since(now, e.Start), since(now, e.Until), len(e.Members))
 		}
 	}
 }
@@ -125,16 +102,16 @@
 	return fmt.Sprintf("%+.1fs", time.UnixMilli(at).Sub(now).Seconds())
 }
 
-func (d Dump) writeAdmission(t *tables, now time.Time) {
+func (d Dump) writeAdmission(t *terminal.Table, now time.Time) {
 	title := fmt.Sprintf("ADMISSION: %d in flight, %d queued, limit %d", d.Load.InFlight, d.Load.Queued, d.Load.Limit)
-	t.section(title, "RANK", "QUEUED", "OFFERED", "STARTED", "SHED", "LATE", "WITHDRAWN")
+	t.Section(title, "RANK", "QUEUED", "OFFERED", "STARTED", "SHED", "LATE", "WITHDRAWN")
 	for rank, queued := range d.QueuedByRank {
 		a := d.Admission
-		t.row(rank, queued, a.Offered[rank], a.Started[rank], a.Shed[rank], a.Late[rank], a.Withdrawn[rank])
+		t.Row(rank, queued, a.Offered[rank], a.Started[rank], a.Shed[rank], a.Late[rank], a.Withdrawn[rank])
 	}
-	t.section("LIMIT", "LIMIT", "BEFORE", "REASON", "AGO", "CEILING", "PROVEN")
+	t.Section("LIMIT", "LIMIT", "BEFORE", "REASON", "AGO", "CEILING", "PROVEN")
 	change := d.Gate.Change
-	t.row(d.Gate.Limit, change.From, change.Reason, ago(now, change.At), d.Gate.Ceiling, d.Gate.Proven)
+	t.Row(d.Gate.Limit, change.From, change.Reason, ago(now, change.At), d.Gate.Ceiling, d.Gate.Proven)
 }
 
 // ago shows a time by its distance from now; "-" where there is none.
@@ -145,37 +122,37 @@
 	return now.Sub(at).Round(100 * time.Millisecond).String()
 }
 
-func (d Dump) writeSheds(t *tables, now time.Time) {
-	t.section("REFUSED AT THE GATE", "RANK", "REASON", "REQUESTS", "LAST KIND", "AGO")
+func (d Dump) writeSheds(t *terminal.Table, now time.Time) {
+	t.Section("REFUSED AT THE GATE", "RANK", "REASON", "REQUESTS", "LAST KIND", "AGO")
 	for rank, s := range d.Gate.Sheds {
 		for _, reason := range slices.Sorted(maps.Keys(s.ByReason)) {
 			kind, at := "", "-"
 			if reason == s.Last.Reason {
 				kind, at = s.Last.Kind, ago(now, s.Last.At)
 			}
-			t.row(rank, reason, s.ByReason[reason], kind, at)
+			t.Row(rank, reason, s.ByReason[reason], kind, at)
 		}
 	}
 }
 
-func (d Dump) writeThrottles(t *tables, now time.Time) {
-	t.section("REFUSED AT THE ENTRY", "SERVICE", "KIND", "RANK", "REASON", "SHARE", "ACCEPTED", "REFUSED BELOW", "AGO", "LAST REFUSED HERE", "AGO")
+func (d Dump) writeThrottles(t *terminal.Table, now time.Time) {
+	t.Section("REFUSED AT THE ENTRY", "SERVICE", "KIND", "RANK", "REASON", "SHARE", "ACCEPTED", "REFUSED BELOW", "AGO", "LAST REFUSED HERE", "AGO")
 	for _, s := range d.Sender.Throttles {
-		t.row(s.Service, s.Kind, s.Rank, s.Reason, fmt.Sprintf("%.2f", s.RefusedShare), fmt.Sprintf("%.0f", s.Accepted),
+		t.Row(s.Service, s.Kind, s.Rank, s.Reason, fmt.Sprintf("%.2f", s.RefusedShare), fmt.Sprintf("%.0f", s.Accepted),
 			fmt.Sprintf("%.0f", s.RefusedBelow), ago(now, s.LastBelow), orNone(string(s.LastHere.Reason)), ago(now, s.LastHere.At))
 	}
 }
 
 // writeEjections prints why instances were last passed over, also where they no longer are.
-func (d Dump) writeEjections(t *tables, now time.Time) {
-	t.section("PASSED OVER", "NODE", "REASON", "EVIDENCE", "AGO", "FOR")
+func (d Dump) writeEjections(t *terminal.Table, now time.Time) {
+	t.Section("PASSED OVER", "NODE", "REASON", "EVIDENCE", "AGO", "FOR")
 	for _, node := range slices.Sorted(maps.Keys(d.Sender.Instances)) {
 		i := d.Sender.Instances[node]
 		if e := i.Ejection; e.Reason != "" {
-			t.row(node, e.Reason, fmt.Sprintf("%d failures, last %s", e.Failures, e.LastFailure), ago(now, e.At), milliseconds(i.EjectedLeft))
+			t.Row(node, e.Reason, fmt.Sprintf("%d failures, last %s", e.Failures, e.LastFailure), ago(now, e.At), milliseconds(i.EjectedLeft))
 		}
 		if e := i.LastShed; e.Reason != "" {
-			t.row(node, e.Reason, fmt.Sprintf("rank %d, %s", i.SheddingRank, e.Told), ago(now, e.At), milliseconds(i.ShedLeft))
+			t.Row(node, e.Reason, fmt.Sprintf("rank %d, %s", i.SheddingRank, e.Told), ago(now, e.At), milliseconds(i.ShedLeft))
 		}
 	}
 }
@@ -189,31 +166,31 @@
 	return strings.Join(crashes, ", ")
 }
 
-func (d Dump) writeInstances(t *tables) {
-	t.section("INSTANCES", "NODE", "IN FLIGHT", "LATENCY", "ERROR RATE", "LIMIT", "FAILURES", "EJECTED FOR", "SHEDS RANK", "FOR")
+func (d Dump) writeInstances(t *terminal.Table) {
+	t.Section("INSTANCES", "NODE", "IN FLIGHT", "LATENCY", "ERROR RATE", "LIMIT", "FAILURES", "EJECTED FOR", "SHEDS RANK", "FOR")
 	for _, node := range slices.Sorted(maps.Keys(d.Sender.Instances)) {
 		i := d.Sender.Instances[node]
-		t.row(node, i.InFlight, milliseconds(i.Latency), fmt.Sprintf("%.2f", i.ErrorRate), i.Limit, i.Failures,
+		t.Row(node, i.InFlight, milliseconds(i.Latency), fmt.Sprintf("%.2f", i.ErrorRate), i.Limit, i.Failures,
 			milliseconds(i.EjectedLeft), i.SheddingRank, milliseconds(i.ShedLeft))
 	}
 }
 
-func (d Dump) writeBudgets(t *tables) {
-	t.section("RETRY BUDGETS", "SERVICE", "ATTEMPTS LEFT")
+func (d Dump) writeBudgets(t *terminal.Table) {
+	t.Section("RETRY BUDGETS", "SERVICE", "ATTEMPTS LEFT")
 	for _, service := range slices.Sorted(maps.Keys(d.Sender.Budgets)) {
-		t.row(service, fmt.Sprintf("%.1f", d.Sender.Budgets[service]))
+		t.Row(service, fmt.Sprintf("%.1f", d.Sender.Budgets[service]))
 	}
 }
 
-func (d Dump) writeQuarantine(t *tables, now time.Time) {
-	t.section("QUARANTINE", "FINGERPRINT", "REASON", "CRASHES", "REFUSED FOR", "EVIDENCE")
+func (d Dump) writeQuarantine(t *terminal.Table, now time.Time) {
+	t.Section("QUARANTINE", "FINGERPRINT", "REASON", "CRASHES", "REFUSED FOR", "EVIDENCE")
 	for _, e := range d.Quarantine {
-		t.row(fmt.Sprintf("%+v", e.Fingerprint), e.Reason, e.Crashes, max(0, e.Until.Sub(now)).Round(time.Second), crashesOf(e, now))
+		t.Row(fmt.Sprintf("%+v", e.Fingerprint), e.Reason, e.Crashes, max(0, e.Until.Sub(now)).Round(time.Second), crashesOf(e, now))
 	}
 }
 
-func (d Dump) writeConnections(t *tables) {
-	t.section("CONNECTIONS", "ADDRESS", "REQUESTS", "CONTROL")
+func (d Dump) writeConnections(t *terminal.Table) {
+	t.Section("CONNECTIONS", "ADDRESS", "REQUESTS", "CONTROL")
 	addresses := map[string]bool{}
 	for address := range d.Connections {
 		addresses[address] = true
@@ -222,6 +199,6 @@
 		addresses[address] = true
 	}
 	for _, address := range slices.Sorted(maps.Keys(addresses)) {
-		t.row(address, d.Connections[address], d.ControlConnections[address])
+		t.Row(address, d.Connections[address], d.ControlConnections[address])
 	}
 }
