--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -20,17 +20,28 @@
 
 // Report is what a server tells an experiment about itself.
 type Report struct {
-	Service         string `json:"service"`
-	Runs            []Run  `json:"runs"`
-	Crashes         int    `json:"crashes"`
-	PeakConnections int    `json:"peak_connections"`
+	Service string `json:"service"`
+	Runs    []Run  `json:"runs"`
+	Crashes int    `json:"crashes"`
+	// Shed counts the requests that got no slot and no place in the queue.
+	Shed            int `json:"shed"`
+	PeakConnections int `json:"peak_connections"`
+	// Asked counts the questions at the health and load endpoints.
+	Asked int `json:"asked"`
 }
 
 // Report returns the ledger and the counters.
 func (s *Server) Report() Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Report{Service: s.config.Service, Runs: s.ledger.Runs(), Crashes: s.crashes, PeakConnections: s.peak}
+	return Report{
+		Service:         s.config.Service,
+		Runs:            s.ledger.Runs(),
+		Crashes:         s.crashes,
+		Shed:            s.shed,
+		PeakConnections: s.peak,
+		Asked:           s.asked,
+	}
 }
 
 func (s *Server) handleBehaviour(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -48,6 +59,10 @@
 		return
 	}
 	b := s.Behaviour()
+	if b.Hung {
+		<-r.Context().Done()
+		return
+	}
 	if b.FailFast {
 		http.Error(w, "failing", http.StatusInternalServerError)
 		return
@@ -108,6 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if change > 0 && s.waiting >= bound {
+		s.shed++
 		return false
 	}
 	s.waiting += change
@@ -168,7 +184,7 @@
 func (s *Server) announce(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := announceEvery
-		if s.announceOnce(ctx) != nil {
+		if !s.Behaviour().Hung && s.announceOnce(ctx) != nil {
 			wait /= 5
 		}
 		pause.For(ctx, wait)
--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -23,6 +23,7 @@
 	Load               call.Load          `json:"load"`
 	QueuedByRank       []int              `json:"queued_by_rank"`
 	Admission          admission.Totals   `json:"admission"`
+	Gate               admission.Stats    `json:"gate"`
 	Receiver           flow.ReceiverStats `json:"receiver"`
 	Sender             flow.SenderStats   `json:"sender"`
 	Connections        map[string]int     `json:"connections"`
@@ -46,7 +47,7 @@
 
 func (n *Node) ready(w http.ResponseWriter) {
 	b := n.loop.Snapshot()
-	if b.Self.Draining || b.Backend.Service == "" || len(b.Documents.ByService) == 0 {
+	if b.Self.Draining || b.Backend.Service == "" || b.Backend.IsLost() || len(b.Documents.ByService) == 0 {
 		http.Error(w, "draining, no backend server or no documents", http.StatusServiceUnavailable)
 		return
 	}
@@ -63,6 +64,7 @@
 		Load:               n.gate.Load(),
 		QueuedByRank:       byRank[:],
 		Admission:          n.gate.Totals(),
+		Gate:               n.gate.Stats(),
 		Receiver:           n.receiver.Stats(),
 		Sender:             n.sender.Stats(time.Now()),
 		Connections:        n.pool.Open(),
