Documents: the history under a key of its own, and a watch for each kind of entry

Cause: a document's value held its history, so each list, each look for a restored platform (each 2 s) and each edit brought up to 64 earlier edits to every leader.

An edit is put into history/<service> before another takes its place, so who reads the document and then the history misses no operation id; one compare-and-swap on the document still decides. A document names the edit that it replaced, so a history that lags is seen, and nothing is said of an edit on its word. Histories that earlier versions wrote into the document move over with the next edit. Leaders list and watch documents, zones, leaders and homes apart, and so never the history. With 2,100 members a list of everything is megabytes; it now comes each 10 min, and that of the leaders each 30 s, since a restored platform is found out by its newest document.

Ruled out: all watched keys under one new prefix, because nodes of two versions would then write two lines of homes.

An edit takes 2 reads and 2 writes instead of 1 and 1.

--- a/internal/control/operator/editor.go
+++ b/internal/control/operator/editor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -49,12 +48,6 @@
 	return &Editor{config: config}
 }
 
-// current is a document with the platform's entry that holds it; both are zero where there is none.
-type current struct {
-	stored zone.StoredDocument
-	entry  platform.Entry
-}
-
 // Get returns the document of the service. Where the platform does not answer it is the one that the node holds,
 // without its history, and reachable is false.
 func (e *Editor) Get(ctx context.Context, service string) (stored zone.StoredDocument, reachable bool, err error) {
@@ -66,10 +59,10 @@
 		}
 		return stored, false, nil
 	}
-	if now.stored.Revision == 0 {
-		return now.stored, true, refuse(CodeNotFound, "service %q has no document", service)
+	if now.Stored.Revision == 0 {
+		return now.Stored, true, refuse(CodeNotFound, "service %q has no document", service)
 	}
-	return now.stored, true, nil
+	return now.Stored, true, nil
 }
 
 // Put writes the document and returns it as it stands. An error is an *Error.
@@ -82,14 +75,13 @@
 	if err != nil {
 		return next, err
 	}
-	if done, found := now.stored.Find(edit.Operation); found {
+	if done, found := now.Stored.Find(edit.Operation); found {
 		return settled(done, edit)
 	}
-	if err := permit(now.stored, edit); err != nil {
+	if err := permit(now.Stored, edit); err != nil {
 		return next, err
 	}
-	next.Revision = now.stored.Revision + 1
-	next = next.After(now.stored)
+	next.Revision = now.Stored.Revision + 1
 	return e.write(ctx, now, next, edit)
 }
 
@@ -153,13 +145,8 @@
 	return done, nil
 }
 
-func (e *Editor) write(ctx context.Context, now current, next zone.StoredDocument, edit Edit) (zone.StoredDocument, error) {
-	key := zone.DocumentPrefix + edit.Service
-	value, err := json.Marshal(next)
-	if err != nil {
-		return next, refuse(CodeInternal, "%v", err)
-	}
-	_, err = e.config.Platform.CompareAndSwap(ctx, platform.Swap{Key: key, Value: value, Expected: now.entry.Revision})
+func (e *Editor) write(ctx context.Context, now zone.Standing, next zone.StoredDocument, edit Edit) (zone.StoredDocument, error) {
+	_, err := now.Replace(ctx, e.config.Platform, next)
 	if err != nil {
 		next, err = e.settle(ctx, now, edit)
 	}
@@ -169,25 +156,25 @@
 		})
 		return next, err
 	}
-	e.accept(ctx, key, next)
+	e.accept(ctx, zone.DocumentPrefix+edit.Service, next)
 	return next, nil
 }
 
 // settle finds out by reading back whether a write took effect that was refused or whose answer was lost.
-func (e *Editor) settle(ctx context.Context, before current, edit Edit) (zone.StoredDocument, error) {
+func (e *Editor) settle(ctx context.Context, before zone.Standing, edit Edit) (zone.StoredDocument, error) {
 	now, err := e.load(ctx, edit.Service)
 	if err == nil {
-		if done, found := now.stored.Find(edit.Operation); found {
+		if done, found := now.Stored.Find(edit.Operation); found {
 			return settled(done, edit)
 		}
 		// A lagging read shows a lower revision and proves nothing; after a higher one the swap can't succeed.
-		if now.entry.Revision > before.entry.Revision {
-			return now.stored, conflict(edit, now.stored)
+		if now.Entry.Revision > before.Entry.Revision {
+			return now.Stored, conflict(edit, now.Stored)
 		}
 	}
 	refusal := refuse(CodeUnsettled, "the platform did not say whether the write took effect; send it again under the same operation id")
 	refusal.Operation = edit.Operation
-	return before.stored, refusal
+	return before.Stored, refusal
 }
 
 func (e *Editor) accept(ctx context.Context, key string, stored zone.StoredDocument) {
@@ -201,38 +188,28 @@
 }
 
 // read returns the document at the platform, after a newer one that the node holds has been written back.
-func (e *Editor) read(ctx context.Context, service string) (current, error) {
+func (e *Editor) read(ctx context.Context, service string) (zone.Standing, error) {
 	now, err := e.load(ctx, service)
 	if err != nil {
 		return now, err
 	}
 	held, found := e.held(ctx, service)
-	if !found || held.Version().Compare(now.stored.Version()) <= 0 {
+	if !found || held.Version().Compare(now.Stored.Version()) <= 0 {
 		return now, nil
 	}
-	stored, entry, err := zone.Reinstate(ctx, e.config.Platform, zone.DocumentPrefix+service, now.entry, held)
-	if errors.Is(err, platform.ErrCompareFailed) {
-		return e.load(ctx, service)
-	}
-	if err != nil {
+	_, _, err = zone.Reinstate(ctx, e.config.Platform, zone.DocumentPrefix+service, now.Entry, held)
+	if err != nil && !errors.Is(err, platform.ErrCompareFailed) {
 		return now, unreachable(err)
 	}
-	return current{stored: stored, entry: entry}, nil
+	return e.load(ctx, service)
 }
 
-func (e *Editor) load(ctx context.Context, service string) (current, error) {
-	entry, err := e.config.Platform.Get(ctx, zone.DocumentPrefix+service)
-	if errors.Is(err, platform.ErrNotFound) {
-		return current{}, nil
-	}
+func (e *Editor) load(ctx context.Context, service string) (zone.Standing, error) {
+	now, err := zone.ReadStanding(ctx, e.config.Platform, service)
 	if err != nil {
-		return current{}, unreachable(err)
-	}
-	stored, err := zone.ParseStored(entry.Value)
-	if err != nil {
-		return current{}, refuse(CodeInternal, "the stored document can't be read: %v", err)
+		return now, unreachable(err)
 	}
-	return current{stored: stored, entry: entry}, nil
+	return now, nil
 }
 
 func (e *Editor) held(ctx context.Context, service string) (zone.StoredDocument, bool) {
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -82,8 +82,8 @@
 	DownAfter time.Duration
 	// LeaseTTL is the term of the leader's lease.
 	LeaseTTL time.Duration
-	// WatchWait is how long one watch waits at the platform. Between two watches a leader looks whether the platform
-	// went back to older content.
+	// WatchWait is how long one watch of the documents waits at the platform. Between two watches a leader looks whether
+	// the platform went back to older content.
 	WatchWait time.Duration
 	// ZoneBeat is the time between heartbeats to the leader of each other zone.
 	ZoneBeat time.Duration
--- a/internal/control/zone/document.go
+++ b/internal/control/zone/document.go
@@ -38,7 +38,8 @@
 	// Editor is who made the edit: a team, or "team/editor" where the token named a person.
 	Editor string    `json:"editor"`
 	Time   time.Time `json:"time"`
-	// History holds the earlier edits, the newest first. It stays in the platform and is not spread to the nodes.
+	// History holds the earlier edits, the newest first. It stays in the platform, under a key of its own, and is not
+	// spread to the nodes.
 	History []StoredDocument `json:"history,omitempty"`
 }
 
@@ -103,26 +104,21 @@
 // restored to older content has. Where both have one revision, the document gets the next. It returns the document
 // as it is now in the platform, or the held one unchanged where the entry is not behind.
 func Reinstate(ctx context.Context, client *platform.Client, key string, entry platform.Entry, held StoredDocument) (StoredDocument, platform.Entry, error) {
-	var stored StoredDocument
-	if entry.Revision != 0 {
-		var err error
-		if stored, err = ParseStored(entry.Value); err != nil {
-			return held, entry, trace.Wrap(err)
-		}
+	standing, err := parseStanding(entry)
+	if err != nil {
+		return held, entry, trace.Wrap(err)
 	}
-	if held.Version().Compare(stored.Version()) <= 0 {
+	if held.Version().Compare(standing.Stored.Version()) <= 0 {
 		return held, entry, nil
 	}
-	if held.Revision == stored.Revision {
+	if held.Revision == standing.Stored.Revision {
 		held.Revision++
 	}
-	next := held.After(stored)
-	value, err := json.Marshal(next)
-	if err != nil {
+	if err := standing.readHistory(ctx, client, strings.TrimPrefix(key, DocumentPrefix)); err != nil {
 		return held, entry, trace.Wrap(err)
 	}
-	written, err := client.CompareAndSwap(ctx, platform.Swap{Key: key, Value: value, Expected: entry.Revision})
-	return next, written, trace.Wrap(err)
+	written, err := standing.Replace(ctx, client, held)
+	return held, written, trace.Wrap(err)
 }
 
 func decodeDocument(e platform.Entry) []membership.Record {
--- /dev/null
+++ b/internal/control/zone/history.go
@@ -0,0 +1,145 @@
+package zone
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
+)
+
+// HistoryPrefix begins the keys of the earlier edits of documents. No leader lists or watches them.
+const HistoryPrefix = "history/"
+
+// ErrHistoryLags says that the platform showed a document before the history that belongs to it.
+var ErrHistoryLags = errors.New("the platform shows an older history than the document's")
+
+// Standing is a document as it stands in the platform, with its history. All is zero where there is no document.
+//
+// An edit gets into the history before another takes its place, so who reads the document and then its history misses
+// no edit. One compare-and-swap on the document decides which edit takes its place.
+type Standing struct {
+	Stored   StoredDocument
+	Entry    platform.Entry
+	replaces string
+	history  platform.Entry
+}
+
+// documentValue is the value of a document in the platform.
+type documentValue struct {
+	StoredDocument
+
+	// Replaces is the operation of the edit that this one replaced.
+	Replaces string `json:"replaces,omitempty"`
+}
+
+// ReadStanding reads the document of the service and then its history.
+func ReadStanding(ctx context.Context, client *platform.Client, service string) (Standing, error) {
+	entry, err := getOrNone(ctx, client, DocumentPrefix+service)
+	if err != nil {
+		return Standing{}, trace.Wrap(err)
+	}
+	s, err := parseStanding(entry)
+	if err != nil {
+		return s, trace.Wrap(err)
+	}
+	return s, s.readHistory(ctx, client, service)
+}
+
+// getOrNone returns the entry under the key, or the zero Entry where there is none.
+func getOrNone(ctx context.Context, client *platform.Client, key string) (platform.Entry, error) {
+	entry, err := client.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Entry{}, nil
+	}
+	return entry, trace.Wrap(err)
+}
+
+func parseStanding(entry platform.Entry) (Standing, error) {
+	s := Standing{Entry: entry}
+	if entry.Revision == 0 {
+		return s, nil
+	}
+	var v documentValue
+	err := json.Unmarshal(entry.Value, &v)
+	s.Stored, s.replaces = v.StoredDocument, v.Replaces
+	return s, trace.Wrap(err)
+}
+
+// readHistory adds the edits in the history to those in the document, as earlier versions of the program wrote it.
+func (s *Standing) readHistory(ctx context.Context, client *platform.Client, service string) error {
+	var err error
+	if s.history, err = getOrNone(ctx, client, HistoryPrefix+service); err != nil {
+		return trace.Wrap(err)
+	}
+	s.history.Key = HistoryPrefix + service
+	s.Entry.Key = DocumentPrefix + service
+	edits, err := parseHistory(s.history)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, edit := range edits {
+		if !holds(s.Stored.History, edit) {
+			s.Stored.History = append(s.Stored.History, edit)
+		}
+	}
+	if _, found := s.Stored.Find(s.replaces); s.replaces != "" && !found {
+		return trace.Wrap(ErrHistoryLags)
+	}
+	return nil
+}
+
+func parseHistory(entry platform.Entry) ([]StoredDocument, error) {
+	if entry.Revision == 0 {
+		return nil, nil
+	}
+	var edits []StoredDocument
+	return edits, trace.Wrap(json.Unmarshal(entry.Value, &edits))
+}
+
+// Replace puts the document that stands into the history and the next one in its place.
+func (s Standing) Replace(ctx context.Context, client *platform.Client, next StoredDocument) (platform.Entry, error) {
+	if err := s.keep(ctx, client, next.After(s.Stored).History); err != nil {
+		return platform.Entry{}, trace.Wrap(err)
+	}
+	next.History = nil
+	value, err := json.Marshal(documentValue{StoredDocument: next, Replaces: s.Stored.Operation})
+	if err != nil {
+		return platform.Entry{}, trace.Wrap(err)
+	}
+	written, err := client.CompareAndSwap(ctx, platform.Swap{Key: s.Entry.Key, Value: value, Expected: s.Entry.Revision})
+	return written, trace.Wrap(err)
+}
+
+// keep writes the history unless it has the document that stands. Another edit of it may have put that there as well.
+func (s Standing) keep(ctx context.Context, client *platform.Client, edits []StoredDocument) error {
+	if len(edits) == 0 || s.isKept(s.history) {
+		return nil
+	}
+	value, err := json.Marshal(edits)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, failure := client.CompareAndSwap(ctx, platform.Swap{Key: s.history.Key, Value: value, Expected: s.history.Revision})
+	if failure == nil {
+		return nil
+	}
+	now, err := getOrNone(ctx, client, s.history.Key)
+	if err == nil && s.isKept(now) {
+		return nil
+	}
+	return trace.Wrap(failure)
+}
+
+// isKept reports whether the history holds the document that stands.
+func (s Standing) isKept(history platform.Entry) bool {
+	edits, err := parseHistory(history)
+	return err == nil && holds(edits, s.Stored)
+}
+
+func holds(edits []StoredDocument, one StoredDocument) bool {
+	return slices.ContainsFunc(edits, func(edit StoredDocument) bool { return edit.Version() == one.Version() })
+}
--- a/internal/control/zone/watch.go
+++ b/internal/control/zone/watch.go
@@ -18,13 +18,18 @@
 	// watchEvery is the least time between two watches. Each change at the platform ends the watches of all zones; with
 	// the pause they are not called again for each change of each zone.
 	watchEvery = 400 * time.Millisecond
-	// relistEvery is the longest time without a look at everything.
-	relistEvery = 30 * time.Second
+	// relistEvery is the longest time without a look at all entries of a kind, and relistLeadersEvery at those of the
+	// leaders, which are small.
+	relistEvery        = 10 * time.Minute
+	relistLeadersEvery = 30 * time.Second
+	// quietWait is how long one watch of anything but documents waits at the platform.
+	quietWait = 20 * time.Second
 	// checkEvery is the time between looks at whether the platform still holds the newest document.
 	checkEvery = 2 * time.Second
 )
 
-// startWatching watches the platform as long as this lease is held.
+// startWatching watches the platform as long as this lease is held, each kind of entry for itself: the history of the
+// documents is none of them.
 func (c *Controller) startWatching(ctx context.Context) {
 	c.config.Board.Do(ctx, func(*board.Board) {
 		if c.lead.stopWatch != nil {
@@ -32,24 +37,32 @@
 		}
 		watching, stop := context.WithCancel(ctx)
 		c.lead.stopWatch = stop
-		c.tasks.start("watch "+c.lead.lease.ID, func() { c.watch(watching) })
+		for prefix, section := range c.sections {
+			if section.Decode != nil {
+				c.tasks.start("watch "+prefix+" "+c.lead.lease.ID, func() { c.watch(watching, prefix) })
+			}
+		}
 	})
 }
 
-// watch takes in all changes at the platform until the context ends.
-func (c *Controller) watch(ctx context.Context) {
+// watch takes in all changes under the prefix at the platform until the context ends.
+func (c *Controller) watch(ctx context.Context, prefix string) {
 	var after uint64
 	var listed, checked time.Time
+	longest := relistEvery
+	if prefix == LeaderPrefix {
+		longest = relistLeadersEvery
+	}
 	for ctx.Err() == nil {
-		if time.Since(checked) > checkEvery {
+		if prefix == DocumentPrefix && time.Since(checked) > checkEvery {
 			checked = time.Now()
 			listed = c.listedStill(ctx, listed)
 		}
-		if time.Since(listed) > relistEvery {
+		if time.Since(listed) > longest {
 			after = 0
 		}
 		whole := after == 0
-		changes, err := c.changes(ctx, after)
+		changes, err := c.changes(ctx, prefix, after)
 		c.answered(ctx, err)
 		if err != nil {
 			pause.For(ctx, watchRetry)
@@ -63,22 +76,49 @@
 			continue
 		}
 		after = changes.Revision
-		c.takeIn(ctx, changes.Entries)
-		c.takeLeaders(ctx, changes.Entries, whole)
-		c.keepLead(ctx, changes.Entries, whole)
-		if c.reinstate(ctx, changes.Entries, whole) != nil {
+		if c.takeChanges(ctx, prefix, changes.Entries, whole) != nil {
 			listed = time.Time{}
 		}
 		pause.For(ctx, watchEvery)
 	}
 }
 
-// listedStill returns when everything was listed last, or never where the platform lost something since.
+// takeChanges takes in what the platform shows under the prefix, and writes back what it lost.
+func (c *Controller) takeChanges(ctx context.Context, prefix string, entries []platform.Entry, whole bool) error {
+	c.takeIn(ctx, entries)
+	switch prefix {
+	case LeaderPrefix:
+		c.takeLeaders(ctx, entries, whole)
+		c.keepLead(ctx, entries, whole)
+	case DocumentPrefix:
+		return c.reinstate(ctx, entries, whole)
+	case zonePrefix:
+		if whole {
+			c.relistLeaders(ctx) // Only now are all zones known.
+		}
+	}
+	return nil
+}
+
+func (c *Controller) relistLeaders(ctx context.Context) {
+	changes, err := c.changes(ctx, LeaderPrefix, 0)
+	c.answered(ctx, err)
+	if err != nil {
+		return
+	}
+	c.takeIn(ctx, changes.Entries)
+	c.takeLeaders(ctx, changes.Entries, true)
+	c.keepLead(ctx, changes.Entries, true)
+}
+
+// listedStill returns when all documents were listed last, or never where the platform lost one since. Then it may have
+// lost the leaders' entries too.
 func (c *Controller) listedStill(ctx context.Context, listed time.Time) time.Time {
-	if c.wentBack(ctx) {
-		return time.Time{}
+	if !c.wentBack(ctx) {
+		return listed
 	}
-	return listed
+	c.relistLeaders(ctx)
+	return time.Time{}
 }
 
 // wentBack reports whether the platform lost the newest document held here, as one that was restored to older content
@@ -102,12 +142,16 @@
 	return err == nil && stored.Version().Compare(held.Version) < 0
 }
 
-// changes returns everything where nothing was seen before, and else what comes after the revision.
-func (c *Controller) changes(ctx context.Context, after uint64) (platform.Changes, error) {
+// changes returns everything under the prefix where nothing was seen before, and else what comes after the revision.
+func (c *Controller) changes(ctx context.Context, prefix string, after uint64) (platform.Changes, error) {
 	if after == 0 {
-		return c.config.Platform.List(ctx, "")
+		return c.config.Platform.List(ctx, prefix)
+	}
+	wait := quietWait
+	if prefix == DocumentPrefix {
+		wait = c.config.Timing.WatchWait
 	}
-	return c.config.Platform.Watch(ctx, "", after, min(c.config.Timing.WatchWait, checkEvery))
+	return c.config.Platform.Watch(ctx, prefix, after, wait)
 }
 
 func (c *Controller) takeIn(ctx context.Context, entries []platform.Entry) {
