Bodies between nodes are hashed once: the message's checksum covers them

Cause: body_checksum was there before messages carried a checksum of the whole, which covers the body too; each body was hashed twice at each end.

Ruled out: a path between nodes without the seal. Pool seals each connection and the node's server each stream; what is kept or handed over got its checksum only when it was sent.

Changes to existing tests: FuzzParseRequest and FuzzCheckReply compared the field. In its place each message that they accept is sealed, read back whole, and must not be read with any one bit flipped: any field, not the body alone. TestEveryFlippedBitIsFound takes five messages in the place of one.

A program from before this change refuses requests and replies of one with it: a fleet of such programs is replaced as a whole.

--- a/internal/traffic/peer/client.go
+++ b/internal/traffic/peer/client.go
@@ -13,7 +13,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"storj.io/drpc"
 
@@ -111,9 +110,6 @@
 	if answer.GetAttemptId() != r.AttemptID {
 		return fmt.Errorf("answer is for attempt %q, not %q", answer.GetAttemptId(), r.AttemptID)
 	}
-	if answer.GetBodyChecksum() != xxhash.Sum64(answer.GetBody()) {
-		return fmt.Errorf("answer's body does not match its checksum")
-	}
 	if answer.GetOutcome() == peerpb.Outcome_OUTCOME_UNSPECIFIED {
 		return fmt.Errorf("answer has no outcome")
 	}
--- a/internal/traffic/peer/fuzz_test.go
+++ b/internal/traffic/peer/fuzz_test.go
@@ -6,8 +6,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
@@ -26,9 +24,9 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add(whole)
-	f.Add([]byte{0x0a, 0x00})
-	f.Fuzz(func(t *testing.T, bytes []byte) {
+	f.Add(whole, uint(0))
+	f.Add([]byte{0x0a, 0x00}, uint(9))
+	f.Fuzz(func(t *testing.T, bytes []byte, bit uint) {
 		var m peerpb.CallRequest
 		if proto.Unmarshal(bytes, &m) != nil {
 			return
@@ -40,9 +38,7 @@
 		if r.Root.Rank < 0 || r.Root.Rank >= admission.Ranks || r.Depth < 0 || r.AttemptsLeft < 0 {
 			t.Errorf("accepted out of bounds: %+v", r)
 		}
-		if m.GetBodyChecksum() != xxhash.Sum64(r.Body) {
-			t.Errorf("accepted a damaged body")
-		}
+		findsDamage(t, &m, bit)
 	})
 }
 
@@ -52,15 +48,34 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add(whole)
-	f.Fuzz(func(t *testing.T, bytes []byte) {
+	f.Add(whole, uint(0))
+	f.Fuzz(func(t *testing.T, bytes []byte, bit uint) {
 		var m peerpb.CallReply
 		if proto.Unmarshal(bytes, &m) != nil || checkReply(&call.Request{AttemptID: "a"}, &m) != nil {
 			return
 		}
-		reply := replyOf(&m)
-		if m.GetAttemptId() != "a" || m.GetBodyChecksum() != xxhash.Sum64(reply.Body) {
-			t.Errorf("accepted another's or a damaged answer: %+v", &m)
+		if m.GetAttemptId() != "a" {
+			t.Errorf("accepted another's answer: %+v", &m)
 		}
+		findsDamage(t, &m, bit)
 	})
 }
+
+// findsDamage fails the test where a message with the bit flipped on its way gets to a reader, or a whole one does not.
+func findsDamage(t *testing.T, m proto.Message, bit uint) {
+	t.Helper()
+	enc := sealed{protoEncoding{}}
+	encoded, err := enc.Marshal(m)
+	if err != nil {
+		return
+	}
+	read := m.ProtoReflect().New().Interface()
+	if err := enc.Unmarshal(encoded, read); err != nil || !proto.Equal(read, m) {
+		t.Errorf("a whole message was not read: %v", err)
+	}
+	bit %= uint(8 * len(encoded))
+	encoded[bit/8] ^= 1 << (bit % 8)
+	if enc.Unmarshal(encoded, read) == nil {
+		t.Errorf("accepted a message with bit %d flipped", bit)
+	}
+}
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
@@ -38,7 +36,6 @@
 		Path:                r.Path,
 		Headers:             headerMessages(r.Header),
 		Body:                r.Body,
-		BodyChecksum:        xxhash.Sum64(r.Body),
 		Key:                 r.Key,
 		KeyMinted:           r.KeyMinted,
 		Idempotent:          r.Idempotent,
@@ -68,9 +65,6 @@
 	if m.GetAttemptsLeft() < 0 || m.GetDepth() < 0 || m.GetCrashes() < 0 {
 		return nil, fmt.Errorf("attempts, depth or crashes is negative")
 	}
-	if m.GetBodyChecksum() != xxhash.Sum64(m.GetBody()) {
-		return nil, fmt.Errorf("body does not match its checksum")
-	}
 	return &call.Request{
 		AttemptID: m.GetAttemptId(),
 		Root: call.Root{
@@ -111,7 +105,6 @@
 		Status:           int32(r.Status),
 		Headers:          headerMessages(r.Header),
 		Body:             r.Body,
-		BodyChecksum:     xxhash.Sum64(r.Body),
 		AttemptsUsed:     int32(r.AttemptsUsed),
 		Final:            r.Final,
 		Deeper:           string(r.Deeper),
--- a/internal/traffic/peer/seal.go
+++ b/internal/traffic/peer/seal.go
@@ -15,7 +15,8 @@
 // sealSize is the length of the checksum behind each message, in bytes.
 const sealSize = 8
 
-// sealed is an encoding that puts a checksum of the whole message behind it, so that damage to any field is found.
+// sealed is an encoding that puts a checksum of the whole message behind it, so that damage to any field is found. No
+// message has a checksum of a part of its own.
 type sealed struct {
 	drpc.Encoding
 }
--- a/internal/traffic/peer/seal_test.go
+++ b/internal/traffic/peer/seal_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/matryer/is"
@@ -22,17 +23,30 @@
 }
 
 func TestEveryFlippedBitIsFound(t *testing.T) {
+	headers := []*peerpb.Header{{Name: "X", Value: "y"}}
+	body := bytes.Repeat([]byte("ballroom"), 100)
+	for name, sent := range map[string]proto.Message{
+		"request":           &peerpb.CallRequest{AttemptId: "a", Key: "k", Rank: 3, Path: "/bookings", Headers: headers},
+		"request with body": &peerpb.CallRequest{AttemptId: "a", Key: "k", Rank: 3, Path: "/bookings", Body: body},
+		"reply with body":   &peerpb.CallReply{AttemptId: "a", Outcome: peerpb.Outcome_OUTCOME_RAN, Status: 200, Headers: headers, Body: body},
+		"resolved reply":    &peerpb.ResolveReply{State: peerpb.ResolveReply_STATE_DONE, Reply: &peerpb.CallReply{AttemptId: "a", Body: body}},
+		"keys handed over":  &peerpb.HandoverRequest{Keys: []*peerpb.RememberedKey{{Key: "k", Reply: &peerpb.CallReply{Body: body}}}},
+	} {
+		t.Run(name, func(t *testing.T) { everyFlippedBitIsFound(t, sent) })
+	}
+}
+
+func everyFlippedBitIsFound(t *testing.T, sent proto.Message) {
 	is := is.New(t)
 	enc := sealed{protoEncoding{}}
-	sent := &peerpb.CallRequest{AttemptId: "a", Key: "k", Rank: 3, Path: "/bookings", Headers: []*peerpb.Header{{Name: "X", Value: "y"}}}
 	encoded, err := enc.Marshal(sent)
 	is.NoErr(err)
+	received := sent.ProtoReflect().New().Interface()
 	for bit := range 8 * len(encoded) {
 		encoded[bit/8] ^= 1 << (bit % 8)
-		is.Equal(enc.Unmarshal(encoded, &peerpb.CallRequest{}), errDamaged)
+		is.Equal(enc.Unmarshal(encoded, received), errDamaged)
 		encoded[bit/8] ^= 1 << (bit % 8)
 	}
-	received := &peerpb.CallRequest{}
 	is.NoErr(enc.Unmarshal(encoded, received))
 	is.True(proto.Equal(sent, received))
 	is.Equal(enc.Unmarshal(encoded[:3], received), errDamaged)
