--- a/internal/lab/server/ledger.go
+++ b/internal/lab/server/ledger.go
@@ -14,8 +14,9 @@
 	Key     string `json:"key,omitempty"`
 	Started int    `json:"started"`
 	Ended   int    `json:"ended"`
-	// First is when the request first started here.
+	// First and Last are when the request first and last started here.
 	First time.Time `json:"first"`
+	Last  time.Time `json:"last"`
 }
 
 // Ledger counts how often each request ran here.
@@ -38,6 +39,7 @@
 		r = &Run{Request: request, Key: key, First: time.Now()}
 		l.runs[id] = r
 	}
+	r.Last = time.Now()
 	r.Started++
 	return r
 }
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/homes"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
@@ -24,8 +25,8 @@
 	limitedEvery = time.Second
 	// drainSettle is how long a leaving node waits for others to learn of it. New work that comes later is refused.
 	drainSettle = 1500 * time.Millisecond
-	// drainTimeout bounds the wait for requests in flight.
-	drainTimeout = 30 * time.Second
+	// drainTimeout bounds the wait for requests in flight, which all end by their deadlines.
+	drainTimeout = document.MaxDeadline + 10*time.Second
 	// peerMaxIdle is how long an unused connection between nodes is trusted.
 	peerMaxIdle = 30 * time.Second
 	// peerDialTimeout bounds the making of a connection to another node.
--- a/internal/process/node/drain.go
+++ b/internal/process/node/drain.go
@@ -14,17 +14,20 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
 )
 
-// work counts what is in flight between nodes, until each answer is written.
+// work counts what is in flight from callers and between nodes, until each answer is written.
 type work struct {
 	inFlight atomic.Int64
 	// closing tells callers on open connections to make new ones elsewhere.
 	closing atomic.Bool
 }
 
-// closeCalls makes callers leave their open connections while the node leaves. Until its listener closes the node
-// goes on as an entry and passes their requests on, because a refusal would only cost them a second attempt.
-func (w *work) closeCalls(next http.Handler) http.Handler {
+// countCalls counts the requests of callers, and makes callers leave their open connections while the node leaves.
+// Until its listener closes the node goes on as an entry and passes their requests on, because a refusal would only
+// cost them a second attempt.
+func (w *work) countCalls(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.inFlight.Add(1)
+		defer w.inFlight.Add(-1)
 		if w.closing.Load() {
 			rw.Header().Set("Connection", "close")
 		}
@@ -54,7 +57,7 @@
 	leavePoll = 50 * time.Millisecond
 	// quietTime is how long nothing may be in flight before the listeners close.
 	quietTime = 250 * time.Millisecond
-	// shutdownTimeout bounds the writing of the last answers.
+	// shutdownTimeout bounds the writing of the last answers once the node has drained.
 	shutdownTimeout = 5 * time.Second
 )
 
@@ -139,7 +142,7 @@
 	}
 }
 
-// waitQuiet returns when nothing has been in flight between nodes for a moment.
+// waitQuiet returns when nothing has been in flight for a moment, also what came in here and runs on other nodes.
 func (n *Node) waitQuiet(ctx context.Context) {
 	quiet := time.Now()
 	for ctx.Err() == nil && time.Since(quiet) < quietTime {
@@ -150,10 +153,16 @@
 	}
 }
 
-// shutdown closes the listener and idle connections, and waits for the last answers to be written.
-func shutdown(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+// shutdown closes the listener and idle connections, and waits for the last answers to be written, for some time after
+// the working context has ended. Until then requests that came in here may run on other nodes.
+func shutdown(working context.Context, server *http.Server) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(working))
 	defer cancel()
+	stop := context.AfterFunc(working, func() {
+		pause.For(ctx, shutdownTimeout)
+		cancel()
+	})
+	defer stop()
 	if server.Shutdown(ctx) != nil {
 		_ = server.Close()
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -251,11 +251,11 @@
 	n.stopCalls = stopCalls
 	group.Go(func() {
 		n.waitInformed(calls)
-		n.serveHTTP(calls, n.listeners.caller, n.work.closeCalls(n.callerRouter()))
+		n.serveHTTP(calls, ctx, n.listeners.caller, n.work.countCalls(n.callerRouter()))
 	})
-	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
+	group.Go(func() { n.serveHTTP(ctx, ctx, n.listeners.backend, n.backendRouter(ctx)) })
 	if n.listeners.operator != nil {
-		group.Go(func() { n.serveHTTP(ctx, n.listeners.operator, n.operatorRouter()) })
+		group.Go(func() { n.serveHTTP(ctx, ctx, n.listeners.operator, n.operatorRouter()) })
 	}
 }
 
@@ -335,7 +335,8 @@
 	_ = server.Serve(ctx, n.listeners.peer)
 }
 
-func (n *Node) serveHTTP(ctx context.Context, l net.Listener, router http.Handler) {
+// serveHTTP serves until the context ends, and then finishes what is in flight for as long as the node works.
+func (n *Node) serveHTTP(ctx, working context.Context, l net.Listener, router http.Handler) {
 	server := &http.Server{
 		Handler:           router,
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
@@ -346,7 +347,7 @@
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
-		shutdown(server)
+		shutdown(working, server)
 	})
 	_ = server.Serve(l)
 	if !stop() {
