--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/liveness"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 )
@@ -57,6 +58,13 @@
 	Connections int       `json:"connections"`
 	Leaving     bool      `json:"leaving"`
 	AnnouncedAt time.Time `json:"announced_at"`
+	// State is whether the backend server is there.
+	State liveness.State `json:"state"`
+}
+
+// IsLost reports whether the backend server announced itself and is not there now.
+func (b Backend) IsLost() bool {
+	return b.State == liveness.Refusing || b.State == liveness.Silent
 }
 
 // Members are the nodes known here. Written by the zone controller.
@@ -95,6 +103,17 @@
 	ByService map[string]DocumentInForce `json:"by_service"`
 }
 
+// Newest returns the service whose document was accepted last, or false where there is no document.
+func (d Documents) Newest() (string, bool) {
+	newest, found := "", false
+	for service, in := range d.ByService {
+		if !found || in.Accepted.After(d.ByService[newest].Accepted) {
+			newest, found = service, true
+		}
+	}
+	return newest, found
+}
+
 // DocumentInForce is one document and its revision.
 type DocumentInForce struct {
 	Revision uint64 `json:"revision"`
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -1,5 +1,5 @@
 // Package server is a stand-in for a backend server: slots, service time, calls to other services through the local
-// node, faults, and a ledger of which request ran how often.
+// node, faults, health and load endpoints that may lag or lie, and a ledger of which request ran how often.
 //
 // # Usage
 //
@@ -61,8 +61,12 @@
 	RestartAfter time.Duration `json:"restart_after"`
 	// Echo answers with the request's own body.
 	Echo bool `json:"echo"`
+	// Hung makes the server neither answer nor announce itself, though it accepts connections.
+	Hung bool `json:"hung"`
 	// Leaving is announced to the node.
 	Leaving bool `json:"leaving"`
+	// Endpoints is how the health and load endpoints mislead.
+	Endpoints Endpoints `json:"endpoints"`
 }
 
 // Downstream is a call to another service.
@@ -84,10 +88,13 @@
 	behaviour Behaviour
 	started   time.Time
 	waiting   int
+	shed      int
 	crashed   chan struct{}
 	crashes   int
 	peak      int
 	open      int
+	observed  status
+	asked     int
 	ledger    *Ledger
 }
 
@@ -132,11 +139,11 @@
 	return s.behaviour
 }
 
-// Run serves until the context ends. After a crash it starts again.
+// Run serves and announces itself until the context ends. After a crash it starts again.
 func (s *Server) Run(ctx context.Context) error {
 	var group conc.WaitGroup
 	defer group.Wait()
-	group.Go(func() { s.announce(ctx) })
+	group.Go(func() { s.observe(ctx) })
 	for ctx.Err() == nil {
 		if err := s.serve(ctx); err != nil {
 			return trace.Wrap(err)
@@ -153,15 +160,15 @@
 	}
 	s.begin(time.Now())
 	server := &http.Server{Handler: s.router(), ConnState: s.countConnections}
-	ended := make(chan struct{})
+	ctx, stop := context.WithCancel(ctx)
 	var group conc.WaitGroup
 	defer group.Wait()
-	defer close(ended)
+	defer stop()
+	group.Go(func() { s.announce(ctx) })
 	group.Go(func() {
 		select {
 		case <-ctx.Done():
 		case <-s.crashed:
-		case <-ended:
 		}
 		_ = server.Close()
 	})
@@ -192,6 +199,8 @@
 		writeJSON(w, s.Report())
 	})
 	router.PUT("/lab/behaviour", s.handleBehaviour)
+	router.GET(HealthPath, s.handleHealth)
+	router.GET(LoadPath, s.handleLoad)
 	router.NotFound = http.HandlerFunc(s.handleRequest)
 	router.HandleMethodNotAllowed = false
 	return router
