--- a/internal/decide/routing/instance.go
+++ b/internal/decide/routing/instance.go
@@ -40,6 +40,8 @@
 	Rank int
 	// AllShed says that the instance takes requests of no rank.
 	AllShed bool
+	// Reason names what failed, for the dump.
+	Reason string
 	// Load is as reported; a Limit of 0 says that there was no report.
 	Load Load
 }
@@ -60,6 +62,8 @@
 
 	failures     int
 	ejectedUntil time.Time
+	ejection     Ejection
+	lastShed     ShedEvidence
 	sheddingRank int
 	shedUntil    time.Time
 }
@@ -85,6 +89,7 @@
 		i.learnError(now, 1)
 		if i.failures >= i.config.Failures {
 			i.ejectedUntil = now.Add(i.config.EjectionTime)
+			i.ejection = Ejection{Reason: FailuresInARow, Failures: i.failures, LastFailure: s.Reason, At: now}
 		}
 	case Shed:
 		i.sheddingRank = s.Rank
@@ -92,6 +97,7 @@
 			i.sheddingRank = 0
 		}
 		i.shedUntil = now.Add(i.config.SheddingTime)
+		i.lastShed = ShedEvidence{Reason: ShedReply, Told: s.Reason, At: now}
 	}
 }
 
--- a/internal/traffic/flow/views.go
+++ b/internal/traffic/flow/views.go
@@ -73,6 +73,7 @@
 		Took:   took,
 		Kind:   r.Kind,
 		Rank:   r.Root.Rank,
+		Reason: string(reply.Failure()),
 		Load:   routing.Load(reply.Load),
 
 		AllShed: takesNothing(&reply),
