Backend connections count until the backend server has let go of them

A request that is given up ends its connection. The node made the next one at once, while the backend server still held the last: a stand-in that gives 4 connections counted 6 and 7 when callers went away at 5 times the load that it can run. Now the connections are made by a dialer that counts: a closed one is shut for writing, and counts until the other end is closed, or for 5 s. Whoever closes it does not wait. Also a change of the announced number and the connections of the time before it share one count.

Ruled out: the count of the stand-in alone.

Not proved: a backend server without any queue that sheds by itself.

--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -159,7 +159,7 @@
 		return trace.Wrap(err)
 	}
 	s.begin(time.Now())
-	server := &http.Server{Handler: s.router(), ConnState: s.countConnections}
+	server := &http.Server{Handler: s.router()}
 	ctx, stop := context.WithCancel(ctx)
 	var group conc.WaitGroup
 	defer group.Wait()
@@ -172,7 +172,7 @@
 		}
 		_ = server.Close()
 	})
-	_ = server.Serve(listener)
+	_ = server.Serve(countingListener{Listener: listener, server: s})
 	return nil
 }
 
@@ -206,14 +206,37 @@
 	return router
 }
 
-func (s *Server) countConnections(_ net.Conn, state http.ConnState) {
+// countingListener counts the open connections of a server. One counts until the server closes it.
+type countingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept waits for the next connection.
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.server.countConnection(1)
+	return &countedConnection{Conn: conn, server: l.server}, nil
+}
+
+type countedConnection struct {
+	net.Conn
+	server *Server
+	once   sync.Once
+}
+
+// Close takes the connection out of the count before the other end can learn that it is closed.
+func (c *countedConnection) Close() error {
+	c.once.Do(func() { c.server.countConnection(-1) })
+	return c.Conn.Close()
+}
+
+func (s *Server) countConnection(change int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		s.open++
-		s.peak = max(s.peak, s.open)
-	case http.StateClosed, http.StateHijacked:
-		s.open--
-	}
+	s.open += change
+	s.peak = max(s.peak, s.open)
 }
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -46,6 +46,8 @@
 	config ClientConfig
 	chains *call.Chains
 
+	dialer dialer
+
 	mu          sync.Mutex
 	connections int
 	http        *http.Client
@@ -69,11 +71,17 @@
 		return
 	}
 	c.connections = connections
+	c.dialer.setMost(connections)
 	if c.http != nil {
 		c.http.CloseIdleConnections()
 	}
 	c.http = &http.Client{
-		Transport:     &http.Transport{MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, DisableCompression: true},
+		Transport: &http.Transport{
+			DialContext:         c.dialer.dial,
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			DisableCompression:  true,
+		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/traffic/backend/client_test.go
+++ b/internal/traffic/backend/client_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
@@ -107,3 +108,41 @@
 	}
 	harness.Eventually(t, 10*time.Second, func() bool { return open.Load() == 1 })
 }
+
+// A request that is given up ends its connection, which the backend server may hold for longer. Until it lets go, the
+// next request waits.
+func TestConnectionCountsUntilTheServerLetsGo(t *testing.T) {
+	is := is.New(t)
+	started, letGo := make(chan struct{}, 2), make(chan struct{})
+	var opened atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		started <- struct{}{}
+		<-letGo
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client, address := newClient(), strings.TrimPrefix(server.URL, "http://")
+	client.SetConnections(1)
+	var group conc.WaitGroup
+	defer group.Wait()
+	ctx, cancel := context.WithCancel(t.Context())
+	first := make(chan backend.Result, 1)
+	group.Go(func() { first <- client.Run(ctx, address, newRequest(http.MethodGet, "", "")) })
+	<-started
+	cancel()
+	is.Equal((<-first).Reply.Reason, call.ReasonCanceled) // at once, though the backend server goes on
+	waiting, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer stop()
+	second := client.Run(waiting, address, newRequest(http.MethodGet, "", ""))
+	is.Equal(second.Reply.Reason, call.ReasonDeadline)
+	is.Equal(second.Reply.Outcome, call.NotRun)
+	is.Equal(opened.Load(), int32(1))
+	close(letGo)
+	third := client.Run(t.Context(), address, newRequest(http.MethodGet, "", ""))
+	is.Equal(third.Reply.Status, http.StatusOK)
+}
