At most once: what runs in a zone that is cut off, for each kind of key

TestKeysWhileAZoneIsCutOff measures the share of each kind of key on both sides of a cut, and holds it to bounds: minted keys lose no more than the failures that eject the nodes outside, callers' keys are refused within 500 ms and not left unknown, and outside no more than 1% of minted and timed keys is lost.

What the key itself says needs no agreement: a caller can make a key for a process that it knows.

Shares count refusals and the slowest of them now.

--- a/internal/lab/once/outage.go
+++ b/internal/lab/once/outage.go
@@ -37,10 +37,25 @@
 	f.Store.SetFaults(store.Faults{})
 }
 
-// Share is how many first sends of bookings were told to have run.
+// Share is what the callers of first sends of bookings were told.
 type Share struct {
 	Sent int `json:"sent"`
 	Ran  int `json:"ran"`
+	// Refused counts those that were told not_admitted or not_run, with a reason.
+	Refused int `json:"refused"`
+	// SlowestRefusal is how long the slowest of these took.
+	SlowestRefusal time.Duration `json:"slowest_refusal"`
+}
+
+func (s *Share) count(first Send) {
+	s.Sent++
+	switch first.Outcome {
+	case "ran":
+		s.Ran++
+	case "not_admitted", "not_run":
+		s.Refused++
+		s.SlowestRefusal = max(s.SlowestRefusal, first.End.Sub(first.Begin))
+	}
 }
 
 func shares(bookings []Booking, f *fleet.Fleet, from time.Time) map[string]Share {
@@ -55,10 +70,7 @@
 		}
 		name := string(b.Kind) + " " + zones[b.Sends[0].Target]
 		s := byKind[name]
-		s.Sent++
-		if b.Sends[0].Outcome == "ran" {
-			s.Ran++
-		}
+		s.count(b.Sends[0])
 		byKind[name] = s
 	}
 	return byKind
--- /dev/null
+++ b/internal/proof/once/zone_test.go
@@ -0,0 +1,108 @@
+package once_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/once"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+)
+
+const (
+	// cutFor is how long an availability zone is cut off: two thirds of it after the epochs agreed before.
+	cutFor = 24 * time.Second
+	// atOnce is the longest time to a refusal.
+	atOnce = 500 * time.Millisecond
+	// lostElsewhere is the part of the requests that may be lost in the zones that still reach each other.
+	lostElsewhere = 0.01
+)
+
+// While an availability zone is cut off from all, minted keys run on both sides, and callers' own keys outside. What
+// doesn't run is refused at once.
+func TestKeysWhileAZoneIsCutOff(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	deployment := once.Deployment(6)
+	f := harness.Start(t, fleet.Config{Deployment: deployment})
+	harness.Eventually(t, 20*time.Second, func() bool { return settled(t, f) })
+	var report once.Report
+	var group conc.WaitGroup
+	group.Go(func() {
+		report = once.Run(t.Context(), once.Config{Fleet: f, Service: "bookings", Duration: cutFor, Seed: 5, Callers: 6, Polite: true, Outage: once.ZoneOutage})
+	})
+	time.Sleep(cutFor / 2)
+	sendNamed(t, f)
+	group.Wait()
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	for name, s := range report.Shares {
+		t.Logf("%s: %+v", name, s)
+		is.True(s.Sent > 0)
+		is.True(s.SlowestRefusal < atOnce)
+	}
+	inside := f.Nodes[0].Zone
+	minted := report.Shares[string(once.Minted)+" "+inside]
+	is.True(minted.Sent-minted.Ran <= failuresToEject(f, inside))
+	for _, kind := range []once.KeyKind{once.Timed, once.Opaque} {
+		s := report.Shares[string(kind)+" "+inside]
+		is.Equal(s.Ran+s.Refused, s.Sent)
+	}
+	for _, zone := range deployment.Zones[1:] {
+		is.True(lost(report, once.Minted, zone) <= lostElsewhere)
+		is.True(lost(report, once.Timed, zone) <= lostElsewhere)
+		s := report.Shares[string(once.Opaque)+" "+zone]
+		is.Equal(s.Ran+s.Refused, s.Sent)
+		is.True(s.Ran > 0)
+	}
+}
+
+// sendNamed sends a key that the caller made for a node of the zone that is cut off: one that it knows from an earlier
+// answer. It runs inside, once, and is refused outside.
+func sendNamed(t *testing.T, f *fleet.Fleet) {
+	is := is.New(t)
+	zones := map[string]string{}
+	for _, n := range f.Nodes {
+		zones[n.Name] = n.Zone
+	}
+	var told outcome.Key
+	harness.Eventually(t, 10*time.Second, func() bool {
+		s := book(f.Nodes[0], "", "a wash")
+		told, _ = outcome.ParseKey(s.Key)
+		return s.Outcome == "ran" && zones[told.Home.Name] == f.Nodes[0].Zone
+	})
+	key := outcome.Mint(told.Home, uuid.Must(uuid.NewV7()))
+	for _, n := range f.Nodes {
+		s := book(n, key, "another wash")
+		if n.Zone == f.Nodes[0].Zone {
+			is.Equal(s.Outcome, "ran")
+		} else {
+			is.Equal(s.Outcome, "not_admitted")
+		}
+	}
+	is.Equal(started(f, key), 1)
+}
+
+// lost is the part of the first sends in the zone that did not run.
+func lost(report once.Report, kind once.KeyKind, zone string) float64 {
+	s := report.Shares[string(kind)+" "+zone]
+	return float64(s.Sent-s.Ran) / float64(s.Sent)
+}
+
+// failuresToEject is how many attempts the nodes inside lose to those outside before each has ejected each.
+func failuresToEject(f *fleet.Fleet, inside string) int {
+	within := 0
+	for _, n := range f.Nodes {
+		if n.Zone == inside {
+			within++
+		}
+	}
+	return within * (len(f.Nodes) - within) * routing.DefaultConfig("", "").Failures
+}
