Homes: nobody is asked in a zone that gives no answer, and a presumed home for a second

Cause: since the renewals stay in their zone, a node asks the home of the last epoch where the end that it knows has passed.

A leader now tells its members, in the record reach/<zone>, which zones did not answer two heartbeats in a row; nobody there is asked. A presumed home of another zone is asked again for 1 s, in which a change of members spreads. What the own zone refuses is refused at once.

--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -32,6 +32,7 @@
 	Leader    Leader    `json:"leader"`
 	Platform  Platform  `json:"platform"`
 	Homes     Homes     `json:"homes"`
+	Reach     Reach     `json:"reach"`
 }
 
 // Self says who the node is and whether it leaves. Written by the node.
@@ -147,6 +148,12 @@
 	Since     time.Time `json:"since"`
 }
 
+// Reach tells which availability zones the leader of the node's own can't reach. Written by the zone controller.
+type Reach struct {
+	// Unreached holds since when each of these zones gave no answer.
+	Unreached map[string]time.Time `json:"unreached"`
+}
+
 // Homes say which nodes remember keys. Written by the homes controller.
 type Homes struct {
 	// Shards are the agreed epochs of each availability zone's shard.
--- a/internal/control/zone/controller.go
+++ b/internal/control/zone/controller.go
@@ -85,7 +85,7 @@
 	// WatchWait is how long one watch of the documents waits at the platform. Between two watches a leader looks whether
 	// the platform went back to older content.
 	WatchWait time.Duration
-	// ZoneBeat is the time between heartbeats to the leader of each other zone.
+	// ZoneBeat is the time between heartbeats to the leader of each other zone, where there are few.
 	ZoneBeat time.Duration
 }
 
@@ -172,6 +172,7 @@
 	c.sections[zonePrefix] = Section{Decode: decodeZone}
 	c.sections[DocumentPrefix] = Section{Decode: decodeDocument, Publish: c.publishDocuments}
 	c.sections[LeaderPrefix] = Section{Decode: decodeLeader}
+	c.sections[reachPrefix] = Section{Publish: publishReach}
 	return c
 }
 
--- a/internal/control/zone/leader.go
+++ b/internal/control/zone/leader.go
@@ -31,6 +31,8 @@
 	targets map[string]membership.Target
 	tries   map[string]int
 	met     time.Time
+	// unanswered counts the heartbeats in a row to each other zone that had no answer.
+	unanswered map[string]int
 	// sought is when the members that are down were looked for.
 	sought time.Time
 }
@@ -40,6 +42,8 @@
 		lapsed:  map[string]time.Time{},
 		targets: map[string]membership.Target{},
 		tries:   map[string]int{},
+
+		unanswered: map[string]int{},
 	}
 }
 
@@ -218,7 +222,11 @@
 
 func (c *Controller) meetZone(ctx context.Context, zone string, t membership.Target) {
 	answer, err := c.synchronize(ctx, t.Address)
-	c.config.Board.Do(ctx, func(*board.Board) {
+	if ctx.Err() != nil {
+		return
+	}
+	c.config.Board.Do(ctx, func(b *board.Board) {
+		c.met(b, zone, err == nil)
 		knowsLeader := answer.Leads || answer.Leader.Node != ""
 		if err != nil || !knowsLeader {
 			c.lead.tries[zone]++
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -75,20 +75,23 @@
 
 // follow sends the attempt to the node that decides about its key, and follows the key while it changes hands.
 func (k *KeyedSender) follow(ctx context.Context, attempt *call.Request, key outcome.Key) call.Reply {
-	patience := time.Now().Add(relocatePatience)
+	start := time.Now()
 	useSuccessor := false
 	for {
 		target, presumed, refusal, ok := k.locate(attempt.Service, key, useSuccessor)
 		if !ok {
 			return openly(refusal, attempt.Resent)
 		}
+		patience := relocatePatience
+		if presumed {
+			patience = k.patience(target)
+		}
 		reply, err := k.config.Sender.toHome(ctx, target, attempt)
-		final := !moved(reply) || (presumed && reply.Reason == call.ReasonHomeUnknown)
-		if err == nil && final {
+		if err == nil && !moved(reply) {
 			return openly(reply, attempt.Resent)
 		}
 		useSuccessor = !useSuccessor
-		if time.Now().After(patience) || !pause.For(ctx, relocatePause) {
+		if time.Since(start) > patience || !pause.For(ctx, relocatePause) {
 			return openly(unreached(reply, err), attempt.Resent)
 		}
 	}
@@ -97,6 +100,19 @@
 // relocatePatience is how long a key that changes hands is followed.
 const relocatePatience = 2 * time.Second
 
+// presumedPatience is how long a key is followed whose home is only presumed: as long as a change of members takes to
+// spread.
+const presumedPatience = time.Second
+
+// patience is how long a key is followed whose home is only presumed to be the target. The ends of the own zone are
+// known here, so what its members refuse is refused at once.
+func (k *KeyedSender) patience(target membership.Member) time.Duration {
+	if target.Zone == k.config.Board.Snapshot().Self.Zone && target.State == membership.Up {
+		return 0
+	}
+	return presumedPatience
+}
+
 // moved reports whether the node refused because it does not, or no longer, decide about the key.
 func moved(r call.Reply) bool {
 	return r.Outcome == call.NotAdmitted && (r.Reason == call.ReasonDraining || r.Reason == call.ReasonHomeUnknown)
@@ -123,8 +139,7 @@
 
 // locate returns the node that decides about the key, or the reply where there is none. While the home of a key
 // leaves, its successor is asked in turn with it. A node is presumed to decide where the end of the epochs that is known
-// here has passed: only the members of the last epoch know how far it was moved meanwhile. What such a node refuses is
-// asked again only while its keys change hands.
+// here has passed: only the members of the last epoch know how far it was moved meanwhile.
 func (k *KeyedSender) locate(service string, key outcome.Key, useSuccessor bool) (m membership.Member, presumed bool, refusal call.Reply, ok bool) {
 	b := k.config.Board.Snapshot()
 	home, _, agreed := homeOf(b, k.config.Zones, service, key, k.config.Window)
@@ -139,17 +154,23 @@
 	if !presumed {
 		refusal = unanswered
 	}
-	stays := m.Node == home.Name && m.State == membership.Up
-	return m, presumed && stays, refusal, ok
+	return m, presumed, refusal, ok
 }
 
-// presumedHome returns the node to ask about a key whose home is not known here.
+// presumedHome returns the node to ask about a key whose home is not known here. Nobody is asked in a zone that is not
+// reached: the answer would be that the fate of the request is unknown.
 func presumedHome(b *board.Board, zones []string, service string, key outcome.Key) (outcome.Node, bool) {
+	shard := b.Homes.Shards[outcome.ShardOf(zones, key.Text)]
+	keeper := shard.Last().Zone
+	_, unreached := b.Reach.Unreached[keeper]
+	if unreached {
+		return outcome.Node{}, false
+	}
 	millis := key.UnixMillis
 	if !key.Timed {
 		millis = time.Now().UnixMilli()
 	}
-	return b.Homes.Shards[outcome.ShardOf(zones, key.Text)].Presumed(service, key.Text, millis)
+	return shard.Presumed(service, key.Text, millis)
 }
 
 // answering returns the member that answers for the keys of the home, or the reply where there is none.
