Membership: leaders of many zones meet more seldom, and who asks seldom gets patches

Cause: 29 leaders that meet each second send and take 56 heartbeats a second each, and a renewal that came in between made the next one a whole record, because a patch was made from the value just before only.

While the platform answers, which brings members and documents anyway, the time between meetings grows with the zones above 8. Of a record that is renewed, the last 8 values are kept as bases of patches. The fleet of hoistlab capacity now begins each service in another zone, so that all zones have nodes.

Run: unit tests of the packages with the race detector.

--- a/internal/control/zone/leader.go
+++ b/internal/control/zone/leader.go
@@ -185,11 +185,12 @@
 	}
 }
 
-// meetZones sends a heartbeat to the leader of each other zone.
+// meetZones sends a heartbeat to the leader of each other zone. While the platform answers, it brings what the zones
+// have to tell each other, and in a fleet of many zones the heartbeats come more seldom.
 func (c *Controller) meetZones(ctx context.Context) {
 	targets := map[string]membership.Target{}
 	c.config.Board.Do(ctx, func(b *board.Board) {
-		if time.Since(c.lead.met) < c.config.Timing.ZoneBeat {
+		if time.Since(c.lead.met) < c.meetPeriod(b) {
 			return
 		}
 		c.lead.met = time.Now()
@@ -204,6 +205,17 @@
 	}
 }
 
+func (c *Controller) meetPeriod(b *board.Board) time.Duration {
+	if !b.Platform.Reachable || c.role != membership.Leading {
+		return c.config.Timing.ZoneBeat
+	}
+	zones := map[string]bool{}
+	for _, m := range b.Members.ByNode {
+		zones[m.Zone] = true
+	}
+	return membership.MeetPeriod(c.config.Timing.ZoneBeat, len(zones)-1)
+}
+
 // zoneTarget returns where to reach the zone: where it was reached last, the leader that its record names, or after
 // failures one member after the other.
 func (c *Controller) zoneTarget(b *board.Board, zone string) membership.Target {
--- a/internal/decide/membership/election_test.go
+++ b/internal/decide/membership/election_test.go
@@ -389,3 +389,51 @@
 	next := membership.OwnSequence(own.Version.Sequence)
 	is.True(next > mark.Version.Sequence) // and so does a change made at the same moment
 }
+
+func TestWhoAsksSeldomGetsPatches(t *testing.T) {
+	value := func(until int) []byte { return fmt.Appendf(bytes.Repeat([]byte("x"), 500), "%d", 100+until) }
+	for name, c := range map[string]struct {
+		renewals int
+		patched  bool
+	}{
+		"after one renewal":   {renewals: 1, patched: true},
+		"after four renewals": {renewals: 4, patched: true},
+		"after very many":     {renewals: 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := membership.NewRecords(membership.Renewal{Prefix: "homes/"})
+			first := membership.Record{Key: "homes/a", Version: membership.Version{Epoch: 1}, Value: value(0)}
+			s.Merge(first)
+			seen := s.Last()
+			last := first
+			for i := range c.renewals {
+				last = membership.Record{Key: "homes/a", Version: membership.Version{Epoch: uint64(i) + 2}, Value: value(i + 1)}
+				s.Merge(last)
+			}
+			changes, _ := s.Since(seen, 1<<20, nil)
+			is.Equal(len(changes), 1)
+			is.Equal(changes[0].Patched, c.patched)
+			if c.patched {
+				made, fits := changes[0].Patch.Apply(first)
+				is.True(fits)
+				is.Equal(made, last)
+			}
+		})
+	}
+}
+
+func TestPeriodsGrow(t *testing.T) {
+	for name, c := range map[string]struct {
+		got  time.Duration
+		want time.Duration
+	}{
+		"few members":  {membership.BeatPeriod(time.Second, 36), time.Second},
+		"many members": {membership.BeatPeriod(time.Second, 72), 2 * time.Second},
+		"no zone":      {membership.MeetPeriod(time.Second, 0), time.Second},
+		"few zones":    {membership.MeetPeriod(time.Second, 8), time.Second},
+		"many zones":   {membership.MeetPeriod(time.Second, 28), 3500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(c.got, c.want) })
+	}
+}
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -97,3 +97,11 @@
 func BeatPeriod(period time.Duration, members int) time.Duration {
 	return period * time.Duration(max(members, beatsPerPeriod)) / beatsPerPeriod
 }
+
+// zonesPerPeriod bounds the other availability zones whose leaders get a heartbeat in each period.
+const zonesPerPeriod = 8
+
+// MeetPeriod returns the time between heartbeats to the leaders of so many other availability zones.
+func MeetPeriod(period time.Duration, zones int) time.Duration {
+	return period * time.Duration(max(zones, zonesPerPeriod)) / zonesPerPeriod
+}
--- a/internal/decide/membership/renewal.go
+++ b/internal/decide/membership/renewal.go
@@ -1,6 +1,9 @@
 package membership
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Renewal is a kind of records that are renewed all the time, such as a lease with its end.
 type Renewal struct {
@@ -26,31 +29,41 @@
 	Record
 
 	number uint64
-	// before is the record that this one replaced, and beforeNumber the number of the change that had brought it.
-	before       Record
-	beforeNumber uint64
+	// earlier are the records that this one replaced, the newest last.
+	earlier []earlier
 
 	renewed   bool
 	structure Structure
 	// anchor is the record as it was when its structure last changed, and priorAnchor the one before. Who follows no
 	// renewals holds just these.
-	anchor            Record
-	anchorNumber      uint64
-	priorAnchor       Record
-	priorAnchorNumber uint64
+	anchor      earlier
+	priorAnchor earlier
 	// moved says that the last change of the structure brought another zone.
 	moved bool
 }
 
+// earlier is a record that was replaced, with the number of the change that had brought it; 0 for none.
+type earlier struct {
+	record Record
+	number uint64
+}
+
+// maxEarlier is how many replaced records are kept of one that is renewed all the time, for those who ask seldom.
+const maxEarlier = 8
+
 // followed returns the record with its successor in its place.
 func (n numbered) followed(r Record, number uint64, renewed bool, structure Structure) numbered {
 	next := n
 	next.Record, next.number = r, number
-	next.before, next.beforeNumber = n.Record, n.number
+	next.earlier = append(slices.Clone(n.earlier), earlier{n.Record, n.number})
+	most := 1
+	if renewed {
+		most = maxEarlier
+	}
+	next.earlier = next.earlier[max(0, len(next.earlier)-most):]
 	next.renewed, next.structure = renewed, structure
 	if renewed && (structure != n.structure || n.number == 0) {
-		next.anchor, next.anchorNumber = r, number
-		next.priorAnchor, next.priorAnchorNumber = n.anchor, n.anchorNumber
+		next.anchor, next.priorAnchor = earlier{r, number}, n.anchor
 		next.moved = structure.Zone != n.structure.Zone
 	}
 	return next
@@ -66,29 +79,34 @@
 
 // change returns the record as a patch for one who has seen the changes up to the number, where that spares bytes.
 func (n numbered) change(seen uint64) Change {
-	if n.moved && n.number == n.anchorNumber {
+	if n.moved && n.anchor.number > seen {
 		return Change{Record: n.Record}
 	}
-	return changeFrom(n.before, n.beforeNumber, n.Record, seen)
+	for _, e := range slices.Backward(n.earlier) {
+		if e.number <= seen {
+			return e.changeTo(n.Record)
+		}
+	}
+	return Change{Record: n.Record}
 }
 
 // structural returns the last change of the structure for one who follows no renewals. It reports false where that was
 // seen.
 func (n numbered) structural(seen uint64) (Change, bool) {
-	if n.anchorNumber <= seen {
+	if n.anchor.number <= seen {
 		return Change{}, false
 	}
-	if n.moved {
-		return Change{Record: n.anchor}, true
+	if n.moved || n.priorAnchor.number > seen {
+		return Change{Record: n.anchor.record}, true
 	}
-	return changeFrom(n.priorAnchor, n.priorAnchorNumber, n.anchor, seen), true
+	return n.priorAnchor.changeTo(n.anchor.record), true
 }
 
-func changeFrom(before Record, beforeNumber uint64, r Record, seen uint64) Change {
-	if beforeNumber == 0 || beforeNumber > seen {
+func (e earlier) changeTo(r Record) Change {
+	if e.number == 0 {
 		return Change{Record: r}
 	}
-	patch, worthWhile := NewPatch(before, r)
+	patch, worthWhile := NewPatch(e.record, r)
 	return Change{Record: r, Patch: patch, Patched: worthWhile}
 }
 
@@ -119,7 +137,7 @@
 	for key := range s.renewed {
 		n := s.byKey[key]
 		if n.isLimited(follows) {
-			records = append(records, n.anchor)
+			records = append(records, n.anchor.record)
 		} else {
 			records = append(records, n.Record)
 		}
--- a/internal/lab/capacity/capacity.go
+++ b/internal/lab/capacity/capacity.go
@@ -157,6 +157,7 @@
 			Name:        name,
 			Document:    documentOf(name, 0),
 			Instances:   min(left, instancesPerService),
+			FirstZone:   size - left,
 			Slots:       labSlots,
 			Connections: labConnections,
 			Behaviour:   server.Behaviour{ServiceTime: time.Millisecond, Queue: labSlots},
--- a/internal/lab/fleet/deployment.go
+++ b/internal/lab/fleet/deployment.go
@@ -26,6 +26,8 @@
 	Name      string
 	Document  string
 	Instances int
+	// FirstZone is the place of the first instance's availability zone in the deployment's list; the others follow it.
+	FirstZone int
 	Slots     int
 	// AnnouncedSlots is what the backend servers say of their slots; 0 for the truth.
 	AnnouncedSlots int
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -203,7 +203,7 @@
 	zones := f.config.Deployment.Zones
 	n := &Node{
 		Name:    fmt.Sprintf("%s_%d", s.Name, number),
-		Zone:    zones[number%len(zones)],
+		Zone:    zones[(s.FirstZone+number)%len(zones)],
 		Service: s.Name,
 		IP:      f.subnet.ip(len(f.Nodes)),
 		output:  f.config.Output,
