A home that didn't answer is asked before it gets another request

TestKeysWhileAZoneIsCutOff failed once it met the renewals that stay in their zone: of 50 keys with a time of their own that callers sent into the cut-off zone, 33 ended in unknown (peer_silent) after their whole deadline of 1 s, where they were refused at once before.

Cause: an entry node that doesn't know how far a shard's end was moved asks the home of the last epoch. Behind a cut that home is silent, each request was sent, and so its fate was open, for as long as the cut lasted. Before, the end that was known had passed and requests were refused.

Ruled out: the ejection of instances, which routes around silent nodes; a key has one home and nothing to go around to.

Before: the test fails (17 of 50 refused, 33 unknown).

--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -29,12 +29,13 @@
 // KeyedSender is where requests enter a node. It gives a key to each non-idempotent request without one, and sends
 // a request with a caller's key to the home of the key. Idempotent requests go straight to the Sender.
 type KeyedSender struct {
-	config KeyedConfig
+	config   KeyedConfig
+	silences *silences
 }
 
 // NewKeyedSender returns a sender.
 func NewKeyedSender(config KeyedConfig) *KeyedSender {
-	return &KeyedSender{config: config}
+	return &KeyedSender{config: config, silences: newSilences(config.Sender.config.Peers)}
 }
 
 // Send sends the request on and returns the reply.
@@ -82,7 +83,11 @@
 		if !ok {
 			return openly(refusal, attempt.Resent)
 		}
+		if !k.silences.answers(ctx, target.PeerAddress) {
+			return openly(call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry), attempt.Resent)
+		}
 		reply, err := k.config.Sender.toHome(ctx, target, attempt)
+		k.silences.note(target.PeerAddress, err)
 		final := !moved(reply) || (presumed && reply.Reason == call.ReasonHomeUnknown)
 		if err == nil && final {
 			return openly(reply, attempt.Resent)
