The proofs of the shell wait less and damage more

Cause, from the times of the parts (44.0 s in 1 run, race): - six fleets took about 2 s each for drains at the end of tests that look at nothing afterwards. They are killed now, as those of proof/control are, by the same harness.KillAtEnd. - damaged requests wait out their deadlines one after the other: 2.8 s or 9.8 s for each direction, by who won the lead at the start. Where the entry led, damaged heartbeats got the instance marked down, and 68 of 80 requests never reached the damaged link (trial with the outcomes logged). Five of the six run side by side on fleets of their own; the golden sessions run alone.

Ruled out: shorter deadlines and sleeps, which are what these tests are about, and fewer requests or seeds. No check is dropped.

Changes to existing tests: as above; sendMany fills its slice in place.

--- a/internal/proof/control/main_test.go
+++ b/internal/proof/control/main_test.go
@@ -36,11 +36,7 @@
 func start(t *testing.T, config fleet.Config) *fleet.Fleet {
 	t.Helper()
 	f := harness.Start(t, config)
-	t.Cleanup(func() {
-		for _, n := range f.Nodes {
-			n.Kill()
-		}
-	})
+	harness.KillAtEnd(t, f)
 	return f
 }
 
--- a/internal/proof/harness/harness.go
+++ b/internal/proof/harness/harness.go
@@ -60,6 +60,17 @@
 	return f
 }
 
+// KillAtEnd kills the nodes when the test is over, which spares their drains. It is for tests that look at nothing after
+// their last step.
+func KillAtEnd(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	t.Cleanup(func() {
+		for _, n := range f.Nodes {
+			n.Kill()
+		}
+	})
+}
+
 // Eventually waits until the condition holds and fails the test where it does not within the time.
 func Eventually(t *testing.T, within time.Duration, condition func() bool) {
 	t.Helper()
--- a/internal/proof/shell/answers_test.go
+++ b/internal/proof/shell/answers_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -18,7 +17,6 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/proxy"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
-	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
 
 const (
@@ -51,7 +49,8 @@
 // TestEveryCallerGetsItsOwnAnswer sends many different bodies at once while the bytes between the nodes are late,
 // crossed, doubled, truncated and corrupted, and holds each answer against its request and the backend servers' ledgers.
 func TestEveryCallerGetsItsOwnAnswer(t *testing.T) {
-	f := harness.Start(t, fleet.Config{Deployment: deployment(len(bookingsNodes)), Seed: 1})
+	t.Parallel()
+	f := start(t, fleet.Config{Deployment: deployment(len(bookingsNodes)), Seed: 1})
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, seed))
@@ -100,25 +99,28 @@
 
 func sendMany(t *testing.T, f *fleet.Fleet, random *rand.Rand) []answer {
 	t.Helper()
-	var mu sync.Mutex
-	var answers []answer
-	callers := pool.New().WithMaxGoroutines(callersAtOnce)
-	for range requestsPerRound {
+	answers := make([]answer, requestsPerRound)
+	for i := range answers {
 		a := answer{id: fmt.Sprintf("r-%x", random.Uint64()), path: bookingPath, body: randomBody(random)}
 		if random.IntN(2) == 0 {
 			a.path = statusPath
 		}
-		callers.Go(func() {
-			send(t.Context(), f.Nodes[0].Caller, &a)
-			mu.Lock()
-			defer mu.Unlock()
-			answers = append(answers, a)
-		})
+		answers[i] = a
 	}
-	callers.Wait()
+	sendAll(t, f, answers)
 	return answers
 }
 
+// sendAll sends the requests by callersAtOnce callers and fills in their answers.
+func sendAll(t *testing.T, f *fleet.Fleet, answers []answer) {
+	t.Helper()
+	callers := pool.New().WithMaxGoroutines(callersAtOnce)
+	for i := range answers {
+		callers.Go(func() { send(t.Context(), f.Nodes[0].Caller, &answers[i]) })
+	}
+	callers.Wait()
+}
+
 func randomBody(random *rand.Rand) []byte {
 	body := make([]byte, minBodyBytes+random.IntN(maxBodyBytes-minBodyBytes))
 	for i := range body {
@@ -151,11 +153,10 @@
 func checkAnswers(t *testing.T, f *fleet.Fleet, answers []answer) {
 	t.Helper()
 	started := startedByRequest(f)
-	counts := map[string]int{}
+	counts := outcomesOf(answers)
 	for _, a := range answers {
 		is := is.New(t)
-		is.NoErr(a.err) // the caller's own connection is whole
-		counts[a.outcome]++
+		is.NoErr(a.err)                                      // the caller's own connection is whole
 		is.True(a.path != bookingPath || started[a.id] <= 1) // a booking runs at most once
 		switch a.outcome {
 		case "ran":
--- a/internal/proof/shell/damage_test.go
+++ b/internal/proof/shell/damage_test.go
@@ -14,7 +14,8 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
 
-// damagedRequests are sent, one after the other, with one bit of each chunk flipped.
+// damagedRequests are sent with one bit of each chunk flipped. Several callers send them at once, so that most are sent
+// before the damaged heartbeats get one of the nodes marked down.
 const damagedRequests = 40
 
 // damagedDeadline is in milliseconds. A flipped bit in a length makes the other side wait for what never comes.
@@ -25,8 +26,9 @@
 
 // TestDamagedRequestIsNoFaultOfTheCaller damages requests between nodes. The caller sent a good one.
 func TestDamagedRequestIsNoFaultOfTheCaller(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
-	f := harness.Start(t, fleet.Config{Deployment: deployment(1)})
+	f := start(t, fleet.Config{Deployment: deployment(1)})
 	f.Network.Set("access_0", "bookings_0", proxy.Fault{Corrupt: true})
 	for i := range 5 {
 		a := answer{id: fmt.Sprintf("damaged-%d", i), path: bookingPath, deadline: damagedDeadline, body: bytes.Repeat([]byte("ballroom"), 1000)}
@@ -39,18 +41,19 @@
 // TestDamagedFieldsAreFound damages small messages between nodes, in which the flipped bit is as often in a header, a
 // name or a number as in the body, in each direction.
 func TestDamagedFieldsAreFound(t *testing.T) {
-	f := harness.Start(t, fleet.Config{Deployment: deployment(1)})
+	t.Parallel()
+	f := start(t, fleet.Config{Deployment: deployment(1)})
 	for _, direction := range [][2]string{{"access_0", "bookings_0"}, {"bookings_0", "access_0"}} {
 		t.Run(direction[0]+" to "+direction[1], func(t *testing.T) {
 			f.Network.Clear()
 			f.Network.Set(direction[0], direction[1], proxy.Fault{Scatter: true})
-			var answers []answer
-			for i := range damagedRequests {
-				a := answer{id: fmt.Sprintf("%s-%d", direction[0], i), path: bookingPath, deadline: damagedDeadline, body: bytes.Repeat([]byte("x"), i%longestSmallBody)}
-				send(t.Context(), f.Nodes[0].Caller, &a)
-				answers = append(answers, a)
+			answers := make([]answer, damagedRequests)
+			for i := range answers {
+				answers[i] = answer{id: fmt.Sprintf("%s-%d", direction[0], i), path: bookingPath, deadline: damagedDeadline, body: bytes.Repeat([]byte("x"), i%longestSmallBody)}
 			}
+			sendAll(t, f, answers)
 			f.Network.Clear()
+			t.Logf("outcomes: %v", outcomesOf(answers))
 			harness.Eventually(t, 20*time.Second, func() bool { return wholeAgain(t, f) })
 			started := startedByRequest(f)
 			for _, a := range answers {
@@ -63,6 +66,14 @@
 	}
 }
 
+func outcomesOf(answers []answer) map[string]int {
+	counts := map[string]int{}
+	for _, a := range answers {
+		counts[a.outcome]++
+	}
+	return counts
+}
+
 func wholeAgain(t *testing.T, f *fleet.Fleet) bool {
 	t.Helper()
 	a := answer{id: "whole", path: bookingPath, body: []byte("whole")}
--- a/internal/proof/shell/fixture_test.go
+++ b/internal/proof/shell/fixture_test.go
@@ -17,6 +17,14 @@
 	os.Exit(harness.Main(m))
 }
 
+// start starts a fleet whose processes are killed at the end.
+func start(t *testing.T, config fleet.Config) *fleet.Fleet {
+	t.Helper()
+	f := harness.Start(t, config)
+	harness.KillAtEnd(t, f)
+	return f
+}
+
 const bookingsDocument = `[service]
 name = bookings
 team = bookings-team
@@ -45,8 +53,8 @@
 idempotent = true
 `
 
-// deployment returns one node of access, where callers enter, and instances of bookings that echo the body. Each node
-// is in an availability zone of its own.
+// deployment returns one node of access, where callers enter, and instances of bookings that echo the body. The
+// instances are in availability zones of their own, the first in that of the entry.
 func deployment(instances int) fleet.Deployment {
 	behaviour := server.Behaviour{ServiceTime: time.Millisecond, Queue: 100, Echo: true}
 	service := fleet.Service{Slots: 35, Connections: 300, Behaviour: behaviour}
--- a/internal/proof/shell/input_test.go
+++ b/internal/proof/shell/input_test.go
@@ -11,15 +11,15 @@
 	"github.com/matryer/is"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
-	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
 
 // limitedEvery is longer than the time between two events of one number that strangers can cause.
 const limitedEvery = 1100 * time.Millisecond
 
 func TestBadInputOfCallers(t *testing.T) {
+	t.Parallel()
 	l := &logs{}
-	f := harness.Start(t, fleet.Config{
+	f := start(t, fleet.Config{
 		Deployment: deployment(1),
 		Output:     l,
 		Settings:   []string{"-caller.max_body", "1024", "-caller.header_timeout", "500ms", "-caller.body_timeout", "1s"},
@@ -93,8 +93,9 @@
 }
 
 func TestGarbageOnThePeerAddress(t *testing.T) {
+	t.Parallel()
 	l := &logs{}
-	f := harness.Start(t, fleet.Config{
+	f := start(t, fleet.Config{
 		Deployment: deployment(1),
 		Output:     l,
 		Settings:   []string{"-peer.idle_timeout", "1s", "-log.level", "debug"},
