--- a/internal/process/node/table.go
+++ b/internal/process/node/table.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/terminal"
 )
@@ -69,7 +70,7 @@
 	t.Section("MEMBERS", "NODE", "ZONE", "SERVICE", "STATE", "SLOTS", "SILENT FOR", "ADDRESS")
 	for _, node := range slices.Sorted(maps.Keys(d.Board.Members.ByNode)) {
 		m := d.Board.Members.ByNode[node]
-		t.Row(m.Node, m.Zone, orNone(m.Service), m.State, m.Slots, d.silence(node), m.PeerAddress)
+		t.Row(m.Node, m.Zone, orNone(m.Service), stateOf(m), m.Slots, d.silence(node), m.PeerAddress)
 	}
 	for _, node := range d.Control.Down {
 		t.Row(node, "", "", "down", "", "", "")
@@ -202,3 +203,11 @@
 		t.Row(address, d.Connections[address], d.ControlConnections[address])
 	}
 }
+
+// stateOf returns the member's state as the table shows it.
+func stateOf(m membership.Member) string {
+	if m.State == membership.Up && m.Lost {
+		return "backend lost"
+	}
+	return string(m.State)
+}
