Flow: attempts under a caller's key are charged to the service's retry budget

The home of a caller's key passed on what its own instance had shed without a look at the retry budget: of twelve shed bookings twelve were sent to a second instance, where two tokens were left (TestDelegationIsChargedToTheBudget, red before). Now sender and home share the budgets of the node. Good answers under a caller's key earn, and a remembered answer costs nothing and is given.

At the entry, what is sent again under a caller's key after not_run counts as sent again, like other requests; nothing can be remembered of it. What was lost or unknown doesn't count, so that its answer stays within reach.

Changed test: TestHomeDelegatesOnce compares the attempts used with a column of their own, since a leaving home uses none; the other cases are as they were.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -117,6 +117,7 @@
 
 // buildSender puts together what decides about keys and sends requests to instances.
 func (n *Node) buildSender(s *settings.Settings, self outcome.Node) {
+	budgets := flow.NewBudgets(retryBudget)
 	n.home = flow.NewHome(flow.HomeConfig{
 		Board:    n.loop,
 		Self:     self,
@@ -124,6 +125,7 @@
 		Local:    n.receiver,
 		Delegate: func(ctx context.Context, r *call.Request) call.Reply { return n.sender.Delegate(ctx, r) },
 		Ask:      n.ask,
+		Budgets:  budgets,
 		Load:     n.gate.Load,
 		Table:    keyTable,
 	})
@@ -131,7 +133,7 @@
 		Board:    n.loop,
 		Peers:    n.peers,
 		Receiver: n.home,
-		Budget:   retryBudget,
+		Budgets:  budgets,
 		Routing:  routing.DefaultConfig(s.Node.Name, s.Node.Zone),
 		Throttle: throttle.DefaultConfig,
 		Events:   n.limiter,
--- a/internal/traffic/flow/entry.go
+++ b/internal/traffic/flow/entry.go
@@ -47,25 +47,38 @@
 func (e *entry) offer(now time.Time, r *call.Request) (call.Reply, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	// A request with a key is answered from memory when it is sent again, which costs little.
-	resent := r.Key == "" && (r.Resends > 0 || e.failures.Take(now, senderFingerprint(r)))
-	verdict := e.throttle(now, r).Offer(now, globalRandom{}, throttle.Offer{Caller: r.Root.Caller, Resent: resent})
+	offer := throttle.Offer{Caller: r.Root.Caller, Resent: e.isResent(now, r)}
+	verdict := e.throttle(now, r).Offer(now, globalRandom{}, offer)
 	if verdict.Admitted {
 		return call.Reply{}, true
 	}
 	outcome := call.NotRun
-	if r.Key != "" && !r.KeyMinted {
+	if hasCallersKey(r) {
 		outcome = call.NotAdmitted
 	}
 	return call.Refused(outcome, call.ReasonOverload, verdict.RetryAfter), false
 }
 
+// isResent reports whether the caller sends again what failed. Under a caller's key only that counts of which the caller
+// was told that it has not run: any other may have an answer to fetch, which costs little.
+func (e *entry) isResent(now time.Time, r *call.Request) bool {
+	if e.failures.Take(now, senderFingerprint(r)) {
+		return true
+	}
+	return !hasCallersKey(r) && r.Resends > 0
+}
+
+func hasCallersKey(r *call.Request) bool {
+	return r.Key != "" && !r.KeyMinted
+}
+
 // learn takes in the reply to an admitted request.
 func (e *entry) learn(now time.Time, r *call.Request, reply *call.Reply) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.throttle(now, r).Learn(now, resultOf(reply))
-	if reply.Failure() != call.ReasonNone {
+	mayHaveAnswer := hasCallersKey(r) && reply.Outcome != call.NotRun
+	if reply.Failure() != call.ReasonNone && !mayHaveAnswer {
 		e.failures.Add(now, senderFingerprint(r))
 	}
 }
@@ -105,7 +118,11 @@
 
 // senderFingerprint is the same for a request that its caller sends again.
 func senderFingerprint(r *call.Request) uint64 {
-	return hashOf(r, r.Root.Caller, r.Service, r.Method, r.Path)
+	key := ""
+	if hasCallersKey(r) {
+		key = r.Key
+	}
+	return hashOf(r, r.Root.Caller, r.Service, r.Method, r.Path, key)
 }
 
 // hashOf returns a hash of the parts, which are kept apart, and of the request's body.
--- a/internal/traffic/flow/home.go
+++ b/internal/traffic/flow/home.go
@@ -11,6 +11,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
@@ -28,9 +29,11 @@
 	// Delegate passes a request on to another instance of its service.
 	Delegate func(ctx context.Context, r *call.Request) call.Reply
 	// Ask asks another node on a new connection.
-	Ask   func(ctx context.Context, address string, q peer.Question) (peer.Resolution, error)
-	Load  func() call.Load
-	Table outcome.TableConfig
+	Ask func(ctx context.Context, address string, q peer.Question) (peer.Resolution, error)
+	// Budgets are charged for requests that are passed on.
+	Budgets *Budgets
+	Load    func() call.Load
+	Table   outcome.TableConfig
 }
 
 // Home runs the requests whose keys this node decides about, each at most once, and remembers what became of them.
@@ -284,25 +287,42 @@
 	if reply.Outcome == call.NotAdmitted {
 		reply.Outcome = call.NotRun
 	}
-	if !h.mayDelegate(r, reply) {
-		return reply
+	if h.mayDelegate(r, reply) {
+		reply = h.delegate(ctx, r, reply)
+	}
+	if !r.KeyMinted && reply.Failure() == call.ReasonNone {
+		h.config.Budgets.earn(r.Service)
 	}
+	return reply
+}
+
+// delegate passes on what was refused here.
+func (h *Home) delegate(ctx context.Context, r *call.Request, refused call.Reply) call.Reply {
 	passed := *r
-	if reply.Reason != call.ReasonNoInstance {
+	if !takesNothing(&refused) {
 		passed.AttemptsLeft--
 	}
-	delegated := h.config.Delegate(ctx, &passed)
-	delegated.AttemptsUsed += r.AttemptsLeft - passed.AttemptsLeft
-	return delegated
+	reply := h.config.Delegate(ctx, &passed)
+	reply.AttemptsUsed += r.AttemptsLeft - passed.AttemptsLeft
+	return reply
 }
 
-// mayDelegate reports whether another instance may run what this one did not. For a key that the entry node minted,
-// the entry node itself tries another home.
+// mayDelegate reports whether another instance may run what this one did not, and charges the service's budget where
+// that is a further attempt. For a key that the entry node minted, the entry node itself tries another home.
 func (h *Home) mayDelegate(r *call.Request, reply call.Reply) bool {
 	if reply.Outcome != call.NotRun || reply.Final || r.KeyMinted {
 		return false
 	}
-	return reply.Reason == call.ReasonNoInstance || r.AttemptsLeft > 0
+	if takesNothing(&reply) {
+		return true
+	}
+	verdict := h.config.Budgets.decide(r.Service, retry.Attempt{
+		Deeper:       reply.Deeper != call.ReasonNone,
+		AttemptsLeft: r.AttemptsLeft,
+		TimeLeft:     time.Until(r.Deadline),
+		Candidates:   1, // whichever the sender chooses
+	})
+	return verdict == retry.TryAgain
 }
 
 // Resolve tells what became of an attempt that was sent to this process.
--- a/internal/traffic/flow/home_test.go
+++ b/internal/traffic/flow/home_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
@@ -20,12 +22,15 @@
 
 var selfMember = membership.Member{}
 
+var testBudget = retry.BudgetConfig{PerSuccess: 0.5, Max: 2}
+
 var homeSelf = outcome.Node{Name: "access_0", Incarnation: 7}
 
 var (
-	ranReply  = call.Reply{Outcome: call.Ran, Status: 200, Body: []byte("booked")}
-	shedReply = call.Refused(call.NotRun, call.ReasonOverload, time.Second)
-	lostReply = call.Refused(call.Unknown, call.ReasonBackendFailed, 0)
+	ranReply      = call.Reply{Outcome: call.Ran, Status: 200, Body: []byte("booked")}
+	shedReply     = call.Refused(call.NotRun, call.ReasonOverload, time.Second)
+	drainingReply = call.Refused(call.NotRun, call.ReasonDraining, 0)
+	lostReply     = call.Refused(call.Unknown, call.ReasonBackendFailed, 0)
 )
 
 // runner answers with one reply after the other, and counts.
@@ -46,6 +51,7 @@
 		Self:     homeSelf,
 		Local:    local,
 		Delegate: other.Receive,
+		Budgets:  NewBudgets(testBudget),
 		Load:     func() call.Load { return call.Load{} },
 		Table:    outcome.TableConfig{Window: time.Minute, Ahead: time.Minute, MaxKeys: 100, MaxBytes: 1 << 20},
 	})
@@ -79,13 +85,15 @@
 		attempts     int
 		want         call.Outcome
 		passedOn     int
+		used         int
 	}{
 		"ran here":                           {local: ranReply, attempts: 1, want: call.Ran},
-		"shed here, ran there":               {local: shedReply, other: ranReply, attempts: 1, want: call.Ran, passedOn: 1},
-		"shed by both":                       {local: shedReply, other: shedReply, attempts: 1, want: call.NotRun, passedOn: 1},
+		"shed here, ran there":               {local: shedReply, other: ranReply, attempts: 1, want: call.Ran, passedOn: 1, used: 1},
+		"shed by both":                       {local: shedReply, other: shedReply, attempts: 1, want: call.NotRun, passedOn: 1, used: 1},
 		"no attempt left":                    {local: shedReply, other: ranReply, want: call.NotRun},
+		"leaving: costs no attempt":          {local: drainingReply, other: ranReply, want: call.Ran, passedOn: 1},
 		"lost here: not passed on":           {local: lostReply, other: ranReply, attempts: 1, want: call.Unknown},
-		"lost there: not run again anywhere": {local: shedReply, other: lostReply, attempts: 1, want: call.Unknown, passedOn: 1},
+		"lost there: not run again anywhere": {local: shedReply, other: lostReply, attempts: 1, want: call.Unknown, passedOn: 1, used: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -95,7 +103,7 @@
 			r.AttemptsLeft = tc.attempts
 			reply := h.Receive(t.Context(), r)
 			is.Equal(reply.Outcome, tc.want)
-			is.Equal(reply.AttemptsUsed, tc.passedOn)
+			is.Equal(reply.AttemptsUsed, tc.used)
 			is.Equal(other.runs, tc.passedOn)
 			if tc.want != call.NotRun {
 				is.Equal(h.Receive(t.Context(), r).Outcome, tc.want) // remembered
@@ -105,6 +113,27 @@
 	}
 }
 
+// Requests with a caller's key that are passed on are charged to the service's budget like other further attempts. An
+// answer that is remembered costs nothing and is given.
+func TestDelegationIsChargedToTheBudget(t *testing.T) {
+	is := is.New(t)
+	local, other := &runner{replies: []call.Reply{shedReply}}, &runner{replies: []call.Reply{ranReply, shedReply}}
+	h := newTestHome(local, other)
+	first := booking(time.Now())
+	is.Equal(h.Receive(t.Context(), first).Outcome, call.Ran) // takes one of two tokens and earns half of one
+	is.Equal(h.Receive(t.Context(), booking(time.Now())).Outcome, call.NotRun)
+	for range 10 {
+		is.Equal(h.Receive(t.Context(), booking(time.Now())).Outcome, call.NotRun)
+	}
+	is.Equal(other.runs, 2)
+	is.Equal(h.Receive(t.Context(), first).Outcome, call.Ran) // remembered
+	local.replies = append(slices.Repeat([]call.Reply{shedReply}, local.runs), ranReply)
+	is.Equal(h.Receive(t.Context(), booking(time.Now())).Outcome, call.Ran) // makes it one token
+	local.replies = []call.Reply{shedReply}
+	is.Equal(h.Receive(t.Context(), booking(time.Now())).Outcome, call.NotRun)
+	is.Equal(other.runs, 3)
+}
+
 // A copy that entered before a caller was told not_run stays out; a later resend runs.
 func TestLateCopyOfWhatWasToldNotRun(t *testing.T) {
 	synctest.Test(t, lateCopy)
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -32,7 +31,7 @@
 	Board    *board.Loop
 	Peers    *peer.Client
 	Receiver Runner
-	Budget   retry.BudgetConfig
+	Budgets  *Budgets
 	Routing  routing.Config
 	Throttle throttle.Config
 	// Events takes what operators should know.
@@ -45,19 +44,15 @@
 	views  *views
 	entry  *entry
 	paces  *paces
-
-	mu      sync.Mutex
-	budgets map[string]*retry.Budget
 }
 
 // NewSender returns a sender.
 func NewSender(config SenderConfig) *Sender {
 	return &Sender{
-		config:  config,
-		views:   newViews(config.Routing),
-		entry:   newEntry(config.Throttle),
-		paces:   newPaces(),
-		budgets: map[string]*retry.Budget{},
+		config: config,
+		views:  newViews(config.Routing),
+		entry:  newEntry(config.Throttle),
+		paces:  newPaces(),
 	}
 }
 
@@ -190,18 +185,15 @@
 
 // again learns from the reply and reports whether to try another instance, which it charges.
 func (s *Sender) again(r *call.Request, reply call.Reply, t *trial) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	budget := s.budget(r.Service)
 	if reply.Failure() == call.ReasonNone {
-		budget.Earn()
+		s.config.Budgets.earn(r.Service)
 		return false
 	}
 	candidates := s.views.count(r.Service) - len(t.tried)
 	if reply.Outcome == call.NotRun && reply.Reason == call.ReasonDraining {
 		return candidates > 0 // a leaving instance has started nothing, and each instance is asked once
 	}
-	verdict := retry.Decide(retry.Attempt{
+	verdict := s.config.Budgets.decide(r.Service, retry.Attempt{
 		Idempotent:   r.Idempotent,
 		Started:      reply.Outcome == call.Ran || reply.Outcome == call.Unknown,
 		Final:        reply.Final,
@@ -209,7 +201,7 @@
 		AttemptsLeft: r.Attempts.Left(),
 		TimeLeft:     time.Until(r.Deadline),
 		Candidates:   candidates,
-	}, budget)
+	})
 	if verdict == retry.GiveUp || !r.Attempts.Take() {
 		return false
 	}
@@ -217,15 +209,6 @@
 	return true
 }
 
-func (s *Sender) budget(service string) *retry.Budget {
-	b, ok := s.budgets[service]
-	if !ok {
-		b = retry.NewBudget(s.config.Budget)
-		s.budgets[service] = b
-	}
-	return b
-}
-
 // globalRandom is the program's own random source.
 type globalRandom struct{}
 
--- a/internal/traffic/flow/senderstats.go
+++ b/internal/traffic/flow/senderstats.go
@@ -30,7 +30,7 @@
 
 // Stats returns what the sender goes by.
 func (s *Sender) Stats(now time.Time) SenderStats {
-	return SenderStats{Instances: s.views.stats(now), Budgets: s.tokens(), Throttles: s.entry.stats(now)}
+	return SenderStats{Instances: s.views.stats(now), Budgets: s.config.Budgets.tokens(), Throttles: s.entry.stats(now)}
 }
 
 func (e *entry) stats(now time.Time) []ThrottleStats {
@@ -46,16 +46,6 @@
 	return stats
 }
 
-func (s *Sender) tokens() map[string]float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	tokens := make(map[string]float64, len(s.budgets))
-	for service, b := range s.budgets {
-		tokens[service] = b.Tokens()
-	}
-	return tokens
-}
-
 func (v *views) stats(now time.Time) map[string]routing.Stats {
 	v.mu.Lock()
 	defer v.mu.Unlock()
