Flow: only silence holds requests back from a home, not a connection that broke

A home whose process has just ended was refused at once, where the key is followed to its successor. Now only a deadline that passed without an answer counts.

--- a/internal/traffic/flow/silence.go
+++ b/internal/traffic/flow/silence.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
 
@@ -36,15 +37,20 @@
 func (s *silences) note(address string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var failure *peer.Error
 	switch {
 	case err == nil:
 		delete(s.asked, address)
-	case errors.As(err, &failure) && failure.Sent:
+	case isSilence(err):
 		s.asked[address] = time.Time{}
 	}
 }
 
+// isSilence tells a node that doesn't answer from one whose process has ended, whose keys another may have taken over.
+func isSilence(err error) bool {
+	var failure *peer.Error
+	return errors.As(err, &failure) && failure.Sent && failure.Reason == call.ReasonPeerSilent
+}
+
 // answers reports whether the node at the address is worth a request.
 func (s *silences) answers(ctx context.Context, address string) bool {
 	silent, ask := s.look(address, time.Now())
@@ -52,10 +58,11 @@
 		return !silent
 	}
 	_, err := s.peers.Resolve(ctx, address, peer.Question{AttemptID: uuid.NewString()}, silentTimeout)
-	if err == nil {
-		s.note(address, nil)
+	if isSilence(err) {
+		return false
 	}
-	return err == nil
+	s.note(address, nil)
+	return true
 }
 
 // look reports whether the node is silent as far as known, and whether it is to be asked now.
--- a/internal/traffic/flow/silence_test.go
+++ b/internal/traffic/flow/silence_test.go
@@ -7,12 +7,13 @@
 
 	"github.com/matryer/is"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
 
 func TestSilences(t *testing.T) {
 	const address = "10.0.1.21:7001"
-	lost := &peer.Error{Address: address, Sent: true}
+	lost := &peer.Error{Address: address, Sent: true, Reason: call.ReasonPeerSilent}
 	now := time.Unix(1000, 0)
 	for name, c := range map[string]struct {
 		ends        []error // how exchanges ended before
@@ -22,6 +23,7 @@
 		"nothing is known":                 {},
 		"answered":                         {ends: []error{nil}},
 		"not sent":                         {ends: []error{&peer.Error{Address: address}}},
+		"the connection broke":             {ends: []error{&peer.Error{Address: address, Sent: true, Reason: call.ReasonPeerUnreachable}}},
 		"another error":                    {ends: []error{errors.New("another")}},
 		"sent without an answer":           {ends: []error{lost}, silent: true, ask: true},
 		"sent without an answer, answered": {ends: []error{lost, nil}},
