Load tool: no more requests on their way than it can open connections for

The load tool, all stand-ins and the baseline shared one process and its open files, and ran out of them.

Streams that need little get all that they need, so that a flood does not take the connections of the others. A request that finds none is not sent, counts as failed with the reason no_connection, and is shown in the column "unsent". The baseline runs in one process for each node, as the product does: new command "hoistlab baseline".

Tried and left: waiting for a connection.

--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -32,6 +32,7 @@
 			capacityCommand(),
 			storeCommand(),
 			backendCommand(),
+			baselineCommand(),
 			loadCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/cmd/hoistlab/overload.go
+++ b/cmd/hoistlab/overload.go
@@ -60,8 +60,12 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	own, err := os.Executable()
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
 	var results []scenario.Result
-	for _, config := range o.configs(binary) {
+	for _, config := range o.configs(binary, own) {
 		result, err := scenario.Run(ctx, config)
 		if err != nil {
 			return trace.Wrap(err)
@@ -81,14 +85,15 @@
 
 const directoryMode = 0o755
 
-// configs returns every run: each scenario of each deployment with each variant.
-func (o *overloadFlags) configs(binary string) []scenario.Config {
+// configs returns every run: each scenario of each deployment with each variant. The baseline is a command of this
+// program itself.
+func (o *overloadFlags) configs(binary, own string) []scenario.Config {
 	variants := []scenario.Variant{{Name: "product", Binary: binary}}
 	if o.previous != "" {
 		variants = append(variants, scenario.Variant{Name: "previous", Binary: o.previous})
 	}
 	if o.baseline {
-		variants = append(variants, scenario.Variant{Name: "baseline"})
+		variants = append(variants, scenario.Variant{Name: "baseline", Binary: own, Baseline: true})
 	}
 	var configs []scenario.Config
 	for _, deployment := range strings.Split(o.deployments, ",") {
--- a/cmd/hoistlab/standins.go
+++ b/cmd/hoistlab/standins.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/baseline"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/load"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
@@ -88,6 +89,33 @@
 	return calls
 }
 
+func baselineCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("hoistlab "+fleet.BaselineCommand, flag.ContinueOnError)
+	address := flags.String("address", "127.0.0.1:7001", "IP and port to take calls on")
+	instances := flags.String("instances", "", "service=address of each backend server, separated by commas")
+	return &ffcli.Command{
+		Name:       fleet.BaselineCommand,
+		ShortUsage: "hoistlab baseline -instances access=127.0.0.1:7200,access=127.0.0.1:7201",
+		ShortHelp:  "run the naive baseline in the place of one node",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			return trace.Wrap(baseline.Serve(ctx, *address, baseline.New(parseInstances(*instances))))
+		},
+	}
+}
+
+// parseInstances reads service=address pairs.
+func parseInstances(list string) map[string][]string {
+	instances := map[string][]string{}
+	for _, item := range strings.Split(list, ",") {
+		service, address, found := strings.Cut(item, "=")
+		if found {
+			instances[service] = append(instances[service], address)
+		}
+	}
+	return instances
+}
+
 func loadCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("hoistlab load", flag.ContinueOnError)
 	s := load.Stream{Name: "load"}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -24,7 +24,6 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
-	"github.com/comfreyhoist/comfreyhoist/internal/lab/baseline"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/proxy"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/store"
@@ -32,7 +31,7 @@
 
 // Config sets a Fleet up.
 type Config struct {
-	// Binary is the path of the built comfreyhoist program; unused with Baseline.
+	// Binary is the path of the built comfreyhoist program, or with Baseline that of hoistlab.
 	Binary     string
 	Deployment Deployment
 	// Output takes the logs of the nodes.
@@ -80,7 +79,7 @@
 		}
 	}
 	if config.Baseline {
-		f.startBaseline(ctx)
+		return f, trace.Wrap(f.startBaseline())
 	}
 	return f, nil
 }
@@ -130,7 +129,7 @@
 
 func (f *Fleet) ready(ctx context.Context, n *Node) bool {
 	if f.config.Baseline {
-		return true
+		return answersCallers(ctx, n.Caller)
 	}
 	dump, err := FetchDump(ctx, n.Backend)
 	if err != nil || len(dump.Board.Documents.ByService) < len(f.config.Deployment.Services) {
@@ -251,17 +250,24 @@
 	}, f.config.Settings...)
 }
 
-// startBaseline serves every node's caller address with the naive baseline.
-func (f *Fleet) startBaseline(ctx context.Context) {
-	instances := map[string][]string{}
+// startBaseline serves every node's caller address with the naive baseline, in a process of its own as the node's.
+func (f *Fleet) startBaseline() error {
+	var instances []string
 	for _, n := range f.Nodes {
-		instances[n.Service] = append(instances[n.Service], n.Server.Address())
+		instances = append(instances, n.Service+"="+n.Server.Address())
 	}
 	for _, n := range f.Nodes {
-		f.group.Go(func() { _ = baseline.Serve(ctx, n.Caller, baseline.New(instances)) })
+		n.command = []string{f.config.Binary, BaselineCommand, "-address", n.Caller, "-instances", strings.Join(instances, ",")}
+		if err := n.Start(); err != nil {
+			return trace.Wrap(err)
+		}
 	}
+	return nil
 }
 
+// BaselineCommand is the command of hoistlab that runs the baseline in the place of one node.
+const BaselineCommand = "baseline"
+
 // Build builds the product's program into the directory and returns its path.
 func Build(ctx context.Context, directory string) (string, error) {
 	path := directory + "/comfreyhoist"
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -7,6 +7,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -65,6 +66,9 @@
 	Targets  []string
 	Duration time.Duration
 	Seed     uint64
+	// Connections is how many requests may be on their way at once, for all streams together; 0 for as many as the
+	// process can open connections for.
+	Connections int
 }
 
 // Result is one request as its caller saw it.
@@ -102,9 +106,11 @@
 	ctx, cancel := context.WithTimeout(ctx, config.Duration+lastAnswers)
 	defer cancel()
 	var group conc.WaitGroup
+	shares := divide(cmp.Or(config.Connections, mostConnections()), config.Streams)
 	for i, s := range config.Streams {
 		random := rand.New(rand.NewPCG(config.Seed, uint64(i)))
-		group.Go(func() { g.send(ctx, s, random) })
+		own := make(connections, shares[i])
+		group.Go(func() { g.send(ctx, s, own, random) })
 	}
 	group.Wait()
 	return g.results
@@ -126,7 +132,7 @@
 }
 
 // send starts the requests of a stream at random times that give its rate.
-func (g *generator) send(ctx context.Context, s Stream, random *rand.Rand) {
+func (g *generator) send(ctx context.Context, s Stream, own connections, random *rand.Rand) {
 	stop := g.config.Duration
 	if s.Stop > 0 {
 		stop = min(stop, s.Stop)
@@ -144,12 +150,12 @@
 		}
 		target := targets[random.IntN(len(targets))]
 		id := fmt.Sprintf("%s-%d-%d", s.Name, s.Start.Milliseconds(), number)
-		group.Go(func() { g.request(ctx, s, target, id) })
+		group.Go(func() { g.request(ctx, s, own, target, id) })
 		next += time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))
 	}
 }
 
-func (g *generator) request(ctx context.Context, s Stream, target, id string) {
+func (g *generator) request(ctx context.Context, s Stream, own connections, target, id string) {
 	result := Result{
 		Stream:  s.Name,
 		Added:   s.Added,
@@ -162,7 +168,7 @@
 	begin := time.Now()
 	for result.Sends <= s.Resends && ctx.Err() == nil {
 		result.Sends++
-		g.once(ctx, s, target, &result)
+		g.once(ctx, s, own, target, &result)
 		if result.OK() || time.Since(begin) > s.Timeout {
 			break
 		}
@@ -173,10 +179,15 @@
 	g.results = append(g.results, result)
 }
 
-func (g *generator) once(ctx context.Context, s Stream, target string, result *Result) {
+func (g *generator) once(ctx context.Context, s Stream, own connections, target string, result *Result) {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
 	result.Status, result.Outcome, result.Reason, result.RetryAfter = 0, "", "", ""
+	if !own.take() {
+		result.Reason = NoConnection
+		return
+	}
+	defer own.free()
 	address := "http://" + target + s.path()
 	request, err := http.NewRequestWithContext(ctx, s.Method, address, strings.NewReader(s.Body))
 	if err != nil {
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -28,11 +28,12 @@
 // WriteTable prints one line for each result and one for each of its streams.
 func WriteTable(w io.Writer, results []scenario.Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "deployment\tscenario\tvariant\tbefore/s\tduring/s\tideal/s\t% of ideal\tafter/s\trecovery\twasted\tamplification")
+	_, _ = fmt.Fprintln(t, "deployment\tscenario\tvariant\tbefore/s\tduring/s\tideal/s\t% of ideal\tafter/s\trecovery\twasted\tamplification\tunsent")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%s\t%.1f%%\t%.2f\n",
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%s\t%.1f%%\t%.2f\t%d\n",
 			r.Deployment, r.Scenario, r.Variant, r.GoodputBefore, r.GoodputDuring, r.IdealDuring,
-			percent(r.GoodputDuring/r.IdealDuring), r.GoodputAfter, recovery(r.Recovery), percent(r.Wasted), r.Amplification)
+			percent(r.GoodputDuring/r.IdealDuring), r.GoodputAfter, recovery(r.Recovery), percent(r.Wasted), r.Amplification,
+			r.Unsent)
 	}
 	if err := t.Flush(); err != nil {
 		return trace.Wrap(err)
--- a/internal/lab/scenario/measure.go
+++ b/internal/lab/scenario/measure.go
@@ -24,6 +24,8 @@
 	IdealDuring float64 `json:"ideal_during"`
 	// Recovery is the time after the last trigger until goodput is back for good; -1 for not in the run.
 	Recovery time.Duration `json:"recovery"`
+	// Unsent counts the requests whose callers had no connection left; they count as failed.
+	Unsent int `json:"unsent"`
 	// Wasted is the part of all runs on backend servers that were for requests that failed in the end.
 	Wasted float64 `json:"wasted"`
 	// Amplification is the runs on backend servers over those that each sent request needs.
@@ -75,6 +77,7 @@
 		GoodputBefore: goodput(results, before),
 		GoodputDuring: goodput(results, during),
 		GoodputAfter:  goodput(results, after),
+		Unsent:        len(only(results, func(r load.Result) bool { return r.Reason == load.NoConnection })),
 		Series:        series(results, config.Scenario.Duration()),
 	}
 	r.Recovery = recovery(results, last.end, config.Scenario.Duration())
--- a/internal/lab/scenario/run.go
+++ b/internal/lab/scenario/run.go
@@ -16,8 +16,9 @@
 // Variant is what stands between callers and backend servers.
 type Variant struct {
 	Name string
-	// Binary is the product's program; empty for the naive baseline.
-	Binary string
+	// Binary is the product's program, or that of hoistlab for the naive baseline.
+	Binary   string
+	Baseline bool
 }
 
 // Config sets a run up.
@@ -37,7 +38,7 @@
 func Run(ctx context.Context, config Config) (Result, error) {
 	f, err := fleet.Start(ctx, fleet.Config{
 		Binary:     config.Variant.Binary,
-		Baseline:   config.Variant.Binary == "",
+		Baseline:   config.Variant.Baseline,
 		Deployment: config.Deployment.Fleet,
 		Output:     config.Output,
 		Seed:       config.Seed,
