Rolling replacement of nine nodes with three services, and the losses that it showed

TestRollingReplacement now also replaces nine nodes in three zones, one of each service and zone at the same time, while bookings call two other services. Causes, each mended:

- Keys without a time were refused (home_unreachable), and timed ones got unknown (home_unknown), after a node had gone and before others had learned who answers for its keys.
A leaving node now stays 1.5 s after its handover.
- A home that had handed its keys over while it asked an earlier home took its successor's silence for a loss.
It now says that it is draining, so that the caller's node asks the successor.
- A home passed a request on to one instance only, also where that one was leaving as well (not_run, draining).
It goes on to the next.
- A node that had just started answered callers before it knew an instance of each service and the homes (no_instance, home_unreachable).
- Where keys had been handed on twice, either holder was asked, at random, also one that had gone and whose record still stood.
The last one is asked.
- Two handovers at the same time could put an older list of homes on the board.
- http.Server's Shutdown drops a request that it has just read (one EOF).
The listener is closed first, and Shutdown comes when nothing is in flight.
- With one node in a zone, nobody moved the end of its shard while it left, since it named no members.
The longer stay showed that (home_unknown).
The last epoch is kept going meanwhile.

--- a/internal/control/homes/controller.go
+++ b/internal/control/homes/controller.go
@@ -217,19 +217,30 @@
 func (c *Controller) renewal(b *board.Board, written outcome.Shard) outcome.Renewal {
 	now := time.Now()
 	horizon := c.config.Timing.Horizon
+	members := membersOf(b)
 	if b.Self.Draining || b.Backend.Leaving {
 		horizon += c.config.Timing.Election
+		members = orLast(members, written)
 	}
 	return outcome.Renewal{
 		Until:   now.Add(horizon).UnixMilli(),
 		Keep:    now.Add(-c.config.Timing.Window).UnixMilli(),
 		Zone:    b.Self.Zone,
-		Members: membersOf(b),
+		Members: members,
 		Keepers: c.keepers(b, written),
 		Reserve: c.reserve(b).Milliseconds(),
 	}
 }
 
+// orLast returns the homes of the last epoch where there are no members: the last node of a zone to leave keeps its
+// epoch going, because its successor answers for the keys until another node leads the zone.
+func orLast(members []outcome.Member, written outcome.Shard) []outcome.Member {
+	if len(members) == 0 {
+		return written.Last().Members
+	}
+	return members
+}
+
 // membersOf returns the nodes of the board's own zone that may be homes, by name.
 func membersOf(b *board.Board) []outcome.Member {
 	var members []outcome.Member
--- a/internal/control/homes/controller_test.go
+++ b/internal/control/homes/controller_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 )
 
@@ -40,3 +41,29 @@
 		})
 	}
 }
+
+// The last node of a zone keeps its epoch going while it leaves; otherwise nobody would remember keys of the present.
+func TestHomesWhileTheLastNodeOfAZoneLeaves(t *testing.T) {
+	up := membership.Member{Node: "access_0", Incarnation: 3, Zone: "lisbon_1", State: membership.Up}
+	last := []outcome.Member{{Node: outcome.Node{Name: "access_1", Incarnation: 4}, Service: "access"}}
+	for name, tc := range map[string]struct {
+		leaving bool
+		members []membership.Member
+		want    []outcome.Member
+	}{
+		"leaves, another is up": {leaving: true, members: []membership.Member{up}, want: []outcome.Member{{Node: outcome.Node{Name: "access_0", Incarnation: 3}, Service: "access"}}},
+		"leaves, none is up":    {leaving: true, want: last},
+		"none is up, stays":     {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := NewController(Config{Timing: DefaultTiming})
+			b := &board.Board{
+				Self:    board.Self{Zone: "lisbon_1", Draining: tc.leaving},
+				Members: board.Members{ByService: map[string][]membership.Member{"access": tc.members}},
+			}
+			written := outcome.Shard{Epochs: []outcome.Epoch{{Zone: "lisbon_1", Members: last}}}
+			is.Equal(c.renewal(b, written).Members, tc.want)
+		})
+	}
+}
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -25,6 +25,9 @@
 	limitedEvery = time.Second
 	// drainSettle is how long a leaving node waits for others to learn of it. New work that comes later is refused.
 	drainSettle = 1500 * time.Millisecond
+	// handoverSettle is how long a node stays after its handover, while others learn who answers for its keys. Until then
+	// it tells them that the keys have moved; once it has gone they would take the keys for lost.
+	handoverSettle = 1500 * time.Millisecond
 	// drainTimeout bounds the wait for requests in flight, which all end by their deadlines.
 	drainTimeout = document.MaxDeadline + 10*time.Second
 	// peerMaxIdle is how long an unused connection between nodes is trusted.
--- a/internal/process/node/drain.go
+++ b/internal/process/node/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -115,6 +116,7 @@
 		switch result {
 		case flow.HandoverTaken:
 			n.config.Log.Emit(events.KeysHandedOver, fields)
+			pause.For(ctx, handoverSettle)
 			return
 		case flow.HandoverUnclear:
 			n.config.Log.Emit(events.KeysLost, fields)
@@ -153,16 +155,14 @@
 	}
 }
 
-// shutdown closes the listener and idle connections, and waits for the last answers to be written, for some time after
-// the working context has ended. Until then requests that came in here may run on other nodes.
-func shutdown(working context.Context, server *http.Server) {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(working))
+// shutdown closes the listener, serves the connections that are open for as long as the working context lasts, and
+// then waits for the last answers to be written. The server's own Shutdown drops a request that it has just read, so
+// it comes last, when nothing is in flight.
+func shutdown(working context.Context, server *http.Server, l net.Listener) {
+	_ = l.Close()
+	<-working.Done()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(working), shutdownTimeout)
 	defer cancel()
-	stop := context.AfterFunc(working, func() {
-		pause.For(ctx, shutdownTimeout)
-		cancel()
-	})
-	defer stop()
 	if server.Shutdown(ctx) != nil {
 		_ = server.Close()
 	}
--- a/internal/process/node/drain_test.go
+++ b/internal/process/node/drain_test.go
@@ -36,29 +36,33 @@
 	return nil
 }
 
-// A request that came in at a leaving node and runs elsewhere is not cut while the node drains.
+// A request that came in at a leaving node and runs elsewhere is not cut while the node drains, nor is one that comes
+// on a connection that is still open.
 func TestShutdownWaitsWhileTheNodeDrains(t *testing.T) {
 	const drains = 30 * time.Second
 	for name, tc := range map[string]struct {
+		sent     time.Duration
 		takes    time.Duration
 		answered bool
 	}{
 		"ends while the node drains":   {takes: drains, answered: true},
 		"is being answered at the end": {takes: drains + shutdownTimeout/2, answered: true},
+		"comes while the node drains":  {sent: drains / 2, takes: time.Second, answered: true},
 		"goes on long after the end":   {takes: drains + 2*shutdownTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				status := statusAfterShutdown(t, tc.takes, drains)
+				status := statusAfterShutdown(t, tc.sent, tc.takes, drains)
 				is.Equal(status == http.StatusOK, tc.answered)
 			})
 		})
 	}
 }
 
-// statusAfterShutdown returns the status of a request that was in flight when the server began to shut down.
-func statusAfterShutdown(t *testing.T, takes, drains time.Duration) int {
+// statusAfterShutdown returns the status of a request on a connection that was open when the server began to shut down,
+// after a second.
+func statusAfterShutdown(t *testing.T, sent, takes, drains time.Duration) int {
 	ours, theirs := net.Pipe()
 	l := &pipe{conns: make(chan net.Conn, 1)}
 	l.conns <- theirs
@@ -72,8 +76,9 @@
 	is.New(t).NoErr(err)
 	group.Go(func() {
 		time.Sleep(time.Second)
-		shutdown(working, server)
+		shutdown(working, server, l)
 	})
+	time.Sleep(sent)
 	is.New(t).NoErr(request.Write(ours))
 	response, err := http.ReadResponse(bufio.NewReader(ours), request)
 	if err != nil {
--- /dev/null
+++ b/internal/process/node/informed_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+)
+
+// A node that has just started and knows only some of the others must not answer callers yet.
+func TestInformed(t *testing.T) {
+	home := outcome.Node{Name: "access_0", Incarnation: 3}
+	member := membership.Member{Node: home.Name, Incarnation: home.Incarnation}
+	shards := map[string]outcome.Shard{"lisbon_1": {Epochs: []outcome.Epoch{{Members: []outcome.Member{{Node: home}}}}}}
+	documents := map[string]board.DocumentInForce{"access": {}}
+	for name, tc := range map[string]struct {
+		b    board.Board
+		want bool
+	}{
+		"nothing": {},
+		"everything": {want: true, b: board.Board{
+			Documents: board.Documents{ByService: documents},
+			Members: board.Members{
+				ByNode:    map[string]membership.Member{home.Name: member},
+				ByService: map[string][]membership.Member{"access": {member}},
+			},
+			Homes: board.Homes{Shards: shards},
+		}},
+		"a service without instances": {b: board.Board{
+			Documents: board.Documents{ByService: documents},
+			Members:   board.Members{ByNode: map[string]membership.Member{home.Name: member}},
+			Homes:     board.Homes{Shards: shards},
+		}},
+		"a home that is not a member": {b: board.Board{
+			Documents: board.Documents{ByService: documents},
+			Members:   board.Members{ByService: map[string][]membership.Member{"access": {member}}},
+			Homes:     board.Homes{Shards: shards},
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(isInformed(&tc.b), tc.want)
+		})
+	}
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -327,7 +327,7 @@
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
-		shutdown(working, server)
+		shutdown(working, server, l)
 	})
 	_ = server.Serve(l)
 	if !stop() {
@@ -343,13 +343,30 @@
 	deadline := time.Now().Add(informedTimeout)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		b := n.loop.Snapshot()
-		if len(b.Documents.ByService) > 0 && len(b.Homes.Shards) > 0 && len(b.Members.ByService) > 0 {
+		if isInformed(b) {
 			return
 		}
 		pause.For(ctx, gateTick)
 	}
 }
 
+// isInformed reports whether the node knows an instance of each service that has a document, and each home of now.
+func isInformed(b *board.Board) bool {
+	for service := range b.Documents.ByService {
+		if len(b.Members.ByService[service]) == 0 {
+			return false
+		}
+	}
+	for _, shard := range b.Homes.Shards {
+		for _, m := range shard.Last().Members {
+			if _, known := b.Members.ByNode[m.Name]; !known {
+				return false
+			}
+		}
+	}
+	return len(b.Documents.ByService) > 0 && len(b.Homes.Shards) > 0
+}
+
 // ask asks another node about an attempt or a key.
 func (n *Node) ask(ctx context.Context, address string, q peer.Question) (peer.Resolution, error) {
 	return n.peers.Resolve(ctx, address, q, controlTimeout)
--- a/internal/proof/once/roll_test.go
+++ b/internal/proof/once/roll_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/once"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/node"
 	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
@@ -46,14 +49,60 @@
 	return count
 }
 
-// Every node is replaced, one after the other, while callers use the nodes that are up. No answer may fail.
+// rolling is a fleet whose nodes are replaced in rounds, those of one round at the same time.
+type rolling struct {
+	deployment fleet.Deployment
+	rounds     [][]int
+}
+
+// chain returns three services with an instance in each of three zones. A booking calls the others: one request that
+// is idempotent and one that is not.
+func chain() fleet.Deployment {
+	d := once.Deployment(3)
+	bookings := &d.Services[0]
+	bookings.Slots = 20
+	bookings.Behaviour.ServiceTime = 50 * time.Millisecond
+	bookings.Behaviour.Calls = []server.Downstream{
+		{Service: "access", Method: http.MethodGet, Path: "/windows"},
+		{Service: "deposits", Method: http.MethodPost, Path: "/bookings"},
+	}
+	for _, name := range []string{"access", "deposits"} {
+		s := *bookings
+		s.Name = name
+		s.Document = strings.ReplaceAll(s.Document, "name = bookings", "name = "+name)
+		s.Behaviour.Calls = nil
+		d.Services = append(d.Services, s)
+	}
+	return d
+}
+
+func three() fleet.Deployment {
+	d := once.Deployment(3)
+	d.Services[0].Slots = 20
+	d.Services[0].Behaviour.ServiceTime = 100 * time.Millisecond
+	return d
+}
+
+// Every node is replaced while callers use the nodes that are up. No answer may fail.
 func TestRollingReplacement(t *testing.T) {
 	t.Parallel()
+	for name, r := range map[string]rolling{
+		"one service, one after the other": {deployment: three(), rounds: [][]int{{0}, {1}, {2}}},
+		"nine nodes, one of each service and zone at the same time": {
+			deployment: chain(),
+			rounds:     [][]int{{0, 4, 8}, {1, 5, 6}, {2, 3, 7}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r.replace(t)
+		})
+	}
+}
+
+func (r rolling) replace(t *testing.T) {
 	is := is.New(t)
-	deployment := once.Deployment(3)
-	deployment.Services[0].Slots = 20
-	deployment.Services[0].Behaviour.ServiceTime = 100 * time.Millisecond
-	f := harness.Start(t, fleet.Config{Deployment: deployment})
+	f := harness.Start(t, fleet.Config{Deployment: r.deployment})
 	harness.Eventually(t, 20*time.Second, func() bool { return settled(t, f) })
 	running, stop := context.WithCancel(t.Context())
 	var report once.Report
@@ -61,9 +110,15 @@
 	group.Go(func() {
 		report = once.Run(running, once.Config{Fleet: f, Service: "bookings", Duration: time.Minute, Callers: 6, Calm: true, Polite: true})
 	})
-	for _, n := range f.Nodes {
-		n.Terminate()
-		is.NoErr(n.Start())
+	for _, round := range r.rounds {
+		var replaced conc.WaitGroup
+		for _, i := range round {
+			replaced.Go(func() {
+				f.Nodes[i].Terminate()
+				is.NoErr(f.Nodes[i].Start())
+			})
+		}
+		replaced.Wait()
 		harness.Eventually(t, 20*time.Second, func() bool { return settled(t, f) })
 	}
 	stop()
--- a/internal/traffic/flow/handover.go
+++ b/internal/traffic/flow/handover.go
@@ -68,9 +68,9 @@
 	if p.Target != h.config.Self.Incarnation {
 		return false, errOtherProcess
 	}
-	names, taken := h.takePart(p)
+	taken := h.takePart(p)
 	if taken {
-		h.config.Board.Do(ctx, func(b *board.Board) { b.Self.AnswersFor = names })
+		h.config.Board.Do(ctx, func(b *board.Board) { b.Self.AnswersFor = h.homeNames() })
 	}
 	return taken, nil
 }
@@ -78,18 +78,25 @@
 // errOtherProcess says that keys were sent to a former process of this name.
 var errOtherProcess = errors.New("the keys are for a former process of this node")
 
-// takePart returns the names of the nodes for which this one answers afterwards. A handover that was complete before
-// this node began to leave stays taken, however late a part comes again.
-func (h *Home) takePart(p peer.HandoverPart) (string, bool) {
+// homeNames returns the names of the nodes for which this one answers.
+func (h *Home) homeNames() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return homeNames(h.handovers.homes)
+}
+
+// takePart reports whether the part is taken. A handover that was complete before this node began to leave stays
+// taken, however late a part comes again.
+func (h *Home) takePart(p peer.HandoverPart) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.leaving && !h.handovers.taken[p.ID] {
-		return "", false
+		return false
 	}
 	for _, part := range h.handovers.add(p) {
 		h.restore(part, time.Now())
 	}
-	return homeNames(h.handovers.homes), true
+	return true
 }
 
 func (h *Home) restore(p peer.HandoverPart, now time.Time) {
--- a/internal/traffic/flow/home_test.go
+++ b/internal/traffic/flow/home_test.go
@@ -200,3 +200,50 @@
 		})
 	}
 }
+
+// A home that leaves gets no answer from its successor, which may have its keys. The caller's node asks the successor.
+func TestLeavingHomeLeavesKeysToItsSuccessor(t *testing.T) {
+	for name, tc := range map[string]struct {
+		leaving bool
+		want    call.Reason
+	}{
+		"leaving":              {leaving: true, want: call.ReasonDraining},
+		"earlier home is gone": {want: call.ReasonHomeUnreachable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newTestHome(&runner{}, &runner{})
+			h.config.Board = board.NewLoop(boardWithEarlierHome(time.Minute))
+			h.config.Zones = []string{"lisbon"}
+			h.config.Ask = func(context.Context, string, peer.Question) (peer.Resolution, error) {
+				if tc.leaving {
+					h.leave()
+				}
+				return peer.Resolution{}, nil
+			}
+			r := booking(time.Now())
+			r.Key = "booking-17"
+			reply := h.Receive(t.Context(), r)
+			is.Equal(reply.Outcome, call.NotAdmitted)
+			is.Equal(reply.Reason, tc.want)
+		})
+	}
+}
+
+// Keys may have been handed on more than once while records of nodes that have left still stand on the board.
+func TestHeirIsTheLastOfAChain(t *testing.T) {
+	is := is.New(t)
+	home := outcome.Node{Name: "access_1", Incarnation: 3}
+	members := map[string]membership.Member{}
+	chain := []outcome.Node{home, {Name: "access_2", Incarnation: 4}, {Name: "access_3", Incarnation: 5}, {Name: "access_1", Incarnation: 6}}
+	names := ""
+	for i, n := range chain {
+		members[n.Name] = membership.Member{Node: n.Name, Incarnation: n.Incarnation, AnswersFor: names}
+		names = homeName(chain[i]) + " " + names
+	}
+	for range 100 { // the order of a map differs
+		m, ok := heir(&board.Board{Members: board.Members{ByNode: members}}, home)
+		is.True(ok)
+		is.Equal(m.Incarnation, uint64(6))
+	}
+}
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -163,15 +163,23 @@
 	return m, known && m.Incarnation == home.Incarnation
 }
 
-// heir returns the member to which the keys of the node were handed over.
+// heir returns the member to which the keys of the node were handed over, and by which they were not handed on: the
+// record of one that has left may still stand on the board.
 func heir(b *board.Board, home outcome.Node) (membership.Member, bool) {
-	name := homeName(home)
+	var latest membership.Member
+	found := false
 	for _, m := range b.Members.ByNode {
-		if m.AnswersFor != "" && strings.Contains(" "+m.AnswersFor+" ", " "+name+" ") {
-			return m, true
+		holds := answersFor(m, home)
+		if holds && (!found || answersFor(m, outcome.Node{Name: latest.Node, Incarnation: latest.Incarnation})) {
+			latest, found = m, true
 		}
 	}
-	return membership.Member{}, false
+	return latest, found
+}
+
+// answersFor reports whether the member says that it has the keys of the node.
+func answersFor(m membership.Member, home outcome.Node) bool {
+	return m.AnswersFor != "" && strings.Contains(" "+m.AnswersFor+" ", " "+homeName(home)+" ")
 }
 
 // admit refuses a root request with a caller's key that would be shed further down.
@@ -197,16 +205,29 @@
 	return reply, err
 }
 
-// Delegate passes a request on from the home of its key to another instance.
+// Delegate passes a request on from the home of its key to another instance, and past those that leave, which have
+// started nothing.
 func (s *Sender) Delegate(ctx context.Context, r *call.Request) call.Reply {
-	target, ok := s.choose(r, []string{s.config.Board.Snapshot().Self.Node})
-	if !ok {
-		return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
+	tried := []string{s.config.Board.Snapshot().Self.Node}
+	for {
+		target, ok := s.choose(r, tried)
+		if !ok {
+			return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
+		}
+		passed := *r
+		passed.Delegated = true
+		passed.Resent = false
+		reply := s.decided(ctx, target, &passed)
+		if !isLeaving(reply) {
+			return reply
+		}
+		tried = append(tried, target.Node)
 	}
-	passed := *r
-	passed.Delegated = true
-	passed.Resent = false
-	return s.decided(ctx, target, &passed)
+}
+
+// isLeaving reports whether an instance refused because it leaves.
+func isLeaving(r call.Reply) bool {
+	return r.Outcome == call.NotRun && r.Reason == call.ReasonDraining
 }
 
 // mint gives the request a key that names the target as its home. Each attempt gets its own, because the caller has
--- a/internal/traffic/flow/move.go
+++ b/internal/traffic/flow/move.go
@@ -38,6 +38,8 @@
 	for !h.holdsKeysOf(home) {
 		resolution, err := h.askToMove(ctx, r, home)
 		switch {
+		case h.isLeaving():
+			return refusals[outcome.RefuseClosed], false
 		case err != nil || !resolution.Known:
 			return call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry), false
 		case resolution.State == outcome.Moved:
@@ -52,6 +54,13 @@
 	return call.Reply{}, true
 }
 
+// isLeaving reports whether the keys of this node go to its successor, who then asks in its place.
+func (h *Home) isLeaving() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leaving
+}
+
 // holdsKeysOf reports whether the keys of the earlier home have come here by a handover meanwhile.
 func (h *Home) holdsKeysOf(home outcome.Node) bool {
 	h.mu.Lock()
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -198,7 +198,7 @@
 		return false
 	}
 	candidates := s.views.count(r.Service) - len(t.tried)
-	if reply.Outcome == call.NotRun && reply.Reason == call.ReasonDraining {
+	if isLeaving(reply) {
 		return candidates > 0 // a leaving instance has started nothing, and each instance is asked once
 	}
 	verdict := retry.Decide(retry.Attempt{
