At most once: a key that has moved brings the hash of its request along

A key without a time whose home changed was answered by the new home without comparing the body, because the earlier home told only the outcome. Its answer carries the hash of method, path and body now, also for a key that was only refused there, and another request under the key gets 422 key_reused. After a planned stop the hash already went along; TestResends checks that now, with a key of each kind.

--- a/internal/decide/outcome/explore_opaque_test.go
+++ b/internal/decide/outcome/explore_opaque_test.go
@@ -229,7 +229,7 @@
 		asked.table.closed = false
 	}
 	arrived := m.arrived(asked)
-	state, _ := asked.table.Move(m.tableTime(), Ask{ID: opaqueKey, Fingerprint: 1}, to)
+	state := asked.table.Move(m.tableTime(), Ask{ID: opaqueKey, Fingerprint: 1}, to).State
 	switch {
 	case state != Moved:
 	case m.rules.opaque.unmarked:
--- a/internal/decide/outcome/table.go
+++ b/internal/decide/outcome/table.go
@@ -200,24 +200,32 @@
 	return e.State, e.Reply
 }
 
+// Moving is the answer about a key that another node takes over.
+type Moving[R any] struct {
+	State State
+	// Reply is set with Done.
+	Reply R
+	// Fingerprint is that of the request that came under the key, or 0 where none came.
+	Fingerprint uint64
+}
+
 // Move tells what became of a key, and moves one that has not run to the given node: it never runs here. A table that
 // can't remember that, or that has been handed over, says Absent.
-func (t *Table[R]) Move(now time.Time, a Ask, to Node) (State, R) {
-	var none R
+func (t *Table[R]) Move(now time.Time, a Ask, to Node) Moving[R] {
 	t.raiseFloor(now)
 	e, ok := t.find(a.ID)
 	switch {
 	case ok && e.State != NotRun:
-		return e.State, e.Reply
+		return Moving[R]{State: e.State, Reply: e.Reply, Fingerprint: e.Fingerprint}
 	case t.closed || (!ok && t.full()):
-		return Absent, none
+		return Moving[R]{State: Absent}
 	case !ok:
 		e = t.insert(a)
 	}
 	t.renew(e, a)
 	e.State = Moved
 	e.MovedTo = to
-	return Moved, none
+	return Moving[R]{State: Moved, Fingerprint: e.Fingerprint}
 }
 
 // Close lets nothing run from now on but what runs already. Answers are still given.
--- a/internal/decide/outcome/table_test.go
+++ b/internal/decide/outcome/table_test.go
@@ -93,14 +93,12 @@
 	table := outcome.NewTable[string](config)
 	other := outcome.Node{Name: "access_1", Incarnation: 5}
 	table.Begin(start, askAt("done", start))
-	state, _ := table.Move(start, askAt("done", start), other)
-	is.Equal(state, outcome.Running)
+	is.Equal(table.Move(start, askAt("done", start), other).State, outcome.Running)
 	table.Settle(start, "done", outcome.Done, "booked", 6)
-	state, reply := table.Move(start, askAt("done", start), other)
-	is.Equal(state, outcome.Done)
-	is.Equal(reply, "booked")
-	state, _ = table.Move(start, askAt("new", start), other)
-	is.Equal(state, outcome.Moved)
+	is.Equal(table.Move(start, askAt("done", start), other), outcome.Moving[string]{State: outcome.Done, Reply: "booked", Fingerprint: 7})
+	unseen := askAt("new", start)
+	unseen.Fingerprint = 0
+	is.Equal(table.Move(start, unseen, other), outcome.Moving[string]{State: outcome.Moved})
 	is.Equal(table.Begin(start, askAt("new", start)).Action, outcome.RefuseClosed)
 	table.Claim(func(n outcome.Node) bool { return n == other })
 	is.Equal(table.Begin(start, askAt("new", start)).Action, outcome.Run) // it came back with all that the other knew
--- a/internal/proof/once/leave_test.go
+++ b/internal/proof/once/leave_test.go
@@ -1,6 +1,8 @@
 package once_test
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -26,8 +28,11 @@
 	var sends []once.Send
 	for i := range 6 {
 		key := ""
-		if i%2 == 0 {
+		switch i % 3 {
+		case 0:
 			key = uuid.Must(uuid.NewV7()).String()
+		case 1:
+			key = fmt.Sprintf("leave-%d", i)
 		}
 		s := book(f.Nodes[i%3], key, "a wash")
 		is.Equal(s.Outcome, "ran")
@@ -47,5 +52,8 @@
 		is.Equal(again.Outcome, "ran")
 		is.Equal(again.Body, s.Body)
 		is.Equal(started(f, s.Key), 1)
+		other := book(f.Nodes[2], s.Key, "another wash")
+		is.Equal(other.Status, http.StatusUnprocessableEntity)
+		is.Equal(other.Reason, "key_reused")
 	}
 }
--- a/internal/traffic/flow/home.go
+++ b/internal/traffic/flow/home.go
@@ -346,7 +346,8 @@
 		return peer.Resolution{}
 	case q.Move:
 		a := outcome.Ask{ID: id, UnixMillis: key.UnixMillis, Timed: key.Timed}
-		resolution.State, resolution.Reply = h.keys.Move(now, a, q.MoveTo)
+		moving := h.keys.Move(now, a, q.MoveTo)
+		resolution.State, resolution.Reply, resolution.Fingerprint = moving.State, moving.Reply, moving.Fingerprint
 	default:
 		resolution.State, resolution.Reply = h.keys.Resolve(now, id)
 	}
--- a/internal/traffic/flow/home_test.go
+++ b/internal/traffic/flow/home_test.go
@@ -276,3 +276,36 @@
 		is.Equal(m.Incarnation, uint64(6))
 	}
 }
+
+// A key that came with another request at its earlier home is refused, whether that one has run or not.
+func TestMovedKeyOfAnotherRequest(t *testing.T) {
+	r := booking(time.Now())
+	r.Key = "booking-17"
+	same := contentSum(r)
+	for name, tc := range map[string]struct {
+		resolution peer.Resolution
+		want       call.Outcome
+		reason     call.Reason
+	}{
+		"the same, run":       {resolution: peer.Resolution{State: outcome.Done, Reply: ranReply, Fingerprint: same}, want: call.Ran},
+		"the same, refused":   {resolution: peer.Resolution{State: outcome.Moved, Fingerprint: same}, want: call.Ran},
+		"not seen":            {resolution: peer.Resolution{State: outcome.Moved}, want: call.Ran},
+		"another, run":        {resolution: peer.Resolution{State: outcome.Done, Reply: ranReply, Fingerprint: same + 1}, want: call.NotAdmitted, reason: call.ReasonKeyReused},
+		"another, refused":    {resolution: peer.Resolution{State: outcome.Moved, Fingerprint: same + 1}, want: call.NotAdmitted, reason: call.ReasonKeyReused},
+		"another, is running": {resolution: peer.Resolution{State: outcome.Running, Fingerprint: same + 1}, want: call.NotAdmitted, reason: call.ReasonKeyReused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newTestHome(&runner{replies: []call.Reply{ranReply}}, &runner{})
+			h.config.Board = board.NewLoop(boardWithEarlierHome(time.Minute))
+			h.config.Zones = []string{"lisbon"}
+			h.config.Ask = func(context.Context, string, peer.Question) (peer.Resolution, error) {
+				tc.resolution.Known = true
+				return tc.resolution, nil
+			}
+			reply := h.Receive(t.Context(), r)
+			is.Equal(reply.Outcome, tc.want)
+			is.Equal(reply.Reason, tc.reason)
+		})
+	}
+}
--- a/internal/traffic/flow/move.go
+++ b/internal/traffic/flow/move.go
@@ -42,6 +42,8 @@
 			return refusals[outcome.RefuseClosed], false
 		case err != nil || !resolution.Known:
 			return call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry), false
+		case resolution.Fingerprint != 0 && resolution.Fingerprint != contentSum(r):
+			return refusals[outcome.RefuseReused], false
 		case resolution.State == outcome.Moved:
 			return call.Reply{}, true
 		case resolution.State == outcome.Done:
--- a/internal/traffic/peer/resolve.go
+++ b/internal/traffic/peer/resolve.go
@@ -48,6 +48,8 @@
 	State outcome.State
 	// Reply is set with Done.
 	Reply call.Reply
+	// Fingerprint tells requests under one key apart. It is set for a key that is to move, and 0 where that was not seen.
+	Fingerprint uint64
 }
 
 // Resolve asks the node at the address on a connection of its own, because an older one may be silent.
@@ -72,7 +74,7 @@
 		return Resolution{}, &Error{Address: address, Sent: true, Reason: reasonOf(ctx), Cause: err}
 	}
 	state, known := states[answer.GetState()]
-	resolution := Resolution{State: state, Known: known}
+	resolution := Resolution{State: state, Known: known, Fingerprint: answer.GetFingerprint()}
 	if !known || state != outcome.Done {
 		return resolution, nil
 	}
@@ -102,7 +104,7 @@
 	if !resolution.Known {
 		return &peerpb.ResolveReply{State: peerpb.ResolveReply_STATE_UNKNOWN}, nil
 	}
-	answer := &peerpb.ResolveReply{State: stateMessages[resolution.State]}
+	answer := &peerpb.ResolveReply{State: stateMessages[resolution.State], Fingerprint: resolution.Fingerprint}
 	if resolution.State == outcome.Done {
 		answer.Reply = replyMessage(m.GetAttemptId(), resolution.Reply)
 	}
