Settings for the window and the memory of remembered keys

keys.window, keys.max_keys and keys.max_bytes take the place of constants, by flag, environment and INI, with the same values as defaults. Refused: a window below the longest deadline of a document (a run could outlast the memory of its key) or above 10 min, a memory that can't hold the keys at 256 bytes each, and one smaller than one answer. The window goes to the memory and to the epochs alike. It must be the same on every node, like node.zones; while nodes differ, the shortest holds, since either the memory or the question to earlier homes ends with it.

--- a/internal/control/settings/settings.go
+++ b/internal/control/settings/settings.go
@@ -24,7 +24,9 @@
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/inifile"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 )
 
 // Settings are all settings of one node.
@@ -35,6 +37,7 @@
 	Backend  Backend
 	Operator Operator
 	Platform Platform
+	Keys     Keys
 	Log      Log
 
 	// origins are the places of the values that came from a file, by the name of the flag.
@@ -91,6 +94,15 @@
 	Timeout time.Duration
 }
 
+// Keys bounds what is remembered of the keys of requests that are not idempotent.
+type Keys struct {
+	// Window is how long callers may send a key again; the same on every node.
+	Window time.Duration
+	// MaxKeys and MaxBytes bound the memory. At the bound new keys are refused.
+	MaxKeys  int
+	MaxBytes int
+}
+
 // Log sets what is logged.
 type Log struct {
 	Level string
@@ -105,6 +117,9 @@
 	defaultPeerIdle       = 45 * time.Second
 	defaultMaxWait        = 100 * time.Millisecond
 	defaultPlatformWait   = time.Second
+	defaultKeysWindow     = 2 * time.Minute
+	defaultMaxKeys        = 200_000
+	defaultMaxKeyBytes    = 64 << 20
 	maxBodyCeiling        = 3 << 20
 	maxPeerConnsCeiling   = 1300
 	maxPlatformWait       = 30 * time.Second
@@ -112,6 +127,11 @@
 	maxQueueWait          = 10 * time.Second
 	maxPeerIdle           = 10 * time.Minute
 	maxBodyTimeout        = 2 * time.Minute
+	leastKeysWindow       = document.MaxDeadline
+	maxKeysWindow         = 10 * time.Minute
+	leastMaxKeys          = 1000
+	maxKeysCeiling        = 10_000_000
+	maxKeyBytesCeiling    = 4 << 30
 	zoneListSeparator     = ","
 	tokenTeamSeparator    = ":"
 	tokenEditorSeparator  = "/"
@@ -142,6 +162,9 @@
 	flags.StringVar(&s.Operator.Tokens, "operator.tokens", "", "team:token or team/editor:token pairs, separated by commas")
 	flags.StringVar(&s.Platform.URL, "platform.url", "", "URL of the platform's key-value service")
 	flags.DurationVar(&s.Platform.Timeout, "platform.timeout", defaultPlatformWait, "time for one answer of the platform")
+	flags.DurationVar(&s.Keys.Window, "keys.window", defaultKeysWindow, "time for which callers may send a key again; the same on every node")
+	flags.IntVar(&s.Keys.MaxKeys, "keys.max_keys", defaultMaxKeys, "most keys that are remembered")
+	flags.IntVar(&s.Keys.MaxBytes, "keys.max_bytes", defaultMaxKeyBytes, "most memory for keys and their answers, in bytes")
 	flags.StringVar(&s.Log.Level, "log.level", "info", "debug, info, warn or error")
 	return s
 }
@@ -178,6 +201,7 @@
 	c.duration("peer.idle_timeout", s.Peer.IdleTimeout, maxPeerIdle)
 	c.duration("platform.timeout", s.Platform.Timeout, maxPlatformWait)
 	c.duration("backend.max_wait", s.Backend.MaxWait, maxQueueWait)
+	c.keys(s)
 	c.distinct(s)
 	c.url("platform.url", s.Platform.URL)
 	c.tokens(s.Operator)
@@ -285,6 +309,21 @@
 	}
 }
 
+// keys notes bounds that contradict each other or what a node takes from callers.
+func (c *checker) keys(s *Settings) {
+	if s.Keys.Window < leastKeysWindow || s.Keys.Window > maxKeysWindow {
+		c.fault("keys.window", "must be from "+leastKeysWindow.String()+", the longest deadline of a document, to "+maxKeysWindow.String())
+	}
+	c.within("keys.max_keys", int64(s.Keys.MaxKeys), leastMaxKeys, maxKeysCeiling)
+	c.within("keys.max_bytes", int64(s.Keys.MaxBytes), 1, maxKeyBytesCeiling)
+	if least := s.Keys.MaxKeys * outcome.EntryBytes; s.Keys.MaxBytes < least {
+		c.fault("keys.max_bytes", fmt.Sprintf("must be at least %d for keys.max_keys without their answers", least))
+	}
+	if int64(s.Keys.MaxBytes) < s.Caller.MaxBody {
+		c.fault("keys.max_bytes", "must be at least caller.max_body, or one answer fills it")
+	}
+}
+
 func (c *checker) url(name, value string) {
 	u, err := url.Parse(value)
 	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
--- a/internal/control/settings/settings_test.go
+++ b/internal/control/settings/settings_test.go
@@ -89,6 +89,12 @@
 		"editors":           {sound + "[operator]\ntokens = a:0123456789abcdef,a/ana:fedcba9876543210,*/rui:fedcba987654321x", ""},
 		"nobody may use it": {sound + "[operator]\naddress = 127.0.0.1:7003", "node.ini:13: [operator] tokens: must be set where operator.address is, or nobody may use it"},
 		"one address twice": {strings.Replace(sound, ":7002", ":7000", 1), "node.ini:10: [backend] address: is the same as caller.address"},
+		"keys":              {sound + "[keys]\nwindow = 5m\nmax_keys = 1000\nmax_bytes = 2000000", ""},
+		"window too short":  {sound + "[keys]\nwindow = 90s", "node.ini:14: [keys] window: must be from 2m0s, the longest deadline of a document, to 10m0s"},
+		"window too long":   {sound + "[keys]\nwindow = 1h", "node.ini:14: [keys] window: must be from 2m0s, the longest deadline of a document, to 10m0s"},
+		"too few keys":      {sound + "[keys]\nmax_keys = 10", "node.ini:14: [keys] max_keys: must be from 1000 to 10000000"},
+		"no room for keys":  {sound + "[keys]\nmax_keys = 300000", "node.ini:13: [keys] max_bytes: must be at least 76800000 for keys.max_keys without their answers"},
+		"no room for one":   {sound + "[keys]\nmax_keys = 1000\nmax_bytes = 1000000", "node.ini:15: [keys] max_bytes: must be at least caller.max_body, or one answer fills it"},
 		"zone not listed":   {strings.Replace(sound, "zones = lisbon_1", "zones = porto_1", 1), "node.ini:4: [node] zones: must hold node.zone"},
 		"name, no IP":       {strings.Replace(sound, "127.0.0.1:7002", "localhost:7002", 1), "node.ini:10: [backend] address: the host must be an IP"},
 	} {
--- a/internal/decide/outcome/table.go
+++ b/internal/decide/outcome/table.go
@@ -123,8 +123,8 @@
 	}
 }
 
-// entryBytes is what a key costs without its reply.
-const entryBytes = 256
+// EntryBytes is what a key costs without its reply.
+const EntryBytes = 256
 
 // Table remembers keys. R is the type of replies.
 type Table[R any] struct {
@@ -321,7 +321,7 @@
 }
 
 func (t *Table[R]) full() bool {
-	return len(t.entries) >= t.config.MaxKeys || t.bytes+entryBytes > t.config.MaxBytes
+	return len(t.entries) >= t.config.MaxKeys || t.bytes+EntryBytes > t.config.MaxBytes
 }
 
 func (t *Table[R]) admit(a Ask) Verdict[R] {
@@ -367,7 +367,7 @@
 }
 
 func (t *Table[R]) insert(a Ask) *Entry[R] {
-	e := &Entry[R]{ID: a.ID, UnixMillis: a.UnixMillis, Fingerprint: a.Fingerprint, Bytes: entryBytes, single: a.Single}
+	e := &Entry[R]{ID: a.ID, UnixMillis: a.UnixMillis, Fingerprint: a.Fingerprint, Bytes: EntryBytes, single: a.Single}
 	t.renew(e, a)
 	t.entries[e.ID] = e
 	t.bytes += e.Bytes
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -42,12 +42,23 @@
 	highestLimit = 1000
 )
 
-// keyTable bounds the memory of keys. The window is the one of the shards.
-var keyTable = outcome.TableConfig{
-	Window:   homes.DefaultTiming.Window,
-	Ahead:    30 * time.Second,
-	MaxKeys:  200_000,
-	MaxBytes: 64 << 20,
+// keyAhead is how far the time of a key may lie in the future.
+const keyAhead = 30 * time.Second
+
+func keyTable(s *settings.Settings) outcome.TableConfig {
+	return outcome.TableConfig{
+		Window:   s.Keys.Window,
+		Ahead:    keyAhead,
+		MaxKeys:  s.Keys.MaxKeys,
+		MaxBytes: s.Keys.MaxBytes,
+	}
+}
+
+// homesTiming gives the shards the window of the keys.
+func homesTiming(s *settings.Settings) homes.Timing {
+	timing := homes.DefaultTiming
+	timing.Window = s.Keys.Window
+	return timing
 }
 
 var retryBudget = retry.BudgetConfig{PerSuccess: 0.1, Max: 20}
--- /dev/null
+++ b/internal/process/node/defaults_test.go
@@ -0,0 +1,23 @@
+package node
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+)
+
+// The memory of keys and the epochs reach equally far back.
+func TestWindowOfKeysIsThatOfTheHomes(t *testing.T) {
+	is := is.New(t)
+	flags := flag.NewFlagSet("node", flag.ContinueOnError)
+	s := settings.Register(flags)
+	is.NoErr(s.Parse(flags, []string{"-keys.window", "5m", "-keys.max_keys", "2000", "-keys.max_bytes", "3000000"}))
+	want := outcome.TableConfig{Window: 5 * time.Minute, Ahead: keyAhead, MaxKeys: 2000, MaxBytes: 3_000_000}
+	is.Equal(keyTable(s), want)
+	is.Equal(homesTiming(s).Window, want.Window)
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -127,7 +127,7 @@
 		Ask:      n.ask,
 		Budgets:  budgets,
 		Load:     n.gate.Load,
-		Table:    keyTable,
+		Table:    keyTable(s),
 	})
 	n.sender = flow.NewSender(flow.SenderConfig{
 		Board:    n.loop,
@@ -142,7 +142,7 @@
 		Board:  n.loop,
 		Sender: n.sender,
 		Zones:  s.Node.ZoneList(),
-		Window: keyTable.Window,
+		Window: s.Keys.Window,
 	})
 }
 
@@ -156,7 +156,7 @@
 		Self:     self,
 		Peers:    n.peers,
 		Zones:    s.Node.ZoneList(),
-		Timing:   homes.DefaultTiming,
+		Timing:   homesTiming(s),
 	})
 	n.controller = zone.NewController(zone.Config{
 		Board:    n.loop,
