--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -127,7 +127,7 @@
 		Ask:      n.ask,
 		Budgets:  budgets,
 		Load:     n.gate.Load,
-		Table:    keyTable,
+		Table:    keyTable(s),
 	})
 	n.sender = flow.NewSender(flow.SenderConfig{
 		Board:    n.loop,
@@ -142,7 +142,7 @@
 		Board:  n.loop,
 		Sender: n.sender,
 		Zones:  s.Node.ZoneList(),
-		Window: keyTable.Window,
+		Window: s.Keys.Window,
 	})
 }
 
@@ -156,7 +156,7 @@
 		Self:     self,
 		Peers:    n.peers,
 		Zones:    s.Node.ZoneList(),
-		Timing:   homes.DefaultTiming,
+		Timing:   homesTiming(s),
 	})
 	n.controller = zone.NewController(zone.Config{
 		Board:    n.loop,
@@ -352,7 +352,8 @@
 	}
 }
 
-// isInformed reports whether the node knows an instance of each service that has a document, and each home of now.
+// isInformed reports whether the node knows an instance of each service that has a document, and who answers for each
+// home of now.
 func isInformed(b *board.Board) bool {
 	for service := range b.Documents.ByService {
 		if len(b.Members.ByService[service]) == 0 {
@@ -361,7 +362,7 @@
 	}
 	for _, shard := range b.Homes.Shards {
 		for _, m := range shard.Last().Members {
-			if _, known := b.Members.ByNode[m.Name]; !known {
+			if !flow.KnowsHome(b, m.Node) {
 				return false
 			}
 		}
