Proof, red: urgent work where backend servers shed by themselves

Two backend servers announce three times their slots, have no queue and shed what is beyond their slots, whichever rank it has.

--- a/internal/proof/routing/capacity_test.go
+++ b/internal/proof/routing/capacity_test.go
@@ -52,6 +52,47 @@
 	}
 }
 
+// Backend servers that announce more slots than they have shed by themselves, each rank alike. Urgent work still gets
+// through during a flood of lesser work: attempts are shed, requests are not.
+func TestUrgentWorkIsServedWhereBackendServersShed(t *testing.T) {
+	is := is.New(t)
+	const instances, slots = 2, 10
+	d := plain(instances)
+	s := &d.Services[0]
+	s.Document = levelDocument("level0") + `
+[kind sheets]
+path = /sheets
+rank = 0
+idempotent = true
+deadline = 3s
+`
+	s.Slots, s.AnnouncedSlots = slots, 3*slots
+	s.Behaviour.ServiceTime, s.Behaviour.Queue = usualTime, 0
+	f := harness.Start(t, fleet.Config{Deployment: d})
+	const possible = instances * slots * float64(time.Second/usualTime)
+	flood, sheets := lookups(overload*possible, 1), lookups(possible/4, 0)
+	sheets.Name, sheets.Path = "sheets", "/sheets"
+	results := load.Run(t.Context(), load.Config{
+		Streams:  []load.Stream{flood, sheets},
+		Targets:  f.Callers(),
+		Duration: watched,
+		Seed:     1,
+	})
+	byStream := map[string][]load.Result{}
+	for _, r := range results {
+		byStream[r.Stream] = append(byStream[r.Stream], r)
+	}
+	urgent, lesser := tallied(byStream["sheets"], 0, watched), tallied(byStream["lookups"], 0, watched)
+	shed := 0
+	for _, n := range f.Nodes {
+		shed += n.Server.Report().Shed
+	}
+	t.Logf("%d of %d urgent and %d of %d lesser requests good, of %.0f possible; the backend servers shed %d",
+		urgent.good, urgent.sent, lesser.good, lesser.sent, possible*watched.Seconds(), shed)
+	is.True(shed > 0)
+	is.True(float64(urgent.good) >= 0.99*float64(urgent.sent))
+}
+
 // A backend server that gives few connections never has more, also while callers go away and their connections end.
 func TestConnectionsKeepToTheirBound(t *testing.T) {
 	const (
