--- a/internal/proof/routing/doc.go
+++ b/internal/proof/routing/doc.go
@@ -1,6 +1,7 @@
 // Package routing proves with real processes what the sending side of the nodes promises: bounded retries down a
 // whole chain, refusal at the entry while a service further down sheds, quarantine of requests that crash backend
-// servers, and requests that avoid silent connections.
+// servers, requests that avoid silent connections, and limits and connections that keep to what backend servers can do,
+// whatever these tell of themselves.
 //
 // # Usage
 //
