Throttle: requests sent again get what new ones leave

An equal request of the same caller within the next seconds counts as sent again where the first failed. With so few accepted the fifth shrank too.

That a resend is only what follows a failed answer of the same request, one for one, was so already. Two equal lookups of one caller can't be told from a resend by it, so the bound now spares what nobody else wants: resends get the admissible rate less the new requests, and at least the fifth. TestBoundsResends, where new requests alone are too many, is as it was.

--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -5,7 +5,7 @@
 // chains, it admits about as many as were accepted, and a little more, so that it notices at once when more would be
 // accepted. Since it measures the accepted rate, the time that replies take can't make it refuse ever more. Callers
 // that send no more than their equal part are admitted before the others, those just above it are refused seldom, and
-// requests that are sent again get a bounded part.
+// requests that are sent again get a bounded part and what new ones leave.
 //
 // # Usage
 //
@@ -58,7 +58,8 @@
 	// admitted request after which one is.
 	ProbeShare float64
 	ProbeEvery time.Duration
-	// ResentShare is the part of the accepted rate that requests sent again may take while others are refused.
+	// ResentShare is the part of the accepted rate that requests sent again get while some are refused, even where new
+	// ones would take it all.
 	ResentShare float64
 	// MaxCallers bounds the callers that are told apart; the others count as one.
 	MaxCallers int
@@ -109,7 +110,9 @@
 	peak    float64
 	refused float64
 	// local counts the requests that the throttle refused itself.
-	local   float64
+	local float64
+	// fresh and resent count the new requests that were offered, and those sent again.
+	fresh   float64
 	resent  float64
 	callers map[string]float64
 
@@ -133,12 +136,18 @@
 func (t *Throttle) Offer(now time.Time, random Source, o Offer) Verdict {
 	t.fade(now)
 	own := t.count(o.Caller)
+	if o.Resent {
+		t.resent++
+	} else {
+		t.fresh++
+	}
 	part := t.accepted / float64(len(t.callers))
 	refusal := t.refusal(now)
 	switch {
 	case now.Sub(t.admittedAt) >= t.config.ProbeEvery || random.Float64() < t.config.ProbeShare:
 	case own <= part:
-	case o.Resent && t.refused > spared && t.resent >= t.config.ResentShare*t.accepted:
+	case o.Resent && t.refused > spared && random.Float64() < t.resentPart(now)/t.resent:
+	case o.Resent && t.refused > spared:
 		// Not counted, so that requests sent again don't take the place of new ones.
 		t.lastRefusal = Refusal{Reason: RefusedResent, At: now}
 		return Verdict{RetryAfter: t.retryAfter(random)}
@@ -149,9 +158,6 @@
 		return Verdict{RetryAfter: t.retryAfter(random)}
 	}
 	t.admittedAt = now
-	if o.Resent {
-		t.resent++
-	}
 	return Verdict{Admitted: true}
 }
 
@@ -194,9 +200,18 @@
 	if offered == 0 {
 		return 0
 	}
+	return max(0, (offered-spared-t.admissible(now))/offered)
+}
+
+// admissible is how many requests may be admitted in the time that the counts hold.
+func (t *Throttle) admissible(now time.Time) float64 {
 	steps := min(t.calm, float64(now.Sub(t.refusedAt))/float64(t.config.StepTime))
-	headroom := min(t.config.Headroom+t.config.HeadroomStep*steps, t.config.MaxHeadroom)
-	return max(0, (offered-spared-headroom*t.peak)/offered)
+	return min(t.config.Headroom+t.config.HeadroomStep*steps, t.config.MaxHeadroom) * t.peak
+}
+
+// resentPart is how many of these may be requests sent again: a bounded part, and what new ones leave.
+func (t *Throttle) resentPart(now time.Time) float64 {
+	return max(t.config.ResentShare*t.accepted, t.admissible(now)-t.fresh)
 }
 
 func (t *Throttle) retryAfter(random Source) time.Duration {
@@ -233,6 +248,7 @@
 	t.peak = max(t.accepted, t.peak*math.Exp(-float64(passed)/float64(t.config.PeakLife)))
 	t.refused *= factor
 	t.local *= factor
+	t.fresh *= factor
 	t.resent *= factor
 	for caller, count := range t.callers {
 		if count*factor < faded {
--- a/internal/decide/throttle/throttle_test.go
+++ b/internal/decide/throttle/throttle_test.go
@@ -141,6 +141,26 @@
 	is.True(sums["resent"].admitted > 0)
 }
 
+// Requests that were taken for ones sent again get what new ones leave: where all look so, nothing stands idle.
+func TestResendsGetWhatNewOnesLeave(t *testing.T) {
+	for name, sources := range map[string]map[string]source{
+		"few new ones": {"first": {perSecond: 30}, "resent": {perSecond: 700, resent: true}},
+		"no new ones":  {"resent": {perSecond: 700, resent: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			th, c := throttle.New(throttle.DefaultConfig), &capacity{perSecond: 100}
+			drive(th, c, start, time.Second, sources)
+			sums := drive(th, c, start.Add(time.Second), 4*time.Second, sources)
+			good, admitted := sums["first"].good+sums["resent"].good, sums["first"].admitted+sums["resent"].admitted
+			t.Logf("%d good, %d admitted, %+v", good, admitted, sums)
+			is.True(float64(good) >= 0.9*4*100)     // what can be done is done
+			is.True(float64(admitted) <= 1.5*4*100) // and little is wasted
+			is.True(float64(sums["first"].admitted) >= 0.9*float64(sums["first"].offered))
+		})
+	}
+}
+
 func TestFailures(t *testing.T) {
 	is := is.New(t)
 	f := throttle.NewFailures(time.Second, 10)
