A test for what many entry nodes with few requests admit; known to fail

Each node's throttle judges by 250 ms. 10 nodes with 90 requests a second each admit 1.49 times what can be done, within the bound for one node (1.5); 100 nodes with 9 admit 2.7 times, 300 with 3 admit 3.0 times, and 8.7 times where a ninth can be done. Cause: in that time a node sees two requests or fewer, one is always spared, the highest count is mostly chance, and a probe each 500 ms is much of all that is offered.

Tried, and not taken: counts that fade more slowly where they are few, up to 2 s, with probes, spared requests and headroom to match. A node alone can't have both: it takes what the gates know of the others, which replies don't carry.

--- a/internal/decide/throttle/throttle_test.go
+++ b/internal/decide/throttle/throttle_test.go
@@ -102,6 +102,63 @@
 	}
 }
 
+// Many nodes with few requests each admit together no more than one node with all of them.
+func TestManyNodesAdmitWhatIsAccepted(t *testing.T) {
+	for name, test := range map[string]struct {
+		nodes                  int
+		offeredEach, perSecond float64
+	}{
+		"10 with 90 a second":    {10, 90, 300},
+		"100 with 9 a second":    {100, 9, 300},
+		"300 with 3 a second":    {300, 3, 300},
+		"300 where fewer can be": {300, 3, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := &capacity{perSecond: test.perSecond}
+			nodes := make([]*throttle.Throttle, test.nodes)
+			for i := range nodes {
+				nodes[i] = throttle.New(throttle.DefaultConfig)
+			}
+			driveAll(nodes, c, start, time.Second, test.offeredEach)
+			sum := driveAll(nodes, c, start.Add(time.Second), 4*time.Second, test.offeredEach)
+			t.Logf("%d admitted, %d good, of %.0f that can be done", sum.admitted, sum.good, 4*test.perSecond)
+			is.True(float64(sum.good) >= 0.9*4*test.perSecond)
+			is.True(float64(sum.admitted) <= 1.5*4*test.perSecond) // as for one node
+		})
+	}
+}
+
+// driveAll offers each node's requests of one caller for the time.
+func driveAll(nodes []*throttle.Throttle, c *capacity, start time.Time, d time.Duration, perSecond float64) counts {
+	random := rand.New(rand.NewPCG(1, 1))
+	var sum counts
+	var senders []*throttle.Throttle
+	c.pending = nil
+	for now := start; now.Before(start.Add(d)); now = now.Add(step) {
+		c.tokens = min(c.tokens+c.perSecond*step.Seconds(), 10)
+		for len(c.pending) > 0 && !now.Before(c.pending[0].at) {
+			senders[0].Learn(now, c.pending[0].result)
+			c.pending, senders = c.pending[1:], senders[1:]
+		}
+		for _, node := range nodes {
+			if random.Float64() >= perSecond*step.Seconds() {
+				continue
+			}
+			sum.offered++
+			if !node.Offer(now, random, throttle.Offer{Caller: "a"}).Admitted {
+				continue
+			}
+			sum.admitted++
+			senders = append(senders, node)
+			if c.take(now) {
+				sum.good++
+			}
+		}
+	}
+	return sum
+}
+
 func TestChanceRefusalsDoNotThrottle(t *testing.T) {
 	is := is.New(t)
 	th, c := throttle.New(throttle.DefaultConfig), &capacity{perSecond: 1000, refuseEvery: 10}
