--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/homes"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/platform"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
@@ -24,8 +25,11 @@
 	limitedEvery = time.Second
 	// drainSettle is how long a leaving node waits for others to learn of it. New work that comes later is refused.
 	drainSettle = 1500 * time.Millisecond
-	// drainTimeout bounds the wait for requests in flight.
-	drainTimeout = 30 * time.Second
+	// handoverSettle is how long a node stays after its handover, while others learn who answers for its keys. Until then
+	// it tells them that the keys have moved; once it has gone they would take the keys for lost.
+	handoverSettle = 1500 * time.Millisecond
+	// drainTimeout bounds the wait for requests in flight, which all end by their deadlines.
+	drainTimeout = document.MaxDeadline + 10*time.Second
 	// peerMaxIdle is how long an unused connection between nodes is trusted.
 	peerMaxIdle = 30 * time.Second
 	// peerDialTimeout bounds the making of a connection to another node.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -256,11 +256,11 @@
 	n.stopCalls = stopCalls
 	group.Go(func() {
 		n.waitInformed(calls)
-		n.serveHTTP(calls, n.listeners.caller, n.work.closeCalls(n.callerRouter()))
+		n.serveHTTP(calls, ctx, n.listeners.caller, n.work.countCalls(n.callerRouter()))
 	})
-	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
+	group.Go(func() { n.serveHTTP(ctx, ctx, n.listeners.backend, n.backendRouter(ctx)) })
 	if n.listeners.operator != nil {
-		group.Go(func() { n.serveHTTP(ctx, n.listeners.operator, n.operatorRouter()) })
+		group.Go(func() { n.serveHTTP(ctx, ctx, n.listeners.operator, n.operatorRouter()) })
 	}
 }
 
@@ -317,7 +317,8 @@
 	_ = server.Serve(ctx, n.listeners.peer)
 }
 
-func (n *Node) serveHTTP(ctx context.Context, l net.Listener, router http.Handler) {
+// serveHTTP serves until the context ends, and then finishes what is in flight for as long as the node works.
+func (n *Node) serveHTTP(ctx, working context.Context, l net.Listener, router http.Handler) {
 	server := &http.Server{
 		Handler:           router,
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
@@ -328,7 +329,7 @@
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
-		shutdown(server)
+		shutdown(working, server, l)
 	})
 	_ = server.Serve(l)
 	if !stop() {
@@ -344,13 +345,30 @@
 	deadline := time.Now().Add(informedTimeout)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		b := n.loop.Snapshot()
-		if len(b.Documents.ByService) > 0 && len(b.Homes.Shards) > 0 && len(b.Members.ByService) > 0 {
+		if isInformed(b) {
 			return
 		}
 		pause.For(ctx, gateTick)
 	}
 }
 
+// isInformed reports whether the node knows an instance of each service that has a document, and each home of now.
+func isInformed(b *board.Board) bool {
+	for service := range b.Documents.ByService {
+		if len(b.Members.ByService[service]) == 0 {
+			return false
+		}
+	}
+	for _, shard := range b.Homes.Shards {
+		for _, m := range shard.Last().Members {
+			if _, known := b.Members.ByNode[m.Name]; !known {
+				return false
+			}
+		}
+	}
+	return len(b.Documents.ByService) > 0 && len(b.Homes.Shards) > 0
+}
+
 // ask asks another node about an attempt or a key.
 func (n *Node) ask(ctx context.Context, address string, q peer.Question) (peer.Resolution, error) {
 	return n.peers.Resolve(ctx, address, q, controlTimeout)
--- a/internal/proof/once/roll_test.go
+++ b/internal/proof/once/roll_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,14 +12,20 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/once"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/node"
 	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
 
 // settled reports whether every node knows all members and the homes of all availability zones.
 func settled(t *testing.T, f *fleet.Fleet) bool {
+	zones := map[string]bool{}
+	for _, n := range f.Nodes {
+		zones[n.Zone] = true
+	}
 	for _, n := range f.Nodes {
 		dump, err := fleet.FetchDump(t.Context(), n.Backend)
-		if err != nil || len(dump.Board.Members.ByService["bookings"]) != len(f.Nodes) {
+		if err != nil || instances(dump) != len(f.Nodes) {
 			return false
 		}
 		for _, s := range dump.Board.Homes.Shards {
@@ -25,21 +33,76 @@
 				return false
 			}
 		}
-		if len(dump.Board.Homes.Shards) < len(f.Nodes) {
+		if len(dump.Board.Homes.Shards) < len(zones) {
 			return false
 		}
 	}
 	return true
 }
 
-// Every node is replaced, one after the other, while callers use the nodes that are up. No answer may fail.
+// instances returns how many instances of all services the node knows.
+func instances(dump node.Dump) int {
+	count := 0
+	for _, members := range dump.Board.Members.ByService {
+		count += len(members)
+	}
+	return count
+}
+
+// rolling is a fleet whose nodes are replaced in rounds, those of one round at the same time.
+type rolling struct {
+	deployment fleet.Deployment
+	rounds     [][]int
+}
+
+// chain returns three services with an instance in each of three zones. A booking calls the others: one request that
+// is idempotent and one that is not.
+func chain() fleet.Deployment {
+	d := once.Deployment(3)
+	bookings := &d.Services[0]
+	bookings.Slots = 20
+	bookings.Behaviour.ServiceTime = 50 * time.Millisecond
+	bookings.Behaviour.Calls = []server.Downstream{
+		{Service: "access", Method: http.MethodGet, Path: "/windows"},
+		{Service: "deposits", Method: http.MethodPost, Path: "/bookings"},
+	}
+	for _, name := range []string{"access", "deposits"} {
+		s := *bookings
+		s.Name = name
+		s.Document = strings.ReplaceAll(s.Document, "name = bookings", "name = "+name)
+		s.Behaviour.Calls = nil
+		d.Services = append(d.Services, s)
+	}
+	return d
+}
+
+func three() fleet.Deployment {
+	d := once.Deployment(3)
+	d.Services[0].Slots = 20
+	d.Services[0].Behaviour.ServiceTime = 100 * time.Millisecond
+	return d
+}
+
+// Every node is replaced while callers use the nodes that are up. No answer may fail.
 func TestRollingReplacement(t *testing.T) {
 	t.Parallel()
+	for name, r := range map[string]rolling{
+		"one service, one after the other": {deployment: three(), rounds: [][]int{{0}, {1}, {2}}},
+		"nine nodes, one of each service and zone at the same time": {
+			deployment: chain(),
+			rounds:     [][]int{{0, 4, 8}, {1, 5, 6}, {2, 3, 7}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r.replace(t)
+		})
+	}
+}
+
+func (r rolling) replace(t *testing.T) {
 	is := is.New(t)
-	deployment := once.Deployment(3)
-	deployment.Services[0].Slots = 20
-	deployment.Services[0].Behaviour.ServiceTime = 100 * time.Millisecond
-	f := harness.Start(t, fleet.Config{Deployment: deployment})
+	f := harness.Start(t, fleet.Config{Deployment: r.deployment})
 	harness.Eventually(t, 20*time.Second, func() bool { return settled(t, f) })
 	running, stop := context.WithCancel(t.Context())
 	var report once.Report
@@ -47,9 +110,15 @@
 	group.Go(func() {
 		report = once.Run(running, once.Config{Fleet: f, Service: "bookings", Duration: time.Minute, Callers: 6, Calm: true, Polite: true})
 	})
-	for _, n := range f.Nodes {
-		n.Terminate()
-		is.NoErr(n.Start())
+	for _, round := range r.rounds {
+		var replaced conc.WaitGroup
+		for _, i := range round {
+			replaced.Go(func() {
+				f.Nodes[i].Terminate()
+				is.NoErr(f.Nodes[i].Start())
+			})
+		}
+		replaced.Wait()
 		harness.Eventually(t, 20*time.Second, func() bool { return settled(t, f) })
 	}
 	stop()
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -29,12 +29,13 @@
 // KeyedSender is where requests enter a node. It gives a key to each non-idempotent request without one, and sends
 // a request with a caller's key to the home of the key. Idempotent requests go straight to the Sender.
 type KeyedSender struct {
-	config KeyedConfig
+	config   KeyedConfig
+	silences *silences
 }
 
 // NewKeyedSender returns a sender.
 func NewKeyedSender(config KeyedConfig) *KeyedSender {
-	return &KeyedSender{config: config}
+	return &KeyedSender{config: config, silences: newSilences(config.Sender.config.Peers)}
 }
 
 // Send sends the request on and returns the reply.
@@ -78,12 +79,17 @@
 	patience := time.Now().Add(relocatePatience)
 	useSuccessor := false
 	for {
-		target, refusal, ok := k.locate(attempt.Service, key, useSuccessor)
+		target, presumed, refusal, ok := k.locate(attempt.Service, key, useSuccessor)
 		if !ok {
 			return openly(refusal, attempt.Resent)
 		}
+		if !k.silences.answers(ctx, target.PeerAddress) {
+			return openly(call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry), attempt.Resent)
+		}
 		reply, err := k.config.Sender.toHome(ctx, target, attempt)
-		if err == nil && !moved(reply) {
+		k.silences.note(target.PeerAddress, err)
+		final := !moved(reply) || (presumed && reply.Reason == call.ReasonHomeUnknown)
+		if err == nil && final {
 			return openly(reply, attempt.Resent)
 		}
 		useSuccessor = !useSuccessor
@@ -121,13 +127,38 @@
 }
 
 // locate returns the node that decides about the key, or the reply where there is none. While the home of a key
-// leaves, its successor is asked in turn with it.
-func (k *KeyedSender) locate(service string, key outcome.Key, useSuccessor bool) (membership.Member, call.Reply, bool) {
+// leaves, its successor is asked in turn with it. A node is presumed to decide where the end of the epochs that is known
+// here has passed: only the members of the last epoch know how far it was moved meanwhile. What such a node refuses is
+// asked again only while its keys change hands.
+func (k *KeyedSender) locate(service string, key outcome.Key, useSuccessor bool) (m membership.Member, presumed bool, refusal call.Reply, ok bool) {
 	b := k.config.Board.Snapshot()
-	home, _, ok := homeOf(b, k.config.Zones, service, key, k.config.Window)
-	if !ok {
-		return membership.Member{}, noHome(key, time.Now(), k.config.Window), false
+	home, _, agreed := homeOf(b, k.config.Zones, service, key, k.config.Window)
+	if !agreed {
+		refusal = noHome(key, time.Now(), k.config.Window)
+		home, presumed = presumedHome(b, k.config.Zones, service, key)
+		if !presumed || refusal.Reason != call.ReasonHomeUnknown {
+			return m, false, refusal, false
+		}
+	}
+	m, unanswered, ok := answering(b, home, useSuccessor)
+	if !presumed {
+		refusal = unanswered
 	}
+	stays := m.Node == home.Name && m.State == membership.Up
+	return m, presumed && stays, refusal, ok
+}
+
+// presumedHome returns the node to ask about a key whose home is not known here.
+func presumedHome(b *board.Board, zones []string, service string, key outcome.Key) (outcome.Node, bool) {
+	millis := key.UnixMillis
+	if !key.Timed {
+		millis = time.Now().UnixMilli()
+	}
+	return b.Homes.Shards[outcome.ShardOf(zones, key.Text)].Presumed(service, key.Text, millis)
+}
+
+// answering returns the member that answers for the keys of the home, or the reply where there is none.
+func answering(b *board.Board, home outcome.Node, useSuccessor bool) (membership.Member, call.Reply, bool) {
 	if m, ok := present(b, home); ok {
 		if successor, ok := b.Members.ByNode[m.Successor]; ok && useSuccessor {
 			return successor, call.Reply{}, true
@@ -163,15 +194,23 @@
 	return m, known && m.Incarnation == home.Incarnation
 }
 
-// heir returns the member to which the keys of the node were handed over.
+// heir returns the member to which the keys of the node were handed over, and by which they were not handed on: the
+// record of one that has left may still stand on the board.
 func heir(b *board.Board, home outcome.Node) (membership.Member, bool) {
-	name := homeName(home)
+	var latest membership.Member
+	found := false
 	for _, m := range b.Members.ByNode {
-		if m.AnswersFor != "" && strings.Contains(" "+m.AnswersFor+" ", " "+name+" ") {
-			return m, true
+		holds := answersFor(m, home)
+		if holds && (!found || answersFor(m, outcome.Node{Name: latest.Node, Incarnation: latest.Incarnation})) {
+			latest, found = m, true
 		}
 	}
-	return membership.Member{}, false
+	return latest, found
+}
+
+// answersFor reports whether the member says that it has the keys of the node.
+func answersFor(m membership.Member, home outcome.Node) bool {
+	return m.AnswersFor != "" && strings.Contains(" "+m.AnswersFor+" ", " "+homeName(home)+" ")
 }
 
 // admit refuses a root request with a caller's key that would be shed further down.
@@ -197,16 +236,29 @@
 	return reply, err
 }
 
-// Delegate passes a request on from the home of its key to another instance.
+// Delegate passes a request on from the home of its key to another instance, and past those that leave, which have
+// started nothing.
 func (s *Sender) Delegate(ctx context.Context, r *call.Request) call.Reply {
-	target, ok := s.choose(r, []string{s.config.Board.Snapshot().Self.Node})
-	if !ok {
-		return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
-	}
-	passed := *r
-	passed.Delegated = true
-	passed.Resent = false
-	return s.decided(ctx, target, &passed)
+	tried := []string{s.config.Board.Snapshot().Self.Node}
+	for {
+		target, ok := s.choose(r, tried)
+		if !ok {
+			return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
+		}
+		passed := *r
+		passed.Delegated = true
+		passed.Resent = false
+		reply := s.decided(ctx, target, &passed)
+		if !isLeaving(reply) {
+			return reply
+		}
+		tried = append(tried, target.Node)
+	}
+}
+
+// isLeaving reports whether an instance refused because it leaves.
+func isLeaving(r call.Reply) bool {
+	return r.Outcome == call.NotRun && r.Reason == call.ReasonDraining
 }
 
 // mint gives the request a key that names the target as its home. Each attempt gets its own, because the caller has
