--- a/internal/decide/outcome/table.go
+++ b/internal/decide/outcome/table.go
@@ -123,8 +123,8 @@
 	}
 }
 
-// entryBytes is what a key costs without its reply.
-const entryBytes = 256
+// EntryBytes is what a key costs without its reply.
+const EntryBytes = 256
 
 // Table remembers keys. R is the type of replies.
 type Table[R any] struct {
@@ -200,24 +200,32 @@
 	return e.State, e.Reply
 }
 
+// Moving is the answer about a key that another node takes over.
+type Moving[R any] struct {
+	State State
+	// Reply is set with Done.
+	Reply R
+	// Fingerprint is that of the request that came under the key, or 0 where none came.
+	Fingerprint uint64
+}
+
 // Move tells what became of a key, and moves one that has not run to the given node: it never runs here. A table that
 // can't remember that, or that has been handed over, says Absent.
-func (t *Table[R]) Move(now time.Time, a Ask, to Node) (State, R) {
-	var none R
+func (t *Table[R]) Move(now time.Time, a Ask, to Node) Moving[R] {
 	t.raiseFloor(now)
 	e, ok := t.find(a.ID)
 	switch {
 	case ok && e.State != NotRun:
-		return e.State, e.Reply
+		return Moving[R]{State: e.State, Reply: e.Reply, Fingerprint: e.Fingerprint}
 	case t.closed || (!ok && t.full()):
-		return Absent, none
+		return Moving[R]{State: Absent}
 	case !ok:
 		e = t.insert(a)
 	}
 	t.renew(e, a)
 	e.State = Moved
 	e.MovedTo = to
-	return Moved, none
+	return Moving[R]{State: Moved, Fingerprint: e.Fingerprint}
 }
 
 // Close lets nothing run from now on but what runs already. Answers are still given.
@@ -313,7 +321,7 @@
 }
 
 func (t *Table[R]) full() bool {
-	return len(t.entries) >= t.config.MaxKeys || t.bytes+entryBytes > t.config.MaxBytes
+	return len(t.entries) >= t.config.MaxKeys || t.bytes+EntryBytes > t.config.MaxBytes
 }
 
 func (t *Table[R]) admit(a Ask) Verdict[R] {
@@ -359,7 +367,7 @@
 }
 
 func (t *Table[R]) insert(a Ask) *Entry[R] {
-	e := &Entry[R]{ID: a.ID, UnixMillis: a.UnixMillis, Fingerprint: a.Fingerprint, Bytes: entryBytes, single: a.Single}
+	e := &Entry[R]{ID: a.ID, UnixMillis: a.UnixMillis, Fingerprint: a.Fingerprint, Bytes: EntryBytes, single: a.Single}
 	t.renew(e, a)
 	t.entries[e.ID] = e
 	t.bytes += e.Bytes
--- a/internal/process/node/defaults.go
+++ b/internal/process/node/defaults.go
@@ -25,6 +25,9 @@
 	limitedEvery = time.Second
 	// drainSettle is how long a leaving node waits for others to learn of it. New work that comes later is refused.
 	drainSettle = 1500 * time.Millisecond
+	// handoverSettle is how long a node stays after its handover, while others learn who answers for its keys. Until then
+	// it tells them that the keys have moved; once it has gone they would take the keys for lost.
+	handoverSettle = 1500 * time.Millisecond
 	// drainTimeout bounds the wait for requests in flight, which all end by their deadlines.
 	drainTimeout = document.MaxDeadline + 10*time.Second
 	// peerMaxIdle is how long an unused connection between nodes is trusted.
@@ -39,12 +42,23 @@
 	highestLimit = 1000
 )
 
-// keyTable bounds the memory of keys. The window is the one of the shards.
-var keyTable = outcome.TableConfig{
-	Window:   homes.DefaultTiming.Window,
-	Ahead:    30 * time.Second,
-	MaxKeys:  200_000,
-	MaxBytes: 64 << 20,
+// keyAhead is how far the time of a key may lie in the future.
+const keyAhead = 30 * time.Second
+
+func keyTable(s *settings.Settings) outcome.TableConfig {
+	return outcome.TableConfig{
+		Window:   s.Keys.Window,
+		Ahead:    keyAhead,
+		MaxKeys:  s.Keys.MaxKeys,
+		MaxBytes: s.Keys.MaxBytes,
+	}
+}
+
+// homesTiming gives the shards the window of the keys.
+func homesTiming(s *settings.Settings) homes.Timing {
+	timing := homes.DefaultTiming
+	timing.Window = s.Keys.Window
+	return timing
 }
 
 var retryBudget = retry.BudgetConfig{PerSuccess: 0.1, Max: 20}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -117,6 +117,7 @@
 
 // buildSender puts together what decides about keys and sends requests to instances.
 func (n *Node) buildSender(s *settings.Settings, self outcome.Node) {
+	budgets := flow.NewBudgets(retryBudget)
 	n.home = flow.NewHome(flow.HomeConfig{
 		Board:    n.loop,
 		Self:     self,
@@ -124,14 +125,15 @@
 		Local:    n.receiver,
 		Delegate: func(ctx context.Context, r *call.Request) call.Reply { return n.sender.Delegate(ctx, r) },
 		Ask:      n.ask,
+		Budgets:  budgets,
 		Load:     n.gate.Load,
-		Table:    keyTable,
+		Table:    keyTable(s),
 	})
 	n.sender = flow.NewSender(flow.SenderConfig{
 		Board:    n.loop,
 		Peers:    n.peers,
 		Receiver: n.home,
-		Budget:   retryBudget,
+		Budgets:  budgets,
 		Routing:  routing.DefaultConfig(s.Node.Name, s.Node.Zone),
 		Throttle: throttle.DefaultConfig,
 		Events:   n.limiter,
@@ -140,7 +142,7 @@
 		Board:  n.loop,
 		Sender: n.sender,
 		Zones:  s.Node.ZoneList(),
-		Window: keyTable.Window,
+		Window: s.Keys.Window,
 	})
 }
 
@@ -154,7 +156,7 @@
 		Self:     self,
 		Peers:    n.peers,
 		Zones:    s.Node.ZoneList(),
-		Timing:   homes.DefaultTiming,
+		Timing:   homesTiming(s),
 	})
 	n.controller = zone.NewController(zone.Config{
 		Board:    n.loop,
@@ -327,7 +329,7 @@
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
-		shutdown(working, server)
+		shutdown(working, server, l)
 	})
 	_ = server.Serve(l)
 	if !stop() {
@@ -343,13 +345,31 @@
 	deadline := time.Now().Add(informedTimeout)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		b := n.loop.Snapshot()
-		if len(b.Documents.ByService) > 0 && len(b.Homes.Shards) > 0 && len(b.Members.ByService) > 0 {
+		if isInformed(b) {
 			return
 		}
 		pause.For(ctx, gateTick)
 	}
 }
 
+// isInformed reports whether the node knows an instance of each service that has a document, and who answers for each
+// home of now.
+func isInformed(b *board.Board) bool {
+	for service := range b.Documents.ByService {
+		if len(b.Members.ByService[service]) == 0 {
+			return false
+		}
+	}
+	for _, shard := range b.Homes.Shards {
+		for _, m := range shard.Last().Members {
+			if !flow.KnowsHome(b, m.Node) {
+				return false
+			}
+		}
+	}
+	return len(b.Documents.ByService) > 0 && len(b.Homes.Shards) > 0
+}
+
 // ask asks another node about an attempt or a key.
 func (n *Node) ask(ctx context.Context, address string, q peer.Question) (peer.Resolution, error) {
 	return n.peers.Resolve(ctx, address, q, controlTimeout)
--- a/internal/traffic/flow/home_test.go
+++ b/internal/traffic/flow/home_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
@@ -20,12 +22,15 @@
 
 var selfMember = membership.Member{}
 
+var testBudget = retry.BudgetConfig{PerSuccess: 0.5, Max: 2}
+
 var homeSelf = outcome.Node{Name: "access_0", Incarnation: 7}
 
 var (
-	ranReply  = call.Reply{Outcome: call.Ran, Status: 200, Body: []byte("booked")}
-	shedReply = call.Refused(call.NotRun, call.ReasonOverload, time.Second)
-	lostReply = call.Refused(call.Unknown, call.ReasonBackendFailed, 0)
+	ranReply      = call.Reply{Outcome: call.Ran, Status: 200, Body: []byte("booked")}
+	shedReply     = call.Refused(call.NotRun, call.ReasonOverload, time.Second)
+	drainingReply = call.Refused(call.NotRun, call.ReasonDraining, 0)
+	lostReply     = call.Refused(call.Unknown, call.ReasonBackendFailed, 0)
 )
 
 // runner answers with one reply after the other, and counts.
@@ -46,6 +51,7 @@
 		Self:     homeSelf,
 		Local:    local,
 		Delegate: other.Receive,
+		Budgets:  NewBudgets(testBudget),
 		Load:     func() call.Load { return call.Load{} },
 		Table:    outcome.TableConfig{Window: time.Minute, Ahead: time.Minute, MaxKeys: 100, MaxBytes: 1 << 20},
 	})
@@ -79,13 +85,15 @@
 		attempts     int
 		want         call.Outcome
 		passedOn     int
+		used         int
 	}{
 		"ran here":                           {local: ranReply, attempts: 1, want: call.Ran},
-		"shed here, ran there":               {local: shedReply, other: ranReply, attempts: 1, want: call.Ran, passedOn: 1},
-		"shed by both":                       {local: shedReply, other: shedReply, attempts: 1, want: call.NotRun, passedOn: 1},
+		"shed here, ran there":               {local: shedReply, other: ranReply, attempts: 1, want: call.Ran, passedOn: 1, used: 1},
+		"shed by both":                       {local: shedReply, other: shedReply, attempts: 1, want: call.NotRun, passedOn: 1, used: 1},
 		"no attempt left":                    {local: shedReply, other: ranReply, want: call.NotRun},
+		"leaving: costs no attempt":          {local: drainingReply, other: ranReply, want: call.Ran, passedOn: 1},
 		"lost here: not passed on":           {local: lostReply, other: ranReply, attempts: 1, want: call.Unknown},
-		"lost there: not run again anywhere": {local: shedReply, other: lostReply, attempts: 1, want: call.Unknown, passedOn: 1},
+		"lost there: not run again anywhere": {local: shedReply, other: lostReply, attempts: 1, want: call.Unknown, passedOn: 1, used: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -95,7 +103,7 @@
 			r.AttemptsLeft = tc.attempts
 			reply := h.Receive(t.Context(), r)
 			is.Equal(reply.Outcome, tc.want)
-			is.Equal(reply.AttemptsUsed, tc.passedOn)
+			is.Equal(reply.AttemptsUsed, tc.used)
 			is.Equal(other.runs, tc.passedOn)
 			if tc.want != call.NotRun {
 				is.Equal(h.Receive(t.Context(), r).Outcome, tc.want) // remembered
@@ -105,6 +113,27 @@
 	}
 }
 
+// Requests with a caller's key that are passed on are charged to the service's budget like other further attempts. An
+// answer that is remembered costs nothing and is given.
+func TestDelegationIsChargedToTheBudget(t *testing.T) {
+	is := is.New(t)
+	local, other := &runner{replies: []call.Reply{shedReply}}, &runner{replies: []call.Reply{ranReply, shedReply}}
+	h := newTestHome(local, other)
+	first := booking(time.Now())
+	is.Equal(h.Receive(t.Context(), first).Outcome, call.Ran) // takes one of two tokens and earns half of one
+	is.Equal(h.Receive(t.Context(), booking(time.Now())).Outcome, call.NotRun)
+	for range 10 {
+		is.Equal(h.Receive(t.Context(), booking(time.Now())).Outcome, call.NotRun)
+	}
+	is.Equal(other.runs, 2)
+	is.Equal(h.Receive(t.Context(), first).Outcome, call.Ran) // remembered
+	local.replies = append(slices.Repeat([]call.Reply{shedReply}, local.runs), ranReply)
+	is.Equal(h.Receive(t.Context(), booking(time.Now())).Outcome, call.Ran) // makes it one token
+	local.replies = []call.Reply{shedReply}
+	is.Equal(h.Receive(t.Context(), booking(time.Now())).Outcome, call.NotRun)
+	is.Equal(other.runs, 3)
+}
+
 // A copy that entered before a caller was told not_run stays out; a later resend runs.
 func TestLateCopyOfWhatWasToldNotRun(t *testing.T) {
 	synctest.Test(t, lateCopy)
@@ -200,3 +229,83 @@
 		})
 	}
 }
+
+// A home that leaves gets no answer from its successor, which may have its keys. The caller's node asks the successor.
+func TestLeavingHomeLeavesKeysToItsSuccessor(t *testing.T) {
+	for name, tc := range map[string]struct {
+		leaving bool
+		want    call.Reason
+	}{
+		"leaving":              {leaving: true, want: call.ReasonDraining},
+		"earlier home is gone": {want: call.ReasonHomeUnreachable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newTestHome(&runner{}, &runner{})
+			h.config.Board = board.NewLoop(boardWithEarlierHome(time.Minute))
+			h.config.Zones = []string{"lisbon"}
+			h.config.Ask = func(context.Context, string, peer.Question) (peer.Resolution, error) {
+				if tc.leaving {
+					h.leave()
+				}
+				return peer.Resolution{}, nil
+			}
+			r := booking(time.Now())
+			r.Key = "booking-17"
+			reply := h.Receive(t.Context(), r)
+			is.Equal(reply.Outcome, call.NotAdmitted)
+			is.Equal(reply.Reason, tc.want)
+		})
+	}
+}
+
+// Keys may have been handed on more than once while records of nodes that have left still stand on the board.
+func TestHeirIsTheLastOfAChain(t *testing.T) {
+	is := is.New(t)
+	home := outcome.Node{Name: "access_1", Incarnation: 3}
+	members := map[string]membership.Member{}
+	chain := []outcome.Node{home, {Name: "access_2", Incarnation: 4}, {Name: "access_3", Incarnation: 5}, {Name: "access_1", Incarnation: 6}}
+	names := ""
+	for i, n := range chain {
+		members[n.Name] = membership.Member{Node: n.Name, Incarnation: n.Incarnation, AnswersFor: names}
+		names = homeName(chain[i]) + " " + names
+	}
+	for range 100 { // the order of a map differs
+		m, ok := heir(&board.Board{Members: board.Members{ByNode: members}}, home)
+		is.True(ok)
+		is.Equal(m.Incarnation, uint64(6))
+	}
+}
+
+// A key that came with another request at its earlier home is refused, whether that one has run or not.
+func TestMovedKeyOfAnotherRequest(t *testing.T) {
+	r := booking(time.Now())
+	r.Key = "booking-17"
+	same := contentSum(r)
+	for name, tc := range map[string]struct {
+		resolution peer.Resolution
+		want       call.Outcome
+		reason     call.Reason
+	}{
+		"the same, run":       {resolution: peer.Resolution{State: outcome.Done, Reply: ranReply, Fingerprint: same}, want: call.Ran},
+		"the same, refused":   {resolution: peer.Resolution{State: outcome.Moved, Fingerprint: same}, want: call.Ran},
+		"not seen":            {resolution: peer.Resolution{State: outcome.Moved}, want: call.Ran},
+		"another, run":        {resolution: peer.Resolution{State: outcome.Done, Reply: ranReply, Fingerprint: same + 1}, want: call.NotAdmitted, reason: call.ReasonKeyReused},
+		"another, refused":    {resolution: peer.Resolution{State: outcome.Moved, Fingerprint: same + 1}, want: call.NotAdmitted, reason: call.ReasonKeyReused},
+		"another, is running": {resolution: peer.Resolution{State: outcome.Running, Fingerprint: same + 1}, want: call.NotAdmitted, reason: call.ReasonKeyReused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newTestHome(&runner{replies: []call.Reply{ranReply}}, &runner{})
+			h.config.Board = board.NewLoop(boardWithEarlierHome(time.Minute))
+			h.config.Zones = []string{"lisbon"}
+			h.config.Ask = func(context.Context, string, peer.Question) (peer.Resolution, error) {
+				tc.resolution.Known = true
+				return tc.resolution, nil
+			}
+			reply := h.Receive(t.Context(), r)
+			is.Equal(reply.Outcome, tc.want)
+			is.Equal(reply.Reason, tc.reason)
+		})
+	}
+}
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -29,12 +29,13 @@
 // KeyedSender is where requests enter a node. It gives a key to each non-idempotent request without one, and sends
 // a request with a caller's key to the home of the key. Idempotent requests go straight to the Sender.
 type KeyedSender struct {
-	config KeyedConfig
+	config   KeyedConfig
+	silences *silences
 }
 
 // NewKeyedSender returns a sender.
 func NewKeyedSender(config KeyedConfig) *KeyedSender {
-	return &KeyedSender{config: config}
+	return &KeyedSender{config: config, silences: newSilences(config.Sender.config.Peers)}
 }
 
 // Send sends the request on and returns the reply.
@@ -82,11 +83,15 @@
 		if !ok {
 			return openly(refusal, attempt.Resent)
 		}
+		if !k.silences.answers(ctx, target.PeerAddress) {
+			return openly(call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry), attempt.Resent)
+		}
 		patience := relocatePatience
 		if presumed {
 			patience = k.patience(target)
 		}
 		reply, err := k.config.Sender.toHome(ctx, target, attempt)
+		k.silences.note(target.PeerAddress, err)
 		if err == nil && !moved(reply) {
 			return openly(reply, attempt.Resent)
 		}
@@ -210,15 +215,29 @@
 	return m, known && m.Incarnation == home.Incarnation
 }
 
-// heir returns the member to which the keys of the node were handed over.
+// KnowsHome reports whether the board shows who answers for the keys of the node.
+func KnowsHome(b *board.Board, home outcome.Node) bool {
+	_, ok := present(b, home)
+	return ok
+}
+
+// heir returns the member to which the keys of the node were handed over, and by which they were not handed on: the
+// record of one that has left may still stand on the board.
 func heir(b *board.Board, home outcome.Node) (membership.Member, bool) {
-	name := homeName(home)
+	var latest membership.Member
+	found := false
 	for _, m := range b.Members.ByNode {
-		if m.AnswersFor != "" && strings.Contains(" "+m.AnswersFor+" ", " "+name+" ") {
-			return m, true
+		holds := answersFor(m, home)
+		if holds && (!found || answersFor(m, outcome.Node{Name: latest.Node, Incarnation: latest.Incarnation})) {
+			latest, found = m, true
 		}
 	}
-	return membership.Member{}, false
+	return latest, found
+}
+
+// answersFor reports whether the member says that it has the keys of the node.
+func answersFor(m membership.Member, home outcome.Node) bool {
+	return m.AnswersFor != "" && strings.Contains(" "+m.AnswersFor+" ", " "+homeName(home)+" ")
 }
 
 // admit refuses a root request with a caller's key that would be shed further down.
@@ -244,16 +263,29 @@
 	return reply, err
 }
 
-// Delegate passes a request on from the home of its key to another instance.
+// Delegate passes a request on from the home of its key to another instance, and past those that leave, which have
+// started nothing.
 func (s *Sender) Delegate(ctx context.Context, r *call.Request) call.Reply {
-	target, ok := s.choose(r, []string{s.config.Board.Snapshot().Self.Node})
-	if !ok {
-		return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
+	tried := []string{s.config.Board.Snapshot().Self.Node}
+	for {
+		target, ok := s.choose(r, tried)
+		if !ok {
+			return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
+		}
+		passed := *r
+		passed.Delegated = true
+		passed.Resent = false
+		reply := s.decided(ctx, target, &passed)
+		if !isLeaving(reply) {
+			return reply
+		}
+		tried = append(tried, target.Node)
 	}
-	passed := *r
-	passed.Delegated = true
-	passed.Resent = false
-	return s.decided(ctx, target, &passed)
+}
+
+// isLeaving reports whether an instance refused because it leaves.
+func isLeaving(r call.Reply) bool {
+	return r.Outcome == call.NotRun && r.Reason == call.ReasonDraining
 }
 
 // mint gives the request a key that names the target as its home. Each attempt gets its own, because the caller has
