Documents: a history that has lost an edit doesn't stop further edits

Read while merging: a history without the edit that the document replaced was taken for a lagging read for ever, so a history lost at the platform, or deleted by hand, refused every edit of its document. It counts as lagging for a minute after the document's edit, and then as lost.

Before: the new case of TestEditsOnWhatThePlatformHolds is refused (platform_unreachable) by the code above it. After: internal/control passes.

--- a/internal/control/operator/history_test.go
+++ b/internal/control/operator/history_test.go
@@ -51,6 +51,8 @@
 	earlier := zone.StoredDocument{Revision: 1, Source: string(source("bookings-team", "1s")), Operation: "first", Time: time.Now()}
 	withHistory := inForce
 	withHistory.History = []zone.StoredDocument{earlier}
+	old := inForce
+	old.Time = time.Now().Add(-time.Hour)
 	type replacing struct {
 		zone.StoredDocument
 
@@ -67,6 +69,7 @@
 		"answers are lost":                     {document: withHistory, faults: store.Faults{LoseAnswers: true}, history: []uint64{3, 2, 1}},
 		"writes are lost":                      {document: withHistory, faults: store.Faults{LoseWrites: true}, code: operator.CodeUnsettled, history: []uint64{2, 1}},
 		"the history lags behind the document": {document: replacing{inForce, "first"}, code: operator.CodePlatformUnreachable},
+		"the history has lost an edit":         {document: replacing{old, "first"}, history: []uint64{3, 2}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/control/zone/history.go
+++ b/internal/control/zone/history.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -86,12 +87,21 @@
 			s.Stored.History = append(s.Stored.History, edit)
 		}
 	}
-	if _, found := s.Stored.Find(s.replaces); s.replaces != "" && !found {
+	if s.historyLags(time.Now()) {
 		return trace.Wrap(ErrHistoryLags)
 	}
 	return nil
 }
 
+// longestLag is how far the platform's reads may lag. A history that still lacks an edit after that has lost it, which
+// must not stand in the way of further edits.
+const longestLag = time.Minute
+
+func (s *Standing) historyLags(now time.Time) bool {
+	_, found := s.Stored.Find(s.replaces)
+	return s.replaces != "" && !found && now.Sub(s.Stored.Time) < longestLag
+}
+
 func parseHistory(entry platform.Entry) ([]StoredDocument, error) {
 	if entry.Revision == 0 {
 		return nil, nil
