Zone, flow: watch and locate in smaller steps

watch did five things in one loop; it is a state and a step for each now. locate returned four values, two of which belong together: a place.

Unit tests of internal/traffic and internal/control/zone pass; no behaviour changes, but for a pause before the list of a platform that went back.

--- a/internal/control/zone/watch.go
+++ b/internal/control/zone/watch.go
@@ -45,44 +45,72 @@
 	})
 }
 
+// watch is how far one kind of entries has been seen at the platform.
+type watch struct {
+	prefix string
+	// after is the revision seen last; 0 where everything is to be listed.
+	after uint64
+	// listed is when everything was listed last, and checked when it was last looked whether the platform went back.
+	listed  time.Time
+	checked time.Time
+}
+
 // watch takes in all changes under the prefix at the platform until the context ends.
 func (c *Controller) watch(ctx context.Context, prefix string) {
-	var after uint64
-	var listed, checked time.Time
-	longest := relistEvery
-	if prefix == LeaderPrefix {
-		longest = relistLeadersEvery
-	}
+	w := watch{prefix: prefix}
 	for ctx.Err() == nil {
-		if prefix == DocumentPrefix && time.Since(checked) > checkEvery {
-			checked = time.Now()
-			listed = c.listedStill(ctx, listed)
-		}
-		if time.Since(listed) > longest {
-			after = 0
-		}
-		whole := after == 0
-		changes, err := c.changes(ctx, prefix, after)
-		c.answered(ctx, err)
-		if err != nil {
+		c.checkDocuments(ctx, &w)
+		if c.watchOnce(ctx, &w) {
+			pause.For(ctx, watchEvery)
+		} else {
 			pause.For(ctx, watchRetry)
-			continue
-		}
-		if whole {
-			listed = time.Now()
 		}
-		if changes.Revision < after {
-			listed = time.Time{} // The platform went back to older content.
-			continue
-		}
-		after = changes.Revision
-		if c.takeChanges(ctx, prefix, changes.Entries, whole) != nil {
-			listed = time.Time{}
-		}
-		pause.For(ctx, watchEvery)
 	}
 }
 
+// checkDocuments makes a watch of the documents list them all where the platform lost one.
+func (c *Controller) checkDocuments(ctx context.Context, w *watch) {
+	if w.prefix != DocumentPrefix || time.Since(w.checked) <= checkEvery {
+		return
+	}
+	w.checked = time.Now()
+	w.listed = c.listedStill(ctx, w.listed)
+}
+
+// watchOnce waits for changes once, or lists everything where that is due. It reports false where the platform gave no
+// answer.
+func (c *Controller) watchOnce(ctx context.Context, w *watch) bool {
+	if time.Since(w.listed) > w.longest() {
+		w.after = 0
+	}
+	whole := w.after == 0
+	changes, err := c.changes(ctx, w.prefix, w.after)
+	c.answered(ctx, err)
+	if err != nil {
+		return false
+	}
+	if changes.Revision < w.after {
+		w.listed = time.Time{} // The platform went back to older content.
+		return true
+	}
+	if whole {
+		w.listed = time.Now()
+	}
+	w.after = changes.Revision
+	if c.takeChanges(ctx, w.prefix, changes.Entries, whole) != nil {
+		w.listed = time.Time{}
+	}
+	return true
+}
+
+// longest is the longest time without a look at all entries.
+func (w *watch) longest() time.Duration {
+	if w.prefix == LeaderPrefix {
+		return relistLeadersEvery
+	}
+	return relistEvery
+}
+
 // takeChanges takes in what the platform shows under the prefix, and writes back what it lost.
 func (c *Controller) takeChanges(ctx context.Context, prefix string, entries []platform.Entry, whole bool) error {
 	c.takeIn(ctx, entries)
--- a/internal/traffic/flow/keyed.go
+++ b/internal/traffic/flow/keyed.go
@@ -79,24 +79,20 @@
 	start := time.Now()
 	useSuccessor := false
 	for {
-		target, presumed, refusal, ok := k.locate(attempt.Service, key, useSuccessor)
+		target, refusal, ok := k.locate(attempt.Service, key, useSuccessor)
 		if !ok {
 			return openly(refusal, attempt.Resent)
 		}
 		if !k.silences.answers(ctx, target.PeerAddress) {
 			return openly(call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry), attempt.Resent)
 		}
-		patience := relocatePatience
-		if presumed {
-			patience = k.patience(target)
-		}
-		reply, err := k.config.Sender.toHome(ctx, target, attempt)
+		reply, err := k.config.Sender.toHome(ctx, target.Member, attempt)
 		k.silences.note(target.PeerAddress, err)
 		if err == nil && !moved(reply) {
 			return openly(reply, attempt.Resent)
 		}
 		useSuccessor = !useSuccessor
-		if time.Since(start) > patience || !pause.For(ctx, relocatePause) {
+		if time.Since(start) > k.patience(target) || !pause.For(ctx, relocatePause) {
 			return openly(unreached(reply, err), attempt.Resent)
 		}
 	}
@@ -109,10 +105,13 @@
 // spread.
 const presumedPatience = time.Second
 
-// patience is how long a key is followed whose home is only presumed to be the target. The ends of the own zone are
-// known here, so what its members refuse is refused at once.
-func (k *KeyedSender) patience(target membership.Member) time.Duration {
-	if target.Zone == k.config.Board.Snapshot().Self.Zone && target.State == membership.Up {
+// patience is how long a key is followed whose home is the target. The ends of the own zone are known here, so what its
+// members refuse is refused at once where they are only presumed.
+func (k *KeyedSender) patience(target place) time.Duration {
+	switch {
+	case !target.presumed:
+		return relocatePatience
+	case target.Zone == k.config.Board.Snapshot().Self.Zone && target.State == membership.Up:
 		return 0
 	}
 	return presumedPatience
@@ -142,24 +141,31 @@
 	return call.Refused(call.NotAdmitted, call.ReasonHomeUnreachable, homeRetry)
 }
 
+// place is the node that decides about a key.
+type place struct {
+	membership.Member
+
+	// presumed says that the end of the epochs which is known here has passed: only the members of the last epoch know
+	// how far it was moved meanwhile.
+	presumed bool
+}
+
 // locate returns the node that decides about the key, or the reply where there is none. While the home of a key
-// leaves, its successor is asked in turn with it. A node is presumed to decide where the end of the epochs that is known
-// here has passed: only the members of the last epoch know how far it was moved meanwhile.
-func (k *KeyedSender) locate(service string, key outcome.Key, useSuccessor bool) (m membership.Member, presumed bool, refusal call.Reply, ok bool) {
+// leaves, its successor is asked in turn with it.
+func (k *KeyedSender) locate(service string, key outcome.Key, useSuccessor bool) (place, call.Reply, bool) {
 	b := k.config.Board.Snapshot()
 	home, _, agreed := homeOf(b, k.config.Zones, service, key, k.config.Window)
-	if !agreed {
-		refusal = noHome(key, time.Now(), k.config.Window)
-		home, presumed = presumedHome(b, k.config.Zones, service, key)
-		if !presumed || refusal.Reason != call.ReasonHomeUnknown {
-			return m, false, refusal, false
-		}
+	if agreed {
+		m, refusal, ok := answering(b, home, useSuccessor)
+		return place{Member: m}, refusal, ok
 	}
-	m, unanswered, ok := answering(b, home, useSuccessor)
-	if !presumed {
-		refusal = unanswered
+	refusal := noHome(key, time.Now(), k.config.Window)
+	home, presumed := presumedHome(b, k.config.Zones, service, key)
+	if !presumed || refusal.Reason != call.ReasonHomeUnknown {
+		return place{}, refusal, false
 	}
-	return m, presumed, refusal, ok
+	m, _, ok := answering(b, home, useSuccessor)
+	return place{Member: m, presumed: true}, refusal, ok
 }
 
 // presumedHome returns the node to ask about a key whose home is not known here. Nobody is asked in a zone that is not
