--- a/internal/process/node/informed_test.go
+++ b/internal/process/node/informed_test.go
@@ -36,6 +36,13 @@
 			Members:   board.Members{ByNode: map[string]membership.Member{home.Name: member}},
 			Homes:     board.Homes{Shards: shards},
 		}},
+		"no shard": {b: board.Board{
+			Documents: board.Documents{ByService: documents},
+			Members: board.Members{
+				ByNode:    map[string]membership.Member{home.Name: member},
+				ByService: map[string][]membership.Member{"access": {member}},
+			},
+		}},
 		"a home that has restarted": {b: board.Board{
 			Documents: board.Documents{ByService: documents},
 			Members: board.Members{
@@ -59,7 +66,7 @@
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			is.New(t).Equal(isInformed(&tc.b), tc.want)
+			is.New(t).Equal(isInformed(&tc.b, []string{"lisbon_1"}), tc.want)
 		})
 	}
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -345,7 +345,7 @@
 	deadline := time.Now().Add(informedTimeout)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		b := n.loop.Snapshot()
-		if isInformed(b) {
+		if isInformed(b, n.config.Settings.Node.ZoneList()) {
 			return
 		}
 		pause.For(ctx, gateTick)
@@ -353,21 +353,25 @@
 }
 
 // isInformed reports whether the node knows an instance of each service that has a document, and who answers for each
-// home of now.
-func isInformed(b *board.Board) bool {
+// home of now, in the shards of all availability zones.
+func isInformed(b *board.Board, zones []string) bool {
 	for service := range b.Documents.ByService {
 		if len(b.Members.ByService[service]) == 0 {
 			return false
 		}
 	}
-	for _, shard := range b.Homes.Shards {
+	for _, zone := range zones {
+		shard, known := b.Homes.Shards[zone]
+		if !known {
+			return false
+		}
 		for _, m := range shard.Last().Members {
 			if !flow.KnowsHome(b, m.Node) {
 				return false
 			}
 		}
 	}
-	return len(b.Documents.ByService) > 0 && len(b.Homes.Shards) > 0
+	return len(b.Documents.ByService) > 0
 }
 
 // ask asks another node about an attempt or a key.
