One piece of code where the change had written several

- peer: the three questions between nodes (resolve, promise, handover) share ask, and what was sent without an answer is one error, made in one place.
- A remembered key is the table's own entry; the copy of its fields, and the two mappings between them, are gone.
- zone: relisting the leaders takes changes in as the watch does, and the look for a restored platform reads a document as the editor does.
- Who takes work, and how many do, is asked of board.Members; the fleet and three packages of proofs counted it themselves.

No assertion of a test changes.

--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -76,6 +76,20 @@
 	ByService map[string][]membership.Member `json:"by_service"`
 }
 
+// TakingWork counts the members with a backend server that takes work.
+func (m Members) TakingWork() int {
+	count := 0
+	for _, members := range m.ByService {
+		count += len(members)
+	}
+	return count
+}
+
+// TakesWork reports whether requests for the service may be sent to the node.
+func (m Members) TakesWork(service, node string) bool {
+	return slices.ContainsFunc(m.ByService[service], func(member membership.Member) bool { return member.Node == node })
+}
+
 // InZone counts the members of the zone.
 func (m Members) InZone(zone string) int {
 	count := 0
--- a/internal/control/zone/watch.go
+++ b/internal/control/zone/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"time"
 
@@ -134,9 +133,7 @@
 	if err != nil {
 		return
 	}
-	c.takeIn(ctx, changes.Entries)
-	c.takeLeaders(ctx, changes.Entries, true)
-	c.keepLead(ctx, changes.Entries, true)
+	_ = c.takeChanges(ctx, LeaderPrefix, changes.Entries, true) // Only documents can fail.
 }
 
 // listedStill returns when all documents were listed last, or never where the platform lost one since. Then it may have
@@ -159,15 +156,12 @@
 	}
 	key := DocumentPrefix + service
 	held, _ := c.Held(ctx, key)
-	entry, err := c.config.Platform.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return true
-	}
+	entry, err := getOrNone(ctx, c.config.Platform, key)
 	if err != nil {
 		return false
 	}
-	stored, err := ParseStored(entry.Value)
-	return err == nil && stored.Version().Compare(held.Version) < 0
+	standing, err := parseStanding(entry)
+	return err == nil && standing.Stored.Version().Compare(held.Version) < 0
 }
 
 // changes returns everything under the prefix where nothing was seen before, and else what comes after the revision.
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -135,11 +135,7 @@
 	if err != nil || len(dump.Board.Documents.ByService) < len(f.config.Deployment.Services) {
 		return false
 	}
-	known := 0
-	for _, members := range dump.Board.Members.ByService {
-		known += len(members)
-	}
-	return known == len(f.Nodes) && answersCallers(ctx, n.Caller)
+	return dump.Board.Members.TakingWork() == len(f.Nodes) && answersCallers(ctx, n.Caller)
 }
 
 // answersCallers waits until the node, which lets callers wait while it learns of services, has answered one. The
--- a/internal/proof/control/document_test.go
+++ b/internal/proof/control/document_test.go
@@ -15,7 +15,7 @@
 )
 
 func TestDocumentsAndMembers(t *testing.T) {
-	f := start(t, fleet.Config{Deployment: fleet.Chain()})
+	f := harness.StartKilled(t, fleet.Config{Deployment: fleet.Chain()})
 
 	t.Run("in force everywhere within seconds", func(t *testing.T) {
 		for i, n := range f.Nodes {
--- a/internal/proof/control/main_test.go
+++ b/internal/proof/control/main_test.go
@@ -32,14 +32,6 @@
 	os.Exit(harness.Main(m))
 }
 
-// start starts a fleet whose processes are killed at the end, which spares their drains.
-func start(t *testing.T, config fleet.Config) *fleet.Fleet {
-	t.Helper()
-	f := harness.Start(t, config)
-	harness.KillAtEnd(t, f)
-	return f
-}
-
 func client(n *fleet.Node) *operator.Client {
 	return operator.NewClient(operator.ClientConfig{Address: n.Operator, Token: fleet.OperatorToken, Timeout: 10 * time.Second})
 }
@@ -144,15 +136,7 @@
 func takesWork(t *testing.T, nodes []*fleet.Node, member *fleet.Node) bool {
 	return slices.ContainsFunc(nodes, func(n *fleet.Node) bool {
 		d, ok := dump(t, n)
-		if !ok {
-			return true
-		}
-		for _, m := range d.Board.Members.ByService[member.Service] {
-			if m.Node == member.Name {
-				return true
-			}
-		}
-		return false
+		return !ok || d.Board.Members.TakesWork(member.Service, member.Name)
 	})
 }
 
@@ -160,14 +144,7 @@
 func everyoneTakesWork(t *testing.T, nodes []*fleet.Node) bool {
 	for _, n := range nodes {
 		d, ok := dump(t, n)
-		if !ok {
-			return false
-		}
-		known := 0
-		for _, members := range d.Board.Members.ByService {
-			known += len(members)
-		}
-		if known != len(nodes) {
+		if !ok || d.Board.Members.TakingWork() != len(nodes) {
 			return false
 		}
 	}
--- a/internal/proof/control/outage_test.go
+++ b/internal/proof/control/outage_test.go
@@ -46,7 +46,7 @@
 
 func TestPlatformOutage(t *testing.T) {
 	is := is.New(t)
-	f := start(t, fleet.Config{Deployment: fleet.Chain()})
+	f := harness.StartKilled(t, fleet.Config{Deployment: fleet.Chain()})
 	first, _ := inZone(f, "lisbon_1")
 	second, _ := inZone(f, "lisbon_2")
 	f.Store.SetFaults(store.Faults{Down: true})
@@ -79,7 +79,7 @@
 
 func TestFrozenLeader(t *testing.T) {
 	is := is.New(t)
-	f := start(t, fleet.Config{Deployment: fleet.Chain()})
+	f := harness.StartKilled(t, fleet.Config{Deployment: fleet.Chain()})
 	zoneNodes, _ := inZone(f, "lisbon_1")
 	frozen := settledLeader(t, zoneNodes)
 	others := without(f.Nodes, frozen)
@@ -104,7 +104,7 @@
 
 func TestZoneCutOff(t *testing.T) {
 	is := is.New(t)
-	f := start(t, fleet.Config{Deployment: fleet.Chain()})
+	f := harness.StartKilled(t, fleet.Config{Deployment: fleet.Chain()})
 	inside, outside := inZone(f, "lisbon_1")
 	led := settledLeader(t, inside)
 	restarted := without(inside, led)[0]
@@ -132,7 +132,7 @@
 }
 
 func TestOneWayCut(t *testing.T) {
-	f := start(t, fleet.Config{Deployment: fleet.Chain()})
+	f := harness.StartKilled(t, fleet.Config{Deployment: fleet.Chain()})
 	inside, outside := inZone(f, "lisbon_3")
 	led := settledLeader(t, inside)
 	// What the leader sends to the platform arrives; the answers do not.
@@ -170,7 +170,7 @@
 }
 
 func TestNewNodeJoinsThroughASeed(t *testing.T) {
-	f := start(t, fleet.Config{Deployment: fleet.Chain()})
+	f := harness.StartKilled(t, fleet.Config{Deployment: fleet.Chain()})
 	f.Store.SetFaults(store.Faults{Down: true})
 	joining, seed := f.Nodes[0], f.Nodes[1]
 	edit := operation(t, joining)
@@ -214,7 +214,7 @@
 	deployment := fleet.Chain()
 	deployment.Services = deployment.Services[1:]
 	deployment.Services[0].Instances = instances
-	return start(t, fleet.Config{Deployment: deployment})
+	return harness.StartKilled(t, fleet.Config{Deployment: deployment})
 }
 
 func calls(c store.Counts) uint64 {
--- a/internal/proof/control/reasons_test.go
+++ b/internal/proof/control/reasons_test.go
@@ -30,7 +30,7 @@
 	access.Instances, access.Slots = 2, 2
 	access.Behaviour.ServiceTime = 50 * time.Millisecond
 	access.Behaviour.CrashOn, access.Behaviour.RestartAfter = poison, 200*time.Millisecond
-	f := start(t, fleet.Config{Deployment: deployment})
+	f := harness.StartKilled(t, fleet.Config{Deployment: deployment})
 
 	flood := load.Stream{Name: "archive", Service: service, Method: http.MethodGet, Path: "/archive/x", Rank: 7, Rate: 600, Timeout: time.Second}
 	load.Run(t.Context(), load.Config{Streams: []load.Stream{flood}, Targets: f.Callers(), Duration: 2 * time.Second, Seed: 1})
--- a/internal/proof/control/session_test.go
+++ b/internal/proof/control/session_test.go
@@ -20,6 +20,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/store"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/node"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
 
 const (
@@ -86,7 +87,7 @@
 	deployment.Services = deployment.Services[1:]
 	deployment.Services[0].Instances = 1
 	tokens := "*:" + fleet.OperatorToken + ",access-team:" + teamToken + ",bookings-team:" + otherToken
-	f := start(t, fleet.Config{Deployment: deployment, Settings: []string{"-operator.tokens", tokens}})
+	f := harness.StartKilled(t, fleet.Config{Deployment: deployment, Settings: []string{"-operator.tokens", tokens}})
 	s := &session{t: t, node: f.Nodes[0]}
 	const path = "/v1/documents/access"
 	faulty := strings.NewReplacer("rank = 2", "rank = 12", "idempotent = true", "idempotent = perhaps").Replace(string(document(900)))
@@ -118,7 +119,7 @@
 // TestDumpAndMetrics reads the state of a node in each way in which operators can.
 func TestDumpAndMetrics(t *testing.T) {
 	is := is.New(t)
-	f := start(t, fleet.Config{Deployment: fleet.Chain()})
+	f := harness.StartKilled(t, fleet.Config{Deployment: fleet.Chain()})
 	is.True(serves(t, f.Nodes))
 	for _, n := range f.Nodes {
 		encoded, err := client(n).Dump(t.Context())
--- a/internal/proof/control/stale_test.go
+++ b/internal/proof/control/stale_test.go
@@ -20,7 +20,7 @@
 	is := is.New(t)
 	deployment := fleet.Chain()
 	deployment.Services[1].Instances = 6 // three nodes in each zone
-	f := start(t, fleet.Config{Deployment: deployment})
+	f := harness.StartKilled(t, fleet.Config{Deployment: deployment})
 	zoneNodes, _ := inZone(f, "lisbon_1")
 	frozen := settledLeader(t, zoneNodes)
 	followers := without(zoneNodes, frozen)
--- a/internal/proof/harness/harness.go
+++ b/internal/proof/harness/harness.go
@@ -60,15 +60,17 @@
 	return f
 }
 
-// KillAtEnd kills the nodes when the test is over, which spares their drains. It is for tests that look at nothing after
-// their last step.
-func KillAtEnd(t *testing.T, f *fleet.Fleet) {
+// StartKilled starts a fleet as Start does, and kills its nodes when the test is over, which spares their drains. It is
+// for tests that look at nothing after their last step.
+func StartKilled(t *testing.T, config fleet.Config) *fleet.Fleet {
 	t.Helper()
+	f := Start(t, config)
 	t.Cleanup(func() {
 		for _, n := range f.Nodes {
 			n.Kill()
 		}
 	})
+	return f
 }
 
 // Eventually waits until the condition holds and fails the test where it does not within the time.
--- a/internal/proof/once/roll_test.go
+++ b/internal/proof/once/roll_test.go
@@ -13,7 +13,6 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/once"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
-	"github.com/comfreyhoist/comfreyhoist/internal/process/node"
 	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
 
@@ -25,7 +24,7 @@
 	}
 	for _, n := range f.Nodes {
 		dump, err := fleet.FetchDump(t.Context(), n.Backend)
-		if err != nil || instances(dump) != len(f.Nodes) {
+		if err != nil || dump.Board.Members.TakingWork() != len(f.Nodes) {
 			return false
 		}
 		for _, s := range dump.Board.Homes.Shards {
@@ -40,15 +39,6 @@
 	return true
 }
 
-// instances returns how many instances of all services the node knows.
-func instances(dump node.Dump) int {
-	count := 0
-	for _, members := range dump.Board.Members.ByService {
-		count += len(members)
-	}
-	return count
-}
-
 // rolling is a fleet whose nodes are replaced in rounds, those of one round at the same time.
 type rolling struct {
 	deployment fleet.Deployment
--- a/internal/proof/routing/lost_test.go
+++ b/internal/proof/routing/lost_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,7 +9,6 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
-	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
 	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
@@ -80,10 +78,7 @@
 		if err != nil {
 			t.Fatalf("dump of %s: %v", n.Name, err)
 		}
-		known := slices.ContainsFunc(dump.Board.Members.ByService[lost.Service], func(m membership.Member) bool {
-			return m.Node == lost.Name
-		})
-		if known != takesWork {
+		if dump.Board.Members.TakesWork(lost.Service, lost.Name) != takesWork {
 			return false
 		}
 	}
--- a/internal/proof/shell/answers_test.go
+++ b/internal/proof/shell/answers_test.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/proxy"
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/server"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
 
 const (
@@ -50,7 +51,7 @@
 // crossed, doubled, truncated and corrupted, and holds each answer against its request and the backend servers' ledgers.
 func TestEveryCallerGetsItsOwnAnswer(t *testing.T) {
 	t.Parallel()
-	f := start(t, fleet.Config{Deployment: deployment(len(bookingsNodes)), Seed: 1})
+	f := harness.StartKilled(t, fleet.Config{Deployment: deployment(len(bookingsNodes)), Seed: 1})
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, seed))
--- a/internal/proof/shell/damage_test.go
+++ b/internal/proof/shell/damage_test.go
@@ -28,7 +28,7 @@
 func TestDamagedRequestIsNoFaultOfTheCaller(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := start(t, fleet.Config{Deployment: deployment(1)})
+	f := harness.StartKilled(t, fleet.Config{Deployment: deployment(1)})
 	f.Network.Set("access_0", "bookings_0", proxy.Fault{Corrupt: true})
 	for i := range 5 {
 		a := answer{id: fmt.Sprintf("damaged-%d", i), path: bookingPath, deadline: damagedDeadline, body: bytes.Repeat([]byte("ballroom"), 1000)}
@@ -42,7 +42,7 @@
 // name or a number as in the body, in each direction.
 func TestDamagedFieldsAreFound(t *testing.T) {
 	t.Parallel()
-	f := start(t, fleet.Config{Deployment: deployment(1)})
+	f := harness.StartKilled(t, fleet.Config{Deployment: deployment(1)})
 	for _, direction := range [][2]string{{"access_0", "bookings_0"}, {"bookings_0", "access_0"}} {
 		t.Run(direction[0]+" to "+direction[1], func(t *testing.T) {
 			f.Network.Clear()
--- a/internal/proof/shell/fixture_test.go
+++ b/internal/proof/shell/fixture_test.go
@@ -17,14 +17,6 @@
 	os.Exit(harness.Main(m))
 }
 
-// start starts a fleet whose processes are killed at the end.
-func start(t *testing.T, config fleet.Config) *fleet.Fleet {
-	t.Helper()
-	f := harness.Start(t, config)
-	harness.KillAtEnd(t, f)
-	return f
-}
-
 const bookingsDocument = `[service]
 name = bookings
 team = bookings-team
--- a/internal/proof/shell/input_test.go
+++ b/internal/proof/shell/input_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 )
 
 // limitedEvery is longer than the time between two events of one number that strangers can cause.
@@ -19,7 +20,7 @@
 func TestBadInputOfCallers(t *testing.T) {
 	t.Parallel()
 	l := &logs{}
-	f := start(t, fleet.Config{
+	f := harness.StartKilled(t, fleet.Config{
 		Deployment: deployment(1),
 		Output:     l,
 		Settings:   []string{"-caller.max_body", "1024", "-caller.header_timeout", "500ms", "-caller.body_timeout", "1s"},
@@ -95,7 +96,7 @@
 func TestGarbageOnThePeerAddress(t *testing.T) {
 	t.Parallel()
 	l := &logs{}
-	f := start(t, fleet.Config{
+	f := harness.StartKilled(t, fleet.Config{
 		Deployment: deployment(1),
 		Output:     l,
 		Settings:   []string{"-peer.idle_timeout", "1s", "-log.level", "debug"},
--- a/internal/proof/shell/session_test.go
+++ b/internal/proof/shell/session_test.go
@@ -138,7 +138,7 @@
 
 func startSessions(t *testing.T) *fleet.Fleet {
 	t.Helper()
-	f := start(t, fleet.Config{Deployment: oneInstance()})
+	f := harness.StartKilled(t, fleet.Config{Deployment: oneInstance()})
 	harness.Eventually(t, 60*time.Second, func() bool { return remembers(t, f) })
 	return f
 }
--- a/internal/traffic/flow/handover.go
+++ b/internal/traffic/flow/handover.go
@@ -15,7 +15,6 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
-	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
 
@@ -108,15 +107,7 @@
 		if k.State == outcome.Moved && h.answersFor(k.MovedTo) {
 			continue
 		}
-		h.keys.Restore(now, outcome.Entry[call.Reply]{
-			ID:          k.ID,
-			UnixMillis:  k.UnixMillis,
-			Fingerprint: k.Fingerprint,
-			State:       k.State,
-			Reply:       k.Reply,
-			Bytes:       k.Bytes,
-			MovedTo:     k.MovedTo,
-		})
+		h.keys.Restore(now, k)
 	}
 }
 
@@ -252,7 +243,7 @@
 			size = 0
 		}
 		last := &parts[len(parts)-1]
-		last.Keys = append(last.Keys, rememberedKey(e))
+		last.Keys = append(last.Keys, e)
 		size += e.Bytes
 		keys++
 	}
@@ -262,15 +253,3 @@
 	}
 	return parts, keys
 }
-
-func rememberedKey(e outcome.Entry[call.Reply]) peer.RememberedKey {
-	return peer.RememberedKey{
-		ID:          e.ID,
-		Fingerprint: e.Fingerprint,
-		UnixMillis:  e.UnixMillis,
-		Bytes:       e.Bytes,
-		State:       e.State,
-		Reply:       e.Reply,
-		MovedTo:     e.MovedTo,
-	}
-}
--- a/internal/traffic/peer/blame.go
+++ b/internal/traffic/peer/blame.go
@@ -25,7 +25,7 @@
 		return err
 	})
 	if err != nil {
-		return &Error{Address: address, Sent: true, Reason: reasonOf(ctx), Cause: err}
+		return unanswered(ctx, address, err)
 	}
 	return nil
 }
--- a/internal/traffic/peer/client.go
+++ b/internal/traffic/peer/client.go
@@ -76,7 +76,7 @@
 		return call.Reply{}, notSent(ctx, address, err)
 	}
 	if err != nil {
-		return call.Reply{}, &Error{Address: address, Sent: true, Reason: reasonOf(ctx), Cause: err}
+		return call.Reply{}, unanswered(ctx, address, err)
 	}
 	if err := checkReply(r, answer); err != nil {
 		return call.Reply{}, &Error{Address: address, Sent: true, Reason: call.ReasonCorrupt, Cause: err}
@@ -95,6 +95,26 @@
 	return failure
 }
 
+// unanswered is the failure of what was sent and got no answer.
+func unanswered(ctx context.Context, address string, err error) *Error {
+	return &Error{Address: address, Sent: true, Reason: reasonOf(ctx), Cause: err}
+}
+
+// ask puts one question to the node at the address, on a connection of its own, because an older one may be silent.
+func ask[A any](ctx context.Context, c *Client, address string, timeout time.Duration, f func(context.Context, peerpb.DRPCPeerClient) (A, error)) (A, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var answer A
+	err := c.pool.UseNew(ctx, address, func(conn drpc.Conn) (err error) {
+		answer, err = f(ctx, peerpb.NewDRPCPeerClient(conn))
+		return err
+	})
+	if err != nil {
+		return answer, unanswered(ctx, address, err)
+	}
+	return answer, nil
+}
+
 func reasonOf(ctx context.Context) call.Reason {
 	switch ctx.Err() {
 	case context.DeadlineExceeded:
--- a/internal/traffic/peer/handover.go
+++ b/internal/traffic/peer/handover.go
@@ -4,25 +4,13 @@
 	"context"
 	"time"
 
-	"storj.io/drpc"
-
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
 )
 
-// RememberedKey is one key that a leaving node hands over.
-type RememberedKey struct {
-	ID          string
-	Fingerprint uint64
-	UnixMillis  int64
-	Bytes       int
-	// State is Done with a Reply, NotRun or Moved.
-	State outcome.State
-	Reply call.Reply
-	// MovedTo is the node that took the key over, with Moved.
-	MovedTo outcome.Node
-}
+// RememberedKey is one key that a leaving node hands over: Done with a reply, NotRun or Moved.
+type RememberedKey = outcome.Entry[call.Reply]
 
 // HandoverPart is a part of what a leaving node hands over.
 type HandoverPart struct {
@@ -39,8 +27,6 @@
 
 // HandOver sends one part and reports whether the receiver took it; false says that it will never take any.
 func (c *Client) HandOver(ctx context.Context, address string, p HandoverPart, timeout time.Duration) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	request := &peerpb.HandoverRequest{SourceNode: c.node, HandoverId: p.ID, Part: int32(p.Part), Parts: int32(p.Parts), TargetIncarnation: p.Target}
 	for _, k := range p.Keys {
 		request.Keys = append(request.Keys, keyMessage(k))
@@ -48,13 +34,11 @@
 	for _, h := range p.Homes {
 		request.Homes = append(request.Homes, homeMessage(h))
 	}
-	var answer *peerpb.HandoverReply
-	err := c.pool.UseNew(ctx, address, func(conn drpc.Conn) (err error) {
-		answer, err = peerpb.NewDRPCPeerClient(conn).Handover(ctx, request)
-		return err
+	answer, err := ask(ctx, c, address, timeout, func(ctx context.Context, client peerpb.DRPCPeerClient) (*peerpb.HandoverReply, error) {
+		return client.Handover(ctx, request)
 	})
 	if err != nil {
-		return false, &Error{Address: address, Sent: true, Reason: reasonOf(ctx), Cause: err}
+		return false, err
 	}
 	return !answer.GetRefused(), nil
 }
--- a/internal/traffic/peer/promise.go
+++ b/internal/traffic/peer/promise.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"storj.io/drpc"
-
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
 )
 
@@ -31,8 +29,6 @@
 
 // Promise asks the keeper at the address.
 func (c *Client) Promise(ctx context.Context, address string, q PromiseQuestion, timeout time.Duration) (PromiseAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	request := &peerpb.PromiseRequest{
 		Shard:           q.Shard,
 		Term:            q.Term,
@@ -40,13 +36,11 @@
 		Fence:           q.Fence,
 		Incarnation:     q.Incarnation,
 	}
-	var answer *peerpb.PromiseReply
-	err := c.pool.UseNew(ctx, address, func(conn drpc.Conn) (err error) {
-		answer, err = peerpb.NewDRPCPeerClient(conn).Promise(ctx, request)
-		return err
+	answer, err := ask(ctx, c, address, timeout, func(ctx context.Context, client peerpb.DRPCPeerClient) (*peerpb.PromiseReply, error) {
+		return client.Promise(ctx, request)
 	})
 	if err != nil {
-		return PromiseAnswer{}, &Error{Address: address, Sent: true, Reason: reasonOf(ctx), Cause: err}
+		return PromiseAnswer{}, err
 	}
 	return PromiseAnswer{Known: answer.GetKnown(), Granted: answer.GetGranted(), Until: answer.GetUntilUnixMillis()}, nil
 }
--- a/internal/traffic/peer/resolve.go
+++ b/internal/traffic/peer/resolve.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"storj.io/drpc"
-
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
@@ -54,8 +52,6 @@
 
 // Resolve asks the node at the address on a connection of its own, because an older one may be silent.
 func (c *Client) Resolve(ctx context.Context, address string, q Question, timeout time.Duration) (Resolution, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	request := &peerpb.ResolveRequest{
 		AttemptId:   q.AttemptID,
 		Key:         q.Key,
@@ -65,13 +61,11 @@
 		Move:        q.Move,
 		MoveTo:      homeMessage(q.MoveTo),
 	}
-	var answer *peerpb.ResolveReply
-	err := c.pool.UseNew(ctx, address, func(conn drpc.Conn) (err error) {
-		answer, err = peerpb.NewDRPCPeerClient(conn).Resolve(ctx, request)
-		return err
+	answer, err := ask(ctx, c, address, timeout, func(ctx context.Context, client peerpb.DRPCPeerClient) (*peerpb.ResolveReply, error) {
+		return client.Resolve(ctx, request)
 	})
 	if err != nil {
-		return Resolution{}, &Error{Address: address, Sent: true, Reason: reasonOf(ctx), Cause: err}
+		return Resolution{}, err
 	}
 	state, known := states[answer.GetState()]
 	resolution := Resolution{State: state, Known: known, Fingerprint: answer.GetFingerprint()}
