--- a/cmd/comfreyhoist/node.go
+++ b/cmd/comfreyhoist/node.go
@@ -12,6 +12,8 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/node"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/routed"
+	"github.com/comfreyhoist/comfreyhoist/platform"
 )
 
 const nodeHelp = `Runs one node beside its backend server until SIGTERM or SIGINT, which drain it first.
@@ -44,6 +46,9 @@
 	if err != nil {
 		return trace.BadParameter("log.level: %v", err)
 	}
-	log := events.NewLog(os.Stderr, level, s.Node.Name)
+	log := events.NewLog(os.Stdout, level, s.Node.Name)
+	if s.Platform.Source == settings.FromRoutes {
+		return trace.Wrap(routed.Run(ctx, routed.Config{Settings: s, Log: log, Adapter: platform.NewAdapter(s)}))
+	}
 	return trace.Wrap(node.Run(ctx, node.Config{Settings: s, Log: log}))
 }
--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/document"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/routes"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/liveness"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
@@ -33,6 +34,8 @@
 	Platform  Platform  `json:"platform"`
 	Homes     Homes     `json:"homes"`
 	Reach     Reach     `json:"reach"`
+	// Routes are those in force, where the node goes by routes; nil while none are known.
+	Routes *routes.Table `json:"routes,omitempty"`
 }
 
 // Self says who the node is and whether it leaves. Written by the node.
@@ -53,10 +56,12 @@
 
 // Backend is the local backend server, as it announced itself. Written by the backend listener.
 type Backend struct {
-	Service     string    `json:"service"`
-	Address     string    `json:"address"`
-	Slots       int       `json:"slots"`
-	Connections int       `json:"connections"`
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	// Instance names the start of the backend server that announced itself; empty where it gave no name.
+	Instance    string    `json:"instance,omitempty"`
 	Leaving     bool      `json:"leaving"`
 	AnnouncedAt time.Time `json:"announced_at"`
 	// State is whether the backend server is there.
--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -47,6 +47,14 @@
 	KeysHandedOver     Number = 1501
 	HomesChanged       Number = 1502
 	KeysLost           Number = 1503
+	EntryUnread        Number = 1601
+	EntryUnwritten     Number = 1602
+	RoutesInForce      Number = 1603
+	RoutesRefused      Number = 1604
+	AnnouncementStale  Number = 1605
+	RequestRefused     Number = 1701
+	RequestFailed      Number = 1702
+	RequestRetried     Number = 1703
 )
 
 // Entry is the catalogue entry of one event.
@@ -91,6 +99,14 @@
 	DocumentReinstated: {Name: "document_reinstated", Level: zerolog.WarnLevel, Since: "0.2", Text: "The platform had an older document than the nodes, and the newer one was written back.", Action: "Find out why the platform went back to older content."},
 	KeysHandedOver:     {Name: "keys_handed_over", Level: zerolog.InfoLevel, Since: "0.1", Text: "A leaving node's remembered keys went to its successor."},
 	KeysLost:           {Name: "keys_lost", Level: zerolog.WarnLevel, Since: "0.2", Text: "A leaving node could not hand its keys over for certain; callers that send them again are told unknown or not_admitted.", Action: "Look for what kept the successor from answering; let callers of the last minutes check their orders."},
+	EntryUnread:        {Name: "entry_unread", Level: zerolog.WarnLevel, Since: "0.3", Text: "An entry of a member in the platform's store can't be read and names nobody; at most one a second is logged, with the number left out.", Action: "Find out who wrote the key."},
+	EntryUnwritten:     {Name: "entry_unwritten", Level: zerolog.WarnLevel, Since: "0.3", Text: "This node could not write its entry to the platform's store, or renew it; it tries again. At most one a second is logged.", Action: "Check the way to the platform; requests go on meanwhile."},
+	RoutesInForce:      {Name: "routes_in_force", Level: zerolog.InfoLevel, Since: "0.3", Text: "A version of the routes is in force on this node."},
+	RoutesRefused:      {Name: "routes_refused", Level: zerolog.WarnLevel, Since: "0.3", Text: "A version of the routes has faults or is older than the one in force, which stays.", Action: "The error names the first fault; mend the routes and write them again."},
+	AnnouncementStale:  {Name: "announcement_stale", Level: zerolog.InfoLevel, Since: "0.3", Text: "An announcement was late, or comes from an earlier start of the backend server, and changes nothing."},
+	RequestRefused:     {Name: "request_refused", Level: zerolog.InfoLevel, Since: "0.3", Text: "A request was given up before a backend server ran it, and its caller was told when to come back."},
+	RequestFailed:      {Name: "request_failed", Level: zerolog.InfoLevel, Since: "0.3", Text: "A request that may have run got no whole answer."},
+	RequestRetried:     {Name: "request_retried", Level: zerolog.InfoLevel, Since: "0.3", Text: "A request is sent to another instance."},
 	HomesChanged:       {Name: "homes_changed", Level: zerolog.InfoLevel, Since: "0.1", Text: "Another set of nodes remembers the keys from a given time on."},
 }
 
--- /dev/null
+++ b/internal/control/members/members.go
@@ -0,0 +1,359 @@
+// Package members keeps the board's list of members in step with the platform's store, and this node's own entry in
+// the store in step with the board. The entry stands under a lease, so that it goes away with the node.
+//
+// # Usage
+//
+//	c := members.NewController(members.Config{Board: loop, Store: s, Log: log})
+//	c.Run(ctx)
+//
+// An entry is the JSON of a membership.Member under the key "members/" and the node's name.
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/store"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/roster"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
+)
+
+// Prefix begins the keys of all entries.
+const Prefix = "members/"
+
+const (
+	// leaseTime is how long an entry outlives its node.
+	leaseTime = 4 * time.Second
+	// renewEvery is the time between renewals.
+	renewEvery = 1300 * time.Millisecond
+	// lookEvery is the time between looks at whether the own entry still says what is so.
+	lookEvery = 20 * time.Millisecond
+	// writeTimeout bounds one call for the own entry.
+	writeTimeout = 700 * time.Millisecond
+	// writeRetry is the pause after a call that failed.
+	writeRetry = 150 * time.Millisecond
+	// watchWait is how long one watch waits.
+	watchWait = 30 * time.Second
+	// watchSettle lets the entries of a fleet that starts come together.
+	watchSettle = 150 * time.Millisecond
+	// refreshEvery is the time between looks for members that were kept long enough.
+	refreshEvery = time.Second
+)
+
+// Config sets a Controller up.
+type Config struct {
+	Board *board.Loop
+	Store store.Store
+	Log   *events.Limiter
+}
+
+// Controller is both halves: the list that is read, and the entry that is written.
+type Controller struct {
+	config Config
+	roster *roster.Roster
+	entry  ownEntry
+	// goneAt is the revision at which the store was last seen without the own entry.
+	goneAt atomic.Uint64
+}
+
+// NewController returns a controller that knows nobody.
+func NewController(config Config) *Controller {
+	return &Controller{config: config, roster: roster.New(roster.DefaultConfig)}
+}
+
+// Run works until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { c.announce(ctx) })
+	c.follow(ctx)
+}
+
+// change is what the follower saw, in the order it came.
+type change struct {
+	whole    bool
+	revision uint64
+	listed   []roster.Entry
+	changes  []roster.Change
+}
+
+// follow keeps the board's members up to date. The roster belongs to this goroutine.
+func (c *Controller) follow(ctx context.Context) {
+	seen := make(chan change)
+	send := func(ctx context.Context, ch change) {
+		select {
+		case seen <- ch:
+		case <-ctx.Done():
+		}
+	}
+	follower := store.NewFollower(store.FollowerConfig{
+		Store:  c.config.Store,
+		Prefix: Prefix,
+		Wait:   watchWait,
+		Settle: watchSettle,
+		Listed: func(ctx context.Context, s store.Snapshot) {
+			send(ctx, change{whole: true, listed: c.entries(s.Items)})
+		},
+		Changed: func(ctx context.Context, ch store.Changes) { send(ctx, change{changes: c.changes(ch.Events)}) },
+		Lost:    func(err error) { c.platform(ctx, false, err) },
+		Back:    func() { c.platform(ctx, true, nil) },
+	})
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { follower.Run(ctx) })
+	ticker := time.NewTicker(refreshEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case ch := <-seen:
+			c.take(ch)
+		}
+		c.publish(ctx)
+	}
+}
+
+func (c *Controller) take(ch change) {
+	now := time.Now()
+	own := Prefix + c.config.Board.Snapshot().Self.Node
+	if ch.whole {
+		c.roster.Replace(now, ch.listed)
+		if !slices.ContainsFunc(ch.listed, func(e roster.Entry) bool { return e.Key == own }) {
+			c.goneAt.Store(ch.revision)
+		}
+	}
+	for _, one := range ch.changes {
+		c.roster.Apply(now, one)
+		if one.Deleted && one.Key == own {
+			c.goneAt.Store(one.Revision)
+		}
+	}
+}
+
+// entries reads items. One that can't be read names nobody.
+func (c *Controller) entries(items []store.Item) []roster.Entry {
+	var entries []roster.Entry
+	for _, item := range items {
+		if e, ok := c.entryOf(item); ok {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
+func (c *Controller) entryOf(item store.Item) (roster.Entry, bool) {
+	e := roster.Entry{Key: item.Key, Revision: item.Revision}
+	err := json.Unmarshal(item.Value, &e.Member)
+	if err != nil || e.Member.Node == "" || e.Member.PeerAddress == "" {
+		c.config.Log.Emit(time.Now(), events.EntryUnread, events.Fields{"key": item.Key, "revision": item.Revision, "error": errorText(err)})
+		return e, false
+	}
+	return e, true
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "node or peer_address is missing"
+	}
+	return err.Error()
+}
+
+func (c *Controller) changes(changed []store.Event) []roster.Change {
+	var changes []roster.Change
+	for _, event := range changed {
+		if event.Deleted {
+			changes = append(changes, roster.Change{Entry: roster.Entry{Key: event.Key, Revision: event.Revision}, Deleted: true})
+			continue
+		}
+		if e, ok := c.entryOf(event.Item); ok {
+			changes = append(changes, roster.Change{Entry: e})
+		}
+	}
+	return changes
+}
+
+// publish writes the members to the board where they have changed.
+func (c *Controller) publish(ctx context.Context) {
+	next := membersOf(c.roster.Members(time.Now()))
+	before := c.config.Board.Snapshot().Members
+	if sameMembers(before, next) {
+		return
+	}
+	c.note(before, next)
+	c.config.Board.Do(ctx, func(b *board.Board) { b.Members = next })
+}
+
+func (c *Controller) note(before, next board.Members) {
+	for name, m := range next.ByNode {
+		if before.ByNode[name] != m {
+			c.config.Log.Emit(time.Now(), events.MemberUp, events.Fields{
+				"member": name, "service": m.Service, "state": string(m.State), "unconfirmed": m.Unconfirmed, "incarnation": m.Incarnation,
+			})
+		}
+	}
+	for name := range before.ByNode {
+		if _, stays := next.ByNode[name]; !stays {
+			c.config.Log.Emit(time.Now(), events.MemberDown, events.Fields{"member": name})
+		}
+	}
+}
+
+func membersOf(list []membership.Member) board.Members {
+	members := board.Members{ByNode: map[string]membership.Member{}, ByService: map[string][]membership.Member{}}
+	for _, m := range list {
+		members.ByNode[m.Node] = m
+		if m.TakesWork() {
+			members.ByService[m.Service] = append(members.ByService[m.Service], m)
+		}
+	}
+	return members
+}
+
+func sameMembers(a, b board.Members) bool {
+	if len(a.ByNode) != len(b.ByNode) {
+		return false
+	}
+	for name, m := range a.ByNode {
+		if b.ByNode[name] != m {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Controller) platform(ctx context.Context, reachable bool, err error) {
+	c.config.Board.Do(ctx, func(b *board.Board) { b.Platform = board.Platform{Reachable: reachable, Since: time.Now()} })
+	if reachable {
+		c.config.Log.Emit(time.Now(), events.PlatformBack, nil)
+		return
+	}
+	c.config.Log.Emit(time.Now(), events.PlatformLost, events.Fields{"error": err.Error()})
+}
+
+// ownEntry is what is known of this node's entry in the store.
+type ownEntry struct {
+	lease     uint64
+	renewedAt time.Time
+	revision  uint64
+	// held says that the store is known to hold written under the revision.
+	held    bool
+	written membership.Member
+}
+
+// announce keeps the own entry in the store.
+func (c *Controller) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := c.tend(ctx); err != nil && ctx.Err() == nil {
+			c.config.Log.Emit(time.Now(), events.EntryUnwritten, events.Fields{"error": err.Error()})
+			pause.For(ctx, writeRetry)
+			continue
+		}
+		pause.For(ctx, lookEvery)
+	}
+}
+
+// tend makes the calls that are due.
+func (c *Controller) tend(ctx context.Context) error {
+	own, known := Own(c.config.Board.Snapshot())
+	if !known {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	e := &c.entry
+	if e.lease != 0 && time.Since(e.renewedAt) >= renewEvery {
+		return c.renew(ctx)
+	}
+	if e.held && e.written == own && e.revision >= c.goneAt.Load() {
+		return nil
+	}
+	if e.lease == 0 {
+		return c.grant(ctx)
+	}
+	return c.write(ctx, own)
+}
+
+func (c *Controller) grant(ctx context.Context) error {
+	asked := time.Now()
+	lease, err := c.config.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		return err
+	}
+	c.entry.lease, c.entry.renewedAt, c.entry.held = lease, asked, false
+	return nil
+}
+
+// renew keeps the lease. A lease that ended took the entry along.
+func (c *Controller) renew(ctx context.Context) error {
+	asked := time.Now()
+	err := c.config.Store.Renew(ctx, c.entry.lease)
+	if errors.Is(err, store.ErrNoLease) {
+		c.entry = ownEntry{}
+		return nil
+	}
+	if err == nil {
+		c.entry.renewedAt = asked
+	}
+	return err
+}
+
+func (c *Controller) write(ctx context.Context, own membership.Member) error {
+	value, err := json.Marshal(own)
+	if err != nil {
+		return err
+	}
+	revision, err := c.config.Store.Put(ctx, store.Write{
+		Key: Prefix + own.Node, Value: value, Expected: c.entry.revision, Lease: c.entry.lease,
+	})
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		return c.reread(ctx, own.Node)
+	case errors.Is(err, store.ErrNoLease):
+		c.entry = ownEntry{}
+		return nil
+	case err != nil:
+		return err
+	}
+	c.entry.revision, c.entry.held, c.entry.written = revision, true, own
+	return nil
+}
+
+// reread learns the revision of the entry that stands, such as that of an earlier process or of a write whose answer
+// was lost.
+func (c *Controller) reread(ctx context.Context, node string) error {
+	item, err := c.config.Store.Get(ctx, Prefix+node)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	c.entry.revision = item.Revision
+	return nil
+}
+
+// Own returns the entry of this node, or false while no backend server has announced itself.
+func Own(b *board.Board) (membership.Member, bool) {
+	state := membership.Up
+	if b.Self.Draining || b.Backend.Leaving {
+		state = membership.Leaving
+	}
+	return membership.Member{
+		Node:        b.Self.Node,
+		Incarnation: b.Self.Incarnation,
+		Zone:        b.Self.Zone,
+		PeerAddress: b.Self.PeerAddress,
+		Service:     b.Backend.Service,
+		Slots:       b.Backend.Slots,
+		State:       state,
+		Lost:        b.Backend.IsLost(),
+	}, b.Backend.Service != ""
+}
--- a/internal/control/settings/settings.go
+++ b/internal/control/settings/settings.go
@@ -36,6 +36,7 @@
 	Peer     Peer
 	Backend  Backend
 	Operator Operator
+	Ready    Ready
 	Platform Platform
 	Keys     Keys
 	Log      Log
@@ -49,6 +50,8 @@
 	Name   string
 	Zone   string
 	Region string
+	// Service is that of the local backend server, where the node goes by routes.
+	Service string
 	// Zones are all availability zones that remember keys; the same list everywhere.
 	Zones string
 }
@@ -88,10 +91,25 @@
 	Tokens string
 }
 
+// Ready is the listener that tells whether the node takes new work; used only where the node goes by routes.
+type Ready struct {
+	Address string
+}
+
+// The sources of what a node goes by.
+const (
+	// FromDocuments takes the documents that teams give to the administration API.
+	FromDocuments = "documents"
+	// FromRoutes takes the routes that operators write to the platform's store.
+	FromRoutes = "routes"
+)
+
 // Platform is the platform's key-value service.
 type Platform struct {
 	URL     string
 	Timeout time.Duration
+	// Source is FromDocuments or FromRoutes.
+	Source string
 }
 
 // Keys bounds what is remembered of the keys of requests that are not idempotent.
@@ -146,6 +164,7 @@
 	flags.StringVar(&s.Node.Name, "node.name", "", "unique name of this node")
 	flags.StringVar(&s.Node.Zone, "node.zone", "", "availability zone of this node")
 	flags.StringVar(&s.Node.Region, "node.region", "", "region of this node")
+	flags.StringVar(&s.Node.Service, "node.service", "", "service of the local backend server; only with platform.source = routes")
 	flags.StringVar(&s.Node.Zones, "node.zones", "", "all availability zones, separated by commas")
 	flags.StringVar(&s.Caller.Address, "caller.address", "", "IP and port that callers use")
 	flags.Int64Var(&s.Caller.MaxBody, "caller.max_body", defaultMaxBody, "largest body in bytes")
@@ -160,6 +179,8 @@
 	flags.DurationVar(&s.Backend.MaxWait, "backend.max_wait", defaultMaxWait, "longest wait for a slot")
 	flags.StringVar(&s.Operator.Address, "operator.address", "", "IP and port of the administration API; empty for none")
 	flags.StringVar(&s.Operator.Tokens, "operator.tokens", "", "team:token or team/editor:token pairs, separated by commas")
+	flags.StringVar(&s.Ready.Address, "ready.address", "", "IP and port that tell whether the node takes new work; only with platform.source = routes")
+	flags.StringVar(&s.Platform.Source, "platform.source", FromDocuments, "what the node goes by: documents of teams, or routes of operators")
 	flags.StringVar(&s.Platform.URL, "platform.url", "", "URL of the platform's key-value service")
 	flags.DurationVar(&s.Platform.Timeout, "platform.timeout", defaultPlatformWait, "time for one answer of the platform")
 	flags.DurationVar(&s.Keys.Window, "keys.window", defaultKeysWindow, "time for which callers may send a key again; the same on every node")
@@ -204,6 +225,7 @@
 	c.keys(s)
 	c.distinct(s)
 	c.url("platform.url", s.Platform.URL)
+	c.source(s)
 	c.tokens(s.Operator)
 	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil || s.Log.Level == "" {
 		c.fault("log.level", "must be debug, info, warn or error")
@@ -331,6 +353,24 @@
 	}
 }
 
+// source notes what only one of the sources needs.
+func (c *checker) source(s *Settings) {
+	switch s.Platform.Source {
+	case FromDocuments:
+		if s.Node.Service != "" {
+			c.fault("node.service", "is used only with platform.source = routes")
+		}
+		if s.Ready.Address != "" {
+			c.fault("ready.address", "is used only with platform.source = routes")
+		}
+	case FromRoutes:
+		c.name("node.service", s.Node.Service)
+		c.address("ready.address", s.Ready.Address)
+	default:
+		c.fault("platform.source", "must be documents or routes")
+	}
+}
+
 func (c *checker) tokens(o Operator) {
 	tokens, err := o.TokenList()
 	if err != nil {
@@ -349,6 +389,7 @@
 		{"peer.address", s.Peer.Address},
 		{"backend.address", s.Backend.Address},
 		{"operator.address", s.Operator.Address},
+		{"ready.address", s.Ready.Address},
 	}
 	first := map[string]string{}
 	for _, l := range listeners {
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -34,6 +34,8 @@
 	State       State  `json:"state"`
 	// Lost says that the backend server is not there, though the node is.
 	Lost bool `json:"lost,omitempty"`
+	// Unconfirmed says that the member's entry in the platform's store went without a word of it.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 	// DownSince is when a leader marked the member down, in seconds of Unix time.
 	DownSince int64 `json:"down_since,omitempty"`
 	// Successor answers for the keys of a member that leaves; empty for none.
--- a/internal/decide/routing/instance.go
+++ b/internal/decide/routing/instance.go
@@ -87,8 +87,8 @@
 	case Failed:
 		i.failures++
 		i.learnError(now, 1)
-		if i.failures >= i.config.Failures {
-			i.ejectedUntil = now.Add(i.config.EjectionTime)
+		if i.failures >= i.config.Failures || i.Member.Unconfirmed {
+			i.ejectedUntil = now.Add(i.ejectionTime())
 			i.ejection = Ejection{Reason: FailuresInARow, Failures: i.failures, LastFailure: s.Reason, At: now}
 		}
 	case Shed:
@@ -101,6 +101,13 @@
 	}
 }
 
+func (i *Instance) ejectionTime() time.Duration {
+	if i.Member.Unconfirmed {
+		return i.config.UnconfirmedEjection
+	}
+	return i.config.EjectionTime
+}
+
 // errorWeight is the least weight of one reply in the error rate.
 const errorWeight = 0.1
 
--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -48,6 +48,8 @@
 	// Failures in a row eject an instance for EjectionTime.
 	Failures     int
 	EjectionTime time.Duration
+	// UnconfirmedEjection is the time for which one failure ejects an unconfirmed instance.
+	UnconfirmedEjection time.Duration
 	// SheddingTime is how long a shed request keeps others of its rank away.
 	SheddingTime time.Duration
 	// Fade is the time constant with which latency and errors are forgotten.
@@ -67,6 +69,9 @@
 		SlowStart:    5 * time.Second,
 		Failures:     3,
 		EjectionTime: 2 * time.Second,
+
+		UnconfirmedEjection: 10 * time.Second,
+
 		SheddingTime: 100 * time.Millisecond,
 		Fade:         2 * time.Second,
 		FailureCost:  time.Second,
@@ -78,6 +83,8 @@
 	Node  string
 	Zone  string
 	Slots int
+	// Unconfirmed makes one failure enough for an ejection of UnconfirmedEjection.
+	Unconfirmed bool
 }
 
 // Request is what the choice depends on.
--- a/internal/process/node/drain.go
+++ b/internal/process/node/drain.go
@@ -11,6 +11,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/parts"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
 )
@@ -140,7 +141,7 @@
 // waitIdle returns when the backend server has no request, so that no call of its own can still come.
 func (n *Node) waitIdle(ctx context.Context) {
 	for ctx.Err() == nil && n.gate.Load().InFlight > 0 {
-		pause.For(ctx, gateTick)
+		pause.For(ctx, parts.GateTick)
 	}
 }
 
@@ -151,7 +152,7 @@
 		if n.work.inFlight.Load() > 0 || n.gate.Load().InFlight > 0 {
 			quiet = time.Now()
 		}
-		pause.For(ctx, gateTick)
+		pause.For(ctx, parts.GateTick)
 	}
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -30,6 +30,8 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/local"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/parts"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -57,7 +59,7 @@
 	controlPool *peer.Pool
 	receiver    *flow.Receiver
 	sender      *flow.Sender
-	presence    *backend.Presence
+	local       *local.Server
 	quarantine  *flow.Quarantine
 	controller  *zone.Controller
 	platform    *platform.Client
@@ -77,7 +79,7 @@
 func New(config Config) *Node {
 	s := config.Settings
 	self := outcome.Node{Name: s.Node.Name, Incarnation: uint64(time.Now().UnixNano())}
-	n := &Node{config: config, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, limitedEvery)}
+	n := &Node{config: config, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, parts.LimitedEvery)}
 	n.loop = board.NewLoop(board.Board{Self: board.Self{
 		Node:          s.Node.Name,
 		Zone:          s.Node.Zone,
@@ -94,14 +96,15 @@
 
 // buildReceiver puts together what runs requests on the local backend server.
 func (n *Node) buildReceiver(s *settings.Settings) {
-	n.gate = backend.NewGate(gateConfig(s))
-	n.presence = backend.NewPresence()
-	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody, Presence: n.presence}, n.chains)
-	n.pool = peer.NewPool(poolConfig(s))
-	n.controlPool = peer.NewPool(poolConfig(s))
+	n.gate = backend.NewGate(parts.GateConfig(s))
+	presence := backend.NewPresence()
+	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody, Presence: presence}, n.chains)
+	n.local = local.New(local.Config{Board: n.loop, Gate: n.gate, Client: n.client, Presence: presence, Log: n.config.Log})
+	n.pool = peer.NewPool(parts.PoolConfig(s))
+	n.controlPool = peer.NewPool(parts.PoolConfig(s))
 	n.peers = peer.NewClient(n.pool, s.Node.Name)
 	n.quarantine = flow.NewQuarantine(flow.QuarantineConfig{
-		Table: quarantineConfig(s),
+		Table: parts.QuarantineConfig(s),
 		Board: n.loop,
 		Peers: n.peers,
 		Log:   n.config.Log,
@@ -249,7 +252,7 @@
 	group.Go(func() { n.homes.Run(ctx, n.controller) })
 	group.Go(func() { n.home.Run(ctx) })
 	group.Go(func() { n.advanceGate(ctx) })
-	group.Go(func() { n.watchBackend(ctx) })
+	group.Go(func() { n.local.Watch(ctx) })
 	group.Go(func() { n.quarantine.Run(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
 	calls, stopCalls := context.WithCancel(ctx)
@@ -279,13 +282,13 @@
 
 func (n *Node) backendRouter(ctx context.Context) *httprouter.Router {
 	router := httprouter.New()
-	backend.RegisterAnnouncements(router, func(a backend.Announcement) { n.announced(ctx, a) })
+	backend.RegisterAnnouncements(router, func(a backend.Announcement) { n.local.Announced(ctx, a) })
 	n.registerHealth(router)
 	return router
 }
 
 func (n *Node) advanceGate(ctx context.Context) {
-	ticker := time.NewTicker(gateTick)
+	ticker := time.NewTicker(parts.GateTick)
 	defer ticker.Stop()
 	for {
 		select {
@@ -348,7 +351,7 @@
 		if isInformed(b, n.config.Settings.Node.ZoneList()) {
 			return
 		}
-		pause.For(ctx, gateTick)
+		pause.For(ctx, parts.GateTick)
 	}
 }
 
--- /dev/null
+++ b/internal/process/routed/routed.go
@@ -0,0 +1,284 @@
+// Package routed puts together a node that goes by the routes in the platform's store, and runs it until the process is
+// asked to stop. Unlike a node that goes by documents it has no leader, remembers no keys and takes no edits: what it
+// knows of routes and members it reads from the store, each request has a name of its own, and a request that may run
+// once at most is sent again only where it has certainly not run.
+//
+// # Usage
+//
+//	err := routed.Run(ctx, routed.Config{Settings: settings, Log: log, Adapter: adapter})
+//
+// When the context ends the node drains: its backend server gets no new work, what callers still send here is passed on,
+// and the process ends when nothing is in flight.
+package routed
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/members"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/routes"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/store"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/local"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/parts"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/flow"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
+)
+
+// Adapter is what a node needs of the users' platform.
+type Adapter struct {
+	Store store.Store
+	// RoutesKey is where the store holds the routes, and DecodeRoutes reads them.
+	RoutesKey    string
+	DecodeRoutes func(value []byte) (*routes.Table, error)
+	// RegisterAnnouncements adds the routes by which the local backend server announces itself.
+	RegisterAnnouncements func(router *httprouter.Router, l Announcements)
+	// RegisterReady adds the question whether the node takes new work.
+	RegisterReady  func(router *httprouter.Router, ready func() bool)
+	CallerHeaders  caller.RoutedHeaders
+	BackendHeaders backend.Headers
+}
+
+// Announcements takes what the local backend server says of itself.
+type Announcements struct {
+	// Announced returns when the node goes by the announcement.
+	Announced func(backend.Announcement)
+	// Left is told the name of a backend server that leaves.
+	Left func(instance string)
+	// Connections returns how many connections a backend server of the service takes.
+	Connections func(service string) int
+	// Rejected is told of each announcement that names nobody.
+	Rejected func(instance, fault string)
+}
+
+// Config sets a node up.
+type Config struct {
+	Settings *settings.Settings
+	Log      *events.Log
+	Adapter  Adapter
+}
+
+// Node is one node.
+type Node struct {
+	config   Config
+	loop     *board.Loop
+	gate     *backend.Gate
+	pool     *peer.Pool
+	local    *local.Server
+	receiver *flow.Receiver
+	fenced   *flow.Fenced
+	sender   *flow.Sender
+	chains   *call.Chains
+	members  *members.Controller
+	routes   *routesFollower
+	// quarantine keeps away requests that crash backend servers.
+	quarantine *flow.Quarantine
+	limiter    *events.Limiter
+	work       work
+	listeners  listeners
+}
+
+// maxRefusals is how many nodes may refuse a request before it is given up.
+const maxRefusals = 2
+
+// retryBudget is that of one node for one service.
+var retryBudget = retry.BudgetConfig{PerSuccess: 0.05, Max: 3}
+
+// New builds a node without starting it.
+func New(config Config) *Node {
+	s := config.Settings
+	n := &Node{config: config, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, parts.LimitedEvery)}
+	incarnation := uint64(time.Now().UnixNano())
+	n.loop = board.NewLoop(board.Board{Self: board.Self{
+		Node:          s.Node.Name,
+		Zone:          s.Node.Zone,
+		Region:        s.Node.Region,
+		PeerAddress:   s.Peer.AdvertisedAddress(),
+		CallerAddress: s.Caller.Address,
+		Incarnation:   incarnation,
+	}})
+	n.buildReceiver(s, incarnation)
+	n.buildSender(s)
+	n.members = members.NewController(members.Config{Board: n.loop, Store: config.Adapter.Store, Log: n.limiter})
+	n.routes = newRoutesFollower(n.loop, config)
+	return n
+}
+
+func (n *Node) buildReceiver(s *settings.Settings, incarnation uint64) {
+	presence := backend.NewPresence()
+	n.gate = backend.NewGate(parts.GateConfig(s))
+	n.pool = peer.NewPool(parts.PoolConfig(s))
+	client := backend.NewClient(backend.ClientConfig{
+		MaxBody:  s.Caller.MaxBody,
+		Presence: presence,
+		Headers:  n.config.Adapter.BackendHeaders,
+	}, n.chains)
+	n.local = local.New(local.Config{Board: n.loop, Gate: n.gate, Client: client, Presence: presence, Log: n.config.Log})
+	n.quarantine = flow.NewQuarantine(flow.QuarantineConfig{
+		Table: parts.QuarantineConfig(s),
+		Board: n.loop,
+		Peers: peer.NewClient(n.pool, s.Node.Name),
+		Log:   n.config.Log,
+	})
+	n.receiver = flow.NewReceiver(flow.ReceiverConfig{
+		Board:      n.loop,
+		Gate:       n.gate,
+		Backend:    client,
+		Quarantine: n.quarantine,
+		Events:     n.limiter,
+	})
+	n.fenced = flow.NewFenced(n.receiver, incarnation)
+}
+
+func (n *Node) buildSender(s *settings.Settings) {
+	n.sender = flow.NewSender(flow.SenderConfig{
+		Board:       n.loop,
+		Peers:       peer.NewClient(n.pool, s.Node.Name),
+		Receiver:    n.fenced,
+		Budgets:     flow.NewBudgets(retryBudget),
+		Routing:     routing.DefaultConfig(s.Node.Name, s.Node.Zone),
+		Throttle:    throttle.DefaultConfig,
+		MaxRefusals: maxRefusals,
+		Events:      n.limiter,
+	})
+}
+
+// Run listens and works until the context ends and the node has drained.
+func Run(ctx context.Context, config Config) error {
+	n := New(config)
+	if err := n.listen(); err != nil {
+		config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
+		return trace.Wrap(err)
+	}
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group conc.WaitGroup
+	n.start(working, &group)
+	config.Log.Emit(events.NodeStarted, events.Fields{"service": config.Settings.Node.Service, "incarnation": n.loop.Snapshot().Self.Incarnation})
+	<-ctx.Done()
+	n.drain(working)
+	stop()
+	n.listeners.close()
+	n.pool.Close()
+	group.Wait()
+	config.Log.Emit(events.NodeStopped, nil)
+	return nil
+}
+
+func (n *Node) start(ctx context.Context, group *conc.WaitGroup) {
+	group.Go(func() { n.loop.Run(ctx) })
+	group.Go(func() { n.members.Run(ctx) })
+	group.Go(func() { n.routes.run(ctx) })
+	group.Go(func() { n.advanceGate(ctx) })
+	group.Go(func() { n.local.Watch(ctx) })
+	group.Go(func() { n.quarantine.Run(ctx) })
+	group.Go(func() { n.servePeers(ctx) })
+	group.Go(func() { n.serveHTTP(ctx, n.listeners.caller, n.work.countCalls(n.callers())) })
+	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
+	group.Go(func() { n.serveHTTP(ctx, n.listeners.ready, n.readyRouter()) })
+}
+
+func (n *Node) callers() http.Handler {
+	return caller.NewRouted(caller.RoutedConfig{
+		Board:    n.loop,
+		Sender:   n.sender,
+		Chains:   n.chains,
+		Headers:  n.config.Adapter.CallerHeaders,
+		Service:  n.config.Settings.Node.Service,
+		MaxBody:  n.config.Settings.Caller.MaxBody,
+		Ended:    n.ended,
+		Rejected: n.rejected,
+	})
+}
+
+func (n *Node) backendRouter(ctx context.Context) *httprouter.Router {
+	router := httprouter.New()
+	n.config.Adapter.RegisterAnnouncements(router, Announcements{
+		Announced:   func(a backend.Announcement) { n.local.Announced(ctx, a) },
+		Left:        func(instance string) { n.local.Left(ctx, instance) },
+		Connections: n.connections,
+		Rejected:    n.rejectedAnnouncement,
+	})
+	n.registerState(router)
+	return router
+}
+
+// connections returns how many connections a backend server of the service takes.
+func (n *Node) connections(service string) int {
+	table := n.loop.Snapshot().Routes
+	if table == nil {
+		return 0
+	}
+	return table.Connections(service)
+}
+
+func (n *Node) readyRouter() *httprouter.Router {
+	router := httprouter.New()
+	n.config.Adapter.RegisterReady(router, func() bool {
+		b := n.loop.Snapshot()
+		return b.Routes != nil && len(b.Members.ByNode) > 0 && !b.Self.Draining
+	})
+	return router
+}
+
+func (n *Node) advanceGate(ctx context.Context) {
+	ticker := time.NewTicker(parts.GateTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.gate.Advance()
+		}
+	}
+}
+
+// listeners are the sockets of a node.
+type listeners struct {
+	caller  net.Listener
+	peer    net.Listener
+	backend net.Listener
+	ready   net.Listener
+}
+
+func (l *listeners) close() {
+	_ = l.caller.Close()
+	_ = l.peer.Close()
+	_ = l.backend.Close()
+	_ = l.ready.Close()
+}
+
+func (n *Node) listen() error {
+	s := n.config.Settings
+	for _, open := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&n.listeners.caller, s.Caller.Address},
+		{&n.listeners.peer, s.Peer.Address},
+		{&n.listeners.backend, s.Backend.Address},
+		{&n.listeners.ready, s.Ready.Address},
+	} {
+		l, err := net.Listen("tcp", open.address)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		*open.listener = l
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/routed/serve.go
@@ -0,0 +1,175 @@
+package routed
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/parts"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
+)
+
+// work counts what is in flight from callers and from other nodes.
+type work struct {
+	calls   atomic.Int64
+	rpcs    atomic.Int64
+	closing atomic.Bool
+}
+
+// countCalls counts the requests of callers. While the node leaves, callers are told to make new connections, which
+// then go elsewhere.
+func (w *work) countCalls(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.calls.Add(1)
+		defer w.calls.Add(-1)
+		if w.closing.Load() {
+			rw.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(rw, r)
+	})
+}
+
+// countRPCs counts the requests of other nodes.
+func (w *work) countRPCs(next drpc.Handler) drpc.Handler {
+	return countingHandler{work: w, next: next}
+}
+
+type countingHandler struct {
+	work *work
+	next drpc.Handler
+}
+
+// HandleRPC passes an RPC on and returns when its answer is written.
+func (h countingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	h.work.rpcs.Add(1)
+	defer h.work.rpcs.Add(-1)
+	return h.next.HandleRPC(stream, rpc)
+}
+
+const (
+	// leaveTime is how long callers may still come after the node began to leave: those who look whether it is ready
+	// look each second, and go away after two misses.
+	leaveTime = 3500 * time.Millisecond
+	// quietTime is how long nothing may be in flight before the process ends.
+	quietTime = 200 * time.Millisecond
+	// drainTimeout bounds the whole of it, below the time after which a process is killed.
+	drainTimeout = 5700 * time.Millisecond
+)
+
+// drain takes the backend server out of use and serves callers until they have gone.
+func (n *Node) drain(ctx context.Context) {
+	n.config.Log.Emit(events.DrainStarted, nil)
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	n.work.closing.Store(true)
+	n.loop.Do(ctx, func(b *board.Board) { b.Self.Draining = true })
+	pause.For(ctx, leaveTime)
+	quiet := time.Now()
+	for ctx.Err() == nil && time.Since(quiet) < quietTime {
+		if n.work.calls.Load() > 0 || n.work.rpcs.Load() > 0 {
+			quiet = time.Now()
+		}
+		pause.For(ctx, parts.GateTick)
+	}
+	n.config.Log.Emit(events.DrainFinished, events.Fields{"calls": n.work.calls.Load(), "rpcs": n.work.rpcs.Load()})
+}
+
+func (n *Node) servePeers(ctx context.Context) {
+	mux := drpcmux.New()
+	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.fenced, n.fenced, n.fenced))
+	if err == nil {
+		err = peerpb.DRPCRegisterQuarantine(mux, peer.NewQuarantineServer(n.quarantine))
+	}
+	if err != nil {
+		n.config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
+		return
+	}
+	server := drpcserver.NewWithOptions(peer.SealHandler(n.work.countRPCs(mux)), drpcserver.Options{
+		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
+		Log:     n.peerFailed,
+	})
+	_ = server.Serve(ctx, n.listeners.peer)
+}
+
+// idleTimeout is how long a caller's connection is kept without a request. It is longer than callers keep one.
+const idleTimeout = 2 * time.Minute
+
+// serveHTTP serves until the context ends, when nothing is in flight any more.
+func (n *Node) serveHTTP(ctx context.Context, l net.Listener, handler http.Handler) {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(httpErrors{n.limiter}, "", 0),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	_ = server.Serve(l)
+}
+
+// httpErrors turns the lines that an HTTP server logs into events.
+type httpErrors struct {
+	limiter *events.Limiter
+}
+
+// Write logs one line.
+func (e httpErrors) Write(line []byte) (int, error) {
+	e.limiter.Emit(time.Now(), events.HTTPFailed, events.Fields{"error": strings.TrimSpace(string(line))})
+	return len(line), nil
+}
+
+// peerFailed logs how a connection of another node ended. That the other end closed it, or gave up a call, is no fault.
+func (n *Node) peerFailed(err error) {
+	switch {
+	case drpc.ClosedError.Has(err), errors.Is(err, context.Canceled):
+	case errors.Is(err, context.DeadlineExceeded):
+		n.limiter.Emit(time.Now(), events.PeerIdle, nil)
+	default:
+		n.limiter.Emit(time.Now(), events.PeerGarbage, events.Fields{"error": err.Error()})
+	}
+}
+
+// rejected logs a malformed request of a caller.
+func (n *Node) rejected(r *http.Request, reason call.Reason, text string) {
+	n.limiter.Emit(time.Now(), events.CallerRejected, events.Fields{
+		"remote": r.RemoteAddr, "reason": string(reason), "text": text,
+	})
+}
+
+func (n *Node) rejectedAnnouncement(instance, fault string) {
+	n.limiter.Emit(time.Now(), events.CallerRejected, events.Fields{"instance": instance, "text": fault})
+}
+
+// ended logs a request that got no answer of a backend server.
+func (n *Node) ended(r *call.Request, reply *call.Reply, took time.Duration) {
+	number := events.RequestRefused
+	if reply.Outcome == call.Unknown {
+		number = events.RequestFailed
+	}
+	n.limiter.Emit(time.Now(), number, events.Fields{
+		"request":        r.Root.ID,
+		"kind":           r.Kind,
+		"service":        r.Service,
+		"rank":           r.Root.Rank,
+		"depth":          r.Depth,
+		"outcome":        reply.Outcome.String(),
+		"reason":         string(reply.Reason),
+		"retry_after_ms": reply.RetryAfter.Milliseconds(),
+		"took_ms":        took.Milliseconds(),
+	})
+}
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -33,8 +33,29 @@
 	KeyHeader      = "Idempotency-Key"
 )
 
+// Headers names the headers between a node and its backend server. An empty name stands for a header that isn't used.
+type Headers struct {
+	// Chain, Rank and Key go with each request.
+	Chain, Rank, Key string
+	// TimeLeft is how many milliseconds the node waits.
+	TimeLeft string
+	// Instance names the start of the backend server that alone may run the request.
+	Instance string
+	// RequestID is the request's own name, which an answer repeats.
+	RequestID string
+	// Signature stands on every answer that the backend server made.
+	Signature string
+	// NotRun stands on an answer of a backend server that did not run the request.
+	NotRun string
+}
+
+// DefaultHeaders are those of the product's own interface.
+var DefaultHeaders = Headers{Chain: ChainHeader, Rank: RankHeader, Key: KeyHeader, TimeLeft: DeadlineHeader}
+
 // ClientConfig sets a Client up.
 type ClientConfig struct {
+	// Headers is DefaultHeaders where it is zero.
+	Headers Headers
 	// MaxBody bounds the body of an answer, in bytes.
 	MaxBody int64
 	// Presence learns whether the backend server answers or refuses connections; nil for nobody.
@@ -55,6 +76,9 @@
 
 // NewClient returns a client that enters each running request in chains.
 func NewClient(config ClientConfig, chains *call.Chains) *Client {
+	if config.Headers == (Headers{}) {
+		config.Headers = DefaultHeaders
+	}
 	c := &Client{config: config, chains: chains}
 	c.SetConnections(defaultConnections)
 	return c
@@ -99,13 +123,20 @@
 	Broken bool
 }
 
-// Run sends the request to the backend server at the address and waits for the whole answer.
-func (c *Client) Run(ctx context.Context, address string, r *call.Request) Result {
+// Target is the backend server that is to run a request.
+type Target struct {
+	Address string
+	// Instance names its start; empty where it gave no name.
+	Instance string
+}
+
+// Run sends the request to the backend server and waits for the whole answer.
+func (c *Client) Run(ctx context.Context, target Target, r *call.Request) Result {
 	token := uuid.NewString()
 	chain := c.chains.Begin(ctx, token, r)
 	defer c.chains.End(token)
 	start := time.Now()
-	reply, err := c.exchange(ctx, address, r, token)
+	reply, err := c.exchange(ctx, target, r, token)
 	end := time.Now()
 	below := chain.ChildTime(end)
 	result := Result{Reply: reply, Took: end.Sub(start) - below, Held: end.Sub(start)}
@@ -113,11 +144,22 @@
 		result.Reply = failedReply(ctx, err)
 		result.Broken = ctx.Err() == nil && err.sent && !errors.Is(err.cause, errAnswerTooLarge)
 	}
-	result.Overloaded = err == nil && result.Reply.Status == http.StatusServiceUnavailable && below == 0
+	result.Overloaded = err == nil && isOverloaded(&result.Reply) && below == 0
 	chain.Settle(&result.Reply)
 	return result
 }
 
+func isOverloaded(reply *call.Reply) bool {
+	return reply.Status == http.StatusServiceUnavailable && (reply.Outcome == call.Ran || reply.Reason == call.ReasonBackendShed)
+}
+
+var (
+	// errOtherRequest says that an answer belongs to another request.
+	errOtherRequest = errors.New("the answer is for another request")
+	// errUnsigned says that an answer isn't the backend server's.
+	errUnsigned = errors.New("the answer bears no signature")
+)
+
 // errAnswerTooLarge says that the backend server ran the request, but that its answer can't be passed on.
 var errAnswerTooLarge = errors.New("answer is too large")
 
@@ -131,16 +173,16 @@
 	return fmt.Sprintf("backend server: %v", e.cause)
 }
 
-func (c *Client) exchange(ctx context.Context, address string, r *call.Request, token string) (call.Reply, *exchangeError) {
+func (c *Client) exchange(ctx context.Context, target Target, r *call.Request, token string) (call.Reply, *exchangeError) {
 	sent := false
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent = true },
 	})
-	request, err := http.NewRequestWithContext(traced, r.Method, "http://"+address+r.Path, http.NoBody)
+	request, err := http.NewRequestWithContext(traced, r.Method, "http://"+target.Address+r.Path, http.NoBody)
 	if err != nil {
 		return call.Reply{}, &exchangeError{cause: err}
 	}
-	setHeaders(request, r, token)
+	c.setHeaders(request, target, r, token)
 	setBody(request, r.Body)
 	client := c.client()
 	defer c.retire(client)
@@ -151,6 +193,9 @@
 	}
 	c.config.Presence.noteAnswer()
 	defer func() { _ = response.Body.Close() }()
+	if err := c.check(r, response); err != nil {
+		return call.Reply{}, &exchangeError{sent: true, cause: err}
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.config.MaxBody+1))
 	if err == nil && int64(len(body)) > c.config.MaxBody {
 		err = errAnswerTooLarge
@@ -158,9 +203,38 @@
 	if err != nil {
 		return call.Reply{}, &exchangeError{sent: true, cause: err}
 	}
+	if c.isNotRun(response) {
+		return call.Refused(call.NotRun, notRunReason(response.StatusCode), 0), nil
+	}
 	return call.Reply{Outcome: call.Ran, Status: response.StatusCode, Header: EndToEnd(response.Header), Body: body}, nil
 }
 
+// check finds answers that belong to another request, or that the backend server didn't make.
+func (c *Client) check(r *call.Request, response *http.Response) error {
+	id, signature := c.config.Headers.RequestID, c.config.Headers.Signature
+	if id != "" && response.Header.Get(id) != "" && response.Header.Get(id) != r.Header.Get(id) {
+		return errOtherRequest
+	}
+	succeeded := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+	if signature != "" && succeeded && response.Header.Get(signature) == "" {
+		return errUnsigned
+	}
+	return nil
+}
+
+// isNotRun reports whether the backend server says that it did not run the request.
+func (c *Client) isNotRun(response *http.Response) bool {
+	name := c.config.Headers.NotRun
+	return name != "" && (response.Header.Get(name) != "" || response.StatusCode == http.StatusMisdirectedRequest)
+}
+
+func notRunReason(status int) call.Reason {
+	if status == http.StatusMisdirectedRequest {
+		return call.ReasonNoInstance
+	}
+	return call.ReasonBackendShed
+}
+
 func (c *Client) client() *http.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -182,15 +256,29 @@
 	request.GetBody = nil
 }
 
-func setHeaders(request *http.Request, r *call.Request, token string) {
+// hostHeader carries the host that the caller asked for between nodes.
+const hostHeader = "Host"
+
+func (c *Client) setHeaders(request *http.Request, target Target, r *call.Request, token string) {
 	for name, values := range EndToEnd(r.Header) {
 		request.Header[name] = values
 	}
-	request.Header.Set(ChainHeader, token)
-	request.Header.Set(DeadlineHeader, strconv.FormatInt(time.Until(r.Deadline).Milliseconds(), 10))
-	request.Header.Set(RankHeader, strconv.Itoa(r.Root.Rank))
-	if r.Key != "" {
-		request.Header.Set(KeyHeader, r.Key)
+	if host := request.Header.Get(hostHeader); host != "" {
+		request.Host = host
+		request.Header.Del(hostHeader)
+	}
+	names := c.config.Headers
+	set(request, names.Chain, token)
+	set(request, names.TimeLeft, strconv.FormatInt(max(time.Until(r.Deadline).Milliseconds(), 1), 10))
+	set(request, names.Rank, strconv.Itoa(r.Root.Rank))
+	set(request, names.Key, r.Key)
+	set(request, names.Instance, target.Instance)
+}
+
+// set sets a header that has a name and a value.
+func set(request *http.Request, name, value string) {
+	if name != "" && value != "" {
+		request.Header.Set(name, value)
 	}
 }
 
--- a/internal/traffic/backend/client_test.go
+++ b/internal/traffic/backend/client_test.go
@@ -46,11 +46,11 @@
 			}))
 			defer server.Close()
 			client, address := newClient(), strings.TrimPrefix(server.URL, "http://")
-			first := client.Run(t.Context(), address, newRequest(http.MethodGet, "", ""))
+			first := client.Run(t.Context(), backend.Target{Address: address}, newRequest(http.MethodGet, "", ""))
 			is.Equal(first.Reply.Outcome, call.Ran)
 			r := newRequest(test.method, test.body, test.key)
 			r.Header = http.Header{"Break": {"1"}}
-			second := client.Run(t.Context(), address, r)
+			second := client.Run(t.Context(), backend.Target{Address: address}, r)
 			is.Equal(second.Reply.Outcome, call.Unknown)
 			is.True(second.Broken)
 			is.Equal(received.Load(), int32(1)) // how often the backend server got the request
@@ -65,7 +65,7 @@
 		_, _ = w.Write(make([]byte, 2<<10))
 	}))
 	defer server.Close()
-	result := newClient().Run(t.Context(), strings.TrimPrefix(server.URL, "http://"), newRequest(http.MethodGet, "", ""))
+	result := newClient().Run(t.Context(), backend.Target{Address: strings.TrimPrefix(server.URL, "http://")}, newRequest(http.MethodGet, "", ""))
 	is.Equal(result.Reply.Reason, call.ReasonAnswerTooLarge)
 	is.Equal(result.Reply.Outcome, call.Unknown) // it ran, but the answer is lost
 	is.True(!result.Broken)
@@ -82,7 +82,7 @@
 		ended.Store(true)
 	}))
 	defer server.Close()
-	result := newClient().Run(ctx, strings.TrimPrefix(server.URL, "http://"), newRequest(http.MethodGet, "", ""))
+	result := newClient().Run(ctx, backend.Target{Address: strings.TrimPrefix(server.URL, "http://")}, newRequest(http.MethodGet, "", ""))
 	is.Equal(result.Reply.Reason, call.ReasonCanceled)
 	harness.Eventually(t, 10*time.Second, ended.Load)
 }
@@ -104,7 +104,7 @@
 	client, address := newClient(), strings.TrimPrefix(server.URL, "http://")
 	for connections := range 5 {
 		client.SetConnections(connections + 1)
-		is.Equal(client.Run(t.Context(), address, newRequest(http.MethodGet, "", "")).Reply.Status, http.StatusOK)
+		is.Equal(client.Run(t.Context(), backend.Target{Address: address}, newRequest(http.MethodGet, "", "")).Reply.Status, http.StatusOK)
 	}
 	harness.Eventually(t, 10*time.Second, func() bool { return open.Load() == 1 })
 }
@@ -132,17 +132,17 @@
 	defer group.Wait()
 	ctx, cancel := context.WithCancel(t.Context())
 	first := make(chan backend.Result, 1)
-	group.Go(func() { first <- client.Run(ctx, address, newRequest(http.MethodGet, "", "")) })
+	group.Go(func() { first <- client.Run(ctx, backend.Target{Address: address}, newRequest(http.MethodGet, "", "")) })
 	<-started
 	cancel()
 	is.Equal((<-first).Reply.Reason, call.ReasonCanceled) // at once, though the backend server goes on
 	waiting, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer stop()
-	second := client.Run(waiting, address, newRequest(http.MethodGet, "", ""))
+	second := client.Run(waiting, backend.Target{Address: address}, newRequest(http.MethodGet, "", ""))
 	is.Equal(second.Reply.Reason, call.ReasonDeadline)
 	is.Equal(second.Reply.Outcome, call.NotRun)
 	is.Equal(opened.Load(), int32(1))
 	close(letGo)
-	third := client.Run(t.Context(), address, newRequest(http.MethodGet, "", ""))
+	third := client.Run(t.Context(), backend.Target{Address: address}, newRequest(http.MethodGet, "", ""))
 	is.Equal(third.Reply.Status, http.StatusOK)
 }
--- a/internal/traffic/backend/listener.go
+++ b/internal/traffic/backend/listener.go
@@ -17,6 +17,12 @@
 	Address     string `json:"address"`
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
+	// Instance names this start of the backend server; empty for no name.
+	Instance string `json:"instance,omitempty"`
+	// Started is when that was, in milliseconds of Unix time, and Sequence counts the announcements since; 0 for
+	// unknown.
+	Started  int64  `json:"started,omitempty"`
+	Sequence uint64 `json:"sequence,omitempty"`
 	// Leaving says that the backend server takes no new work.
 	Leaving bool `json:"leaving"`
 }
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -71,6 +71,8 @@
 	// KeyMinted says that the entry node made the key for this very request.
 	KeyMinted bool
 	Deadline  time.Time
+	// CallerWaits is until when the caller waits, which may be longer; it is not passed on.
+	CallerWaits time.Time
 	// AttemptsLeft is how many further attempts the whole chain below may spend.
 	AttemptsLeft int
 	// Attempts is the pool that AttemptsLeft comes from on the node that sends the request; it is not passed on.
--- a/internal/traffic/call/chain.go
+++ b/internal/traffic/call/chain.go
@@ -139,6 +139,26 @@
 	return t.byToken[token]
 }
 
+// deadlineSlack is by how much the deadline of a call may differ from that of its request: callers give whole
+// milliseconds, and messages take time.
+const deadlineSlack = 4 * time.Millisecond
+
+// ByDeadline returns a running request that a call with the deadline may have been made for, or nil. A call without a
+// token expires with its request, so that its deadline tells most requests apart; it proves nothing.
+func (t *Chains) ByDeadline(now, deadline time.Time) *Chain {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var nearest *Chain
+	least := deadlineSlack
+	for _, c := range t.byToken {
+		difference := c.Deadline.Sub(deadline).Abs()
+		if difference <= least && now.Before(c.Deadline) {
+			nearest, least = c, difference
+		}
+	}
+	return nearest
+}
+
 // IsCanceled reports whether the token belongs to a request that was canceled while it ran.
 func (t *Chains) IsCanceled(token string) bool {
 	t.mu.RLock()
--- a/internal/traffic/call/reason.go
+++ b/internal/traffic/call/reason.go
@@ -10,6 +10,7 @@
 	ReasonNone            Reason = ""
 	ReasonBadRequest      Reason = "bad_request"
 	ReasonUnknownService  Reason = "unknown_service"
+	ReasonNoRoutes        Reason = "no_routes"
 	ReasonUnknownKind     Reason = "unknown_kind"
 	ReasonBodyTooLarge    Reason = "body_too_large"
 	ReasonBadKey          Reason = "bad_key"
@@ -23,6 +24,7 @@
 	ReasonPeerUnreachable Reason = "peer_unreachable"
 	ReasonPeerSilent      Reason = "peer_silent"
 	ReasonBackendFailed   Reason = "backend_failed"
+	ReasonBackendShed     Reason = "backend_shed"
 	ReasonAnswerTooLarge  Reason = "answer_too_large"
 	ReasonQuarantined     Reason = "quarantined"
 	ReasonSuspected       Reason = "suspected"
@@ -46,7 +48,8 @@
 	ReasonNone:            {Status: http.StatusOK, Text: "The backend server answered."},
 	ReasonBadRequest:      {Status: http.StatusBadRequest, Final: true, Text: "A header or the path is malformed; the text names the field."},
 	ReasonUnknownService:  {Status: http.StatusNotFound, Final: true, Text: "No accepted document describes the service."},
-	ReasonUnknownKind:     {Status: http.StatusNotFound, Final: true, Text: "The service's document has no kind for this method and path."},
+	ReasonNoRoutes:        {Status: http.StatusServiceUnavailable, Text: "The node has just started and knows no routes yet."},
+	ReasonUnknownKind:     {Status: http.StatusNotFound, Final: true, Text: "The service's document has no kind, or there is no route, for this method, host and path."},
 	ReasonBodyTooLarge:    {Status: http.StatusRequestEntityTooLarge, Final: true, Text: "The body is larger than the node's limit."},
 	ReasonBadKey:          {Status: http.StatusBadRequest, Final: true, Text: "The Idempotency-Key header is malformed."},
 	ReasonKeyReused:       {Status: http.StatusUnprocessableEntity, Final: true, Text: "The key was used before with another request."},
@@ -59,6 +62,7 @@
 	ReasonPeerUnreachable: {Status: http.StatusBadGateway, Text: "The connection to the instance failed."},
 	ReasonPeerSilent:      {Status: http.StatusGatewayTimeout, Text: "The instance stopped answering."},
 	ReasonBackendFailed:   {Status: http.StatusBadGateway, Text: "The backend server broke the connection before a whole answer."},
+	ReasonBackendShed:     {Status: http.StatusServiceUnavailable, Text: "The backend server refused the request by itself and did not run it."},
 	ReasonAnswerTooLarge:  {Status: http.StatusBadGateway, Final: true, Text: "The backend server ran the request, but its answer is larger than the node passes on."},
 	ReasonQuarantined:     {Status: http.StatusServiceUnavailable, Final: true, Text: "The request crashed backend servers and is refused for a time."},
 	ReasonSuspected:       {Status: http.StatusServiceUnavailable, Text: "A backend server crashed while it ran the request, and another such request is running."},
--- a/internal/traffic/flow/exchange.go
+++ b/internal/traffic/flow/exchange.go
@@ -102,6 +102,44 @@
 	return x.send(ctx, target.PeerAddress, attempt, x.isWorkedOn)
 }
 
+// callOnce sends one attempt of a request that may run once at most and has no key. Where the answer is lost it asks
+// the process that got the attempt, which then never begins it; only that makes it safe to send the request elsewhere.
+func (x *exchange) callOnce(ctx context.Context, target membership.Member, attempt *call.Request) (call.Reply, error) {
+	attempt.TargetIncarnation = target.Incarnation
+	reply, err := x.send(ctx, target.PeerAddress, attempt, x.isFenced)
+	var failure *peer.Error
+	if !errors.As(err, &failure) || !failure.Sent {
+		return reply, err
+	}
+	if a, ok := x.isFenced(ctx, target.PeerAddress, attempt); ok && a.err == nil {
+		return a.reply, nil
+	}
+	return reply, err
+}
+
+// isFenced asks about an attempt and reports true where that settles it. While nobody can be asked, waiting goes on.
+func (x *exchange) isFenced(ctx context.Context, address string, attempt *call.Request) (answer, bool) {
+	resolution, err := x.ask(ctx, address, attempt)
+	if err != nil || resolution.Known && resolution.State == outcome.Running {
+		return answer{}, false
+	}
+	x.leave(address)
+	if resolution.Known && resolution.State == outcome.NotRun {
+		return answer{reply: call.Refused(call.NotRun, call.ReasonPeerSilent, homeRetry)}, true
+	}
+	return answer{err: &peer.Error{Address: address, Sent: true, Reason: call.ReasonPeerSilent, Cause: errSilent}}, true
+}
+
+// ask asks the process that an attempt without a key was sent to what became of it.
+func (x *exchange) ask(ctx context.Context, address string, attempt *call.Request) (peer.Resolution, error) {
+	question := peer.Question{
+		AttemptID:   attempt.AttemptID,
+		Service:     attempt.Service,
+		Incarnation: attempt.TargetIncarnation,
+	}
+	return x.peers.Resolve(ctx, address, question, resolveTimeout)
+}
+
 // resolver asks the node at the address about an attempt whose answer takes long. It reports false where waiting
 // goes on.
 type resolver func(ctx context.Context, address string, attempt *call.Request) (answer, bool)
@@ -212,12 +250,7 @@
 
 // isWorkedOn asks whether the other node is working on the attempt of an idempotent request.
 func (x *exchange) isWorkedOn(ctx context.Context, address string, attempt *call.Request) (answer, bool) {
-	question := peer.Question{
-		AttemptID:   attempt.AttemptID,
-		Service:     attempt.Service,
-		Incarnation: attempt.TargetIncarnation,
-	}
-	resolution, err := x.peers.Resolve(ctx, address, question, resolveTimeout)
+	resolution, err := x.ask(ctx, address, attempt)
 	if err == nil && resolution.State == outcome.Running {
 		return answer{}, false
 	}
--- /dev/null
+++ b/internal/traffic/flow/fenced.go
@@ -0,0 +1,76 @@
+package flow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/fence"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
+)
+
+// Fenced runs the attempts of requests without keys, each once at most, and tells what became of those whose answer was
+// lost.
+type Fenced struct {
+	local       Runner
+	incarnation uint64
+
+	mu    sync.Mutex
+	table *fence.Table
+}
+
+// NewFenced returns a Fenced for this process that hands attempts to local.
+func NewFenced(local Runner, incarnation uint64) *Fenced {
+	return &Fenced{local: local, incarnation: incarnation, table: fence.NewTable()}
+}
+
+// Receive runs one attempt.
+func (f *Fenced) Receive(ctx context.Context, r *call.Request) call.Reply {
+	if !f.begin(r.AttemptID) {
+		return call.Refused(call.NotRun, call.ReasonPeerSilent, 0)
+	}
+	reply := f.local.Receive(ctx, r)
+	f.end(r.AttemptID, reply.Outcome != call.NotRun)
+	return reply
+}
+
+func (f *Fenced) begin(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Begin(time.Now(), id)
+}
+
+func (f *Fenced) end(id string, started bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.End(time.Now(), id, started)
+}
+
+// fenceStates are the states as other nodes are told of them.
+var fenceStates = map[fence.State]outcome.State{
+	fence.Fenced:  outcome.NotRun,
+	fence.Running: outcome.Running,
+	fence.Ran:     outcome.Absent,
+}
+
+// Resolve tells what became of an attempt that was sent to this process.
+func (f *Fenced) Resolve(q peer.Question) peer.Resolution {
+	if q.Incarnation != f.incarnation || q.Key != "" {
+		return peer.Resolution{}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return peer.Resolution{Known: true, State: fenceStates[f.table.Resolve(time.Now(), q.AttemptID)]}
+}
+
+// TakeOver refuses: no keys are remembered here.
+func (f *Fenced) TakeOver(context.Context, peer.HandoverPart) (bool, error) {
+	return false, nil
+}
+
+// Promise refuses: there are no shards of keys.
+func (f *Fenced) Promise(peer.PromiseQuestion) peer.PromiseAnswer {
+	return peer.PromiseAnswer{}
+}
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -67,7 +67,7 @@
 		v.counters.notStarted.Add(1)
 		return refusal
 	}
-	result := v.config.Backend.Run(ctx, b.Backend.Address, r)
+	result := v.config.Backend.Run(ctx, backend.Target{Address: b.Backend.Address, Instance: b.Backend.Instance}, r)
 	v.config.Gate.Leave(sample(r, result))
 	v.counters.ended(result)
 	if result.Broken {
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -34,6 +34,8 @@
 	Budgets  *Budgets
 	Routing  routing.Config
 	Throttle throttle.Config
+	// MaxRefusals is how many nodes may refuse a request, beside their backend servers, before it is given up.
+	MaxRefusals int
 	// Events takes what operators should know.
 	Events *events.Limiter
 }
@@ -87,7 +89,7 @@
 			r.Crashes++
 		}
 		r.NewConnection = r.NewConnection || reply.Reason == call.ReasonPeerSilent
-		if !s.again(r, reply, t) {
+		if !s.again(ctx, r, reply, t) {
 			return t.end(reply)
 		}
 	}
@@ -101,10 +103,20 @@
 	return reply.AttemptsUsed
 }
 
+// isFree reports whether a node refused a request that reached no backend server, which costs nothing but the message.
+func isFree(reply *call.Reply) bool {
+	if reply.Outcome != call.NotRun || reply.Final {
+		return false
+	}
+	return reply.Reason != call.ReasonBackendShed && reply.Reason != call.ReasonNoInstance
+}
+
 // trial is what the attempts of one Send have come to.
 type trial struct {
 	tried []string
-	used  int
+	// free counts the refusals that reached no backend server.
+	free int
+	used int
 	// mayHaveRun says that an attempt ran, or may have.
 	mayHaveRun bool
 }
@@ -112,6 +124,9 @@
 func (t *trial) note(node string, reply call.Reply) {
 	t.tried = append(t.tried, node)
 	t.used += reply.AttemptsUsed
+	if isFree(&reply) {
+		t.free++
+	}
 	if reply.Outcome == call.Ran || reply.Outcome == call.Unknown {
 		t.mayHaveRun = true
 	}
@@ -159,7 +174,12 @@
 	if target.Node == s.config.Board.Snapshot().Self.Node {
 		return s.config.Receiver.Receive(ctx, attempt)
 	}
-	reply, err := s.exchange().callIdempotent(ctx, target, attempt)
+	exchange := s.exchange()
+	send := exchange.callOnce
+	if attempt.Idempotent {
+		send = exchange.callIdempotent
+	}
+	reply, err := send(ctx, target, attempt)
 	if err != nil {
 		return failedReply(err, attempt)
 	}
@@ -184,7 +204,7 @@
 }
 
 // again learns from the reply and reports whether to try another instance, which it charges.
-func (s *Sender) again(r *call.Request, reply call.Reply, t *trial) bool {
+func (s *Sender) again(ctx context.Context, r *call.Request, reply call.Reply, t *trial) bool {
 	if reply.Failure() == call.ReasonNone {
 		s.config.Budgets.earn(r.Service)
 		return false
@@ -193,6 +213,9 @@
 	if isLeaving(reply) {
 		return candidates > 0 // a leaving instance has started nothing, and each instance is asked once
 	}
+	if isFree(&reply) && t.free <= s.config.MaxRefusals {
+		return candidates > 0 && ctx.Err() == nil
+	}
 	verdict := s.config.Budgets.decide(r.Service, retry.Attempt{
 		Idempotent:   r.Idempotent,
 		Started:      reply.Outcome == call.Ran || reply.Outcome == call.Unknown,
--- a/internal/traffic/flow/views.go
+++ b/internal/traffic/flow/views.go
@@ -92,7 +92,7 @@
 	switch reply.Failure() {
 	case call.ReasonNone:
 		return routing.Good
-	case call.ReasonOverload, call.ReasonQueueTimeout, call.ReasonDraining, call.ReasonNoInstance:
+	case call.ReasonOverload, call.ReasonQueueTimeout, call.ReasonDraining, call.ReasonNoInstance, call.ReasonBackendShed:
 		return routing.Shed
 	case call.ReasonPeerSilent:
 		if took < leastSilence {
@@ -134,7 +134,7 @@
 	w.members = members
 	known := make([]routing.Member, 0, len(members))
 	for _, m := range members {
-		known = append(known, routing.Member{Node: m.Node, Zone: m.Zone, Slots: m.Slots})
+		known = append(known, routing.Member{Node: m.Node, Zone: m.Zone, Slots: m.Slots, Unconfirmed: m.Unconfirmed})
 	}
 	w.set.Update(now, known)
 	for _, m := range members {
