A follower reads all anew after a cut watch; requests keep to their zone unless another is clearly cheaper

Ruled out: the keep-alive, a lost event in an empty answer. Test: TestFollowerCatchesUp, red before.

--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -95,8 +95,10 @@
 	return nil
 }
 
-// failed pauses. A watch that is cut goes on from where it was; the store says where that history is gone.
+// failed pauses. After a watch that broke off all is read anew: the store may have dropped the history meanwhile, and
+// says so only with the next change.
 func (f *Follower) failed(ctx context.Context, err error) {
+	f.listed = false
 	if !f.lost {
 		f.lost = true
 		f.config.Lost(err)
--- /dev/null
+++ b/internal/control/store/follower_test.go
@@ -0,0 +1,94 @@
+package store_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/store"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/kv"
+)
+
+// seen is what a follower told of one key.
+type seen struct {
+	mu    sync.Mutex
+	value string
+	lost  int
+}
+
+func (s *seen) set(item store.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value = string(item.Value)
+}
+
+func (s *seen) get() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.value
+}
+
+func follow(ctx context.Context, group *conc.WaitGroup, s store.Store, known *seen) {
+	f := store.NewFollower(store.FollowerConfig{
+		Store:  s,
+		Prefix: "op/",
+		Wait:   30 * time.Second,
+		Listed: func(_ context.Context, snapshot store.Snapshot) {
+			for _, item := range snapshot.Items {
+				known.set(item)
+			}
+		},
+		Changed: func(_ context.Context, c store.Changes) {
+			for _, e := range c.Events {
+				known.set(e.Item)
+			}
+		},
+		Lost: func(error) { known.lost++ },
+		Back: func() {},
+	})
+	group.Go(func() { f.Run(ctx) })
+}
+
+// A change reaches a follower within a second of the end of whatever kept it away, with nothing further changing.
+func TestFollowerCatchesUp(t *testing.T) {
+	for name, disturb := range map[string]func(s *kv.Store){
+		"nothing": func(s *kv.Store) { s.Operator("op/config", []byte("2")) },
+		"watches hear nothing, then the history is dropped and they are cut": func(s *kv.Store) {
+			s.SetFaults(kv.Faults{Deaf: true})
+			s.Operator("op/config", []byte("2"))
+			time.Sleep(time.Second)
+			s.SetFaults(kv.Faults{})
+			s.Compact()
+		},
+		"outage": func(s *kv.Store) {
+			s.SetFaults(kv.Faults{Down: true})
+			s.Compact()
+			s.Operator("op/config", []byte("2"))
+			time.Sleep(5 * time.Second)
+			s.SetFaults(kv.Faults{})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s, known := kv.New(), &seen{}
+				s.Operator("op/config", []byte("1"))
+				ctx, cancel := context.WithCancel(t.Context())
+				var group conc.WaitGroup
+				defer group.Wait()
+				defer cancel()
+				follow(ctx, &group, s.As("node_1"), known)
+				time.Sleep(time.Second)
+				is.Equal(known.get(), "1")
+				disturb(s)
+				time.Sleep(time.Second)
+				is.Equal(known.get(), "2")
+			})
+		})
+	}
+}
--- a/internal/decide/routing/instance.go
+++ b/internal/decide/routing/instance.go
@@ -194,10 +194,10 @@
 	return i.errorRate(now) * float64(i.config.FailureCost)
 }
 
-// isCheaper compares the time in which the request is expected to be answered. While no latencies of both can be
+// isCheaper compares the time in which the request is expected to be answered, the own one taken times the factor. While no latencies of both can be
 // compared, they count as equal, and only errors and the requests ahead make the difference.
-func (i *Instance) isCheaper(now time.Time, r Request, other *Instance) bool {
-	own := (i.ahead(r.Rank) + 1) / i.capacity(now)
+func (i *Instance) isCheaper(now time.Time, r Request, other *Instance, factor float64) bool {
+	own := factor * (i.ahead(r.Rank) + 1) / i.capacity(now)
 	others := (other.ahead(r.Rank) + 1) / other.capacity(now)
 	w := work{rank: r.Rank, kind: r.Kind}
 	if a, b, ok := i.latencies.common(now, w, i.config.Fade, &other.latencies); ok {
--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -41,8 +41,11 @@
 	SubsetSize int
 	// SubsetFar is how many of these are kept for other availability zones, where there are so many.
 	SubsetFar int
-	// SpillFrom is the utilization of the own zone from which requests go to the others too.
+	// SpillFrom is the utilization of the own zone from which requests may go to the others too.
 	SpillFrom float64
+	// FarFactor is how many times the expected time at another zone's instance is taken before it counts as less than
+	// that at one of the own zone: bytes between zones cost more than bytes within.
+	FarFactor float64
 	// SlowStart is the time in which a new instance comes up to its whole part.
 	SlowStart time.Duration
 	// Failures in a row eject an instance for EjectionTime.
@@ -66,6 +69,7 @@
 		SubsetSize:   16,
 		SubsetFar:    4,
 		SpillFrom:    0.7,
+		FarFactor:    1.3,
 		SlowStart:    5 * time.Second,
 		Failures:     3,
 		EjectionTime: 2 * time.Second,
--- a/internal/decide/routing/set.go
+++ b/internal/decide/routing/set.go
@@ -73,14 +73,37 @@
 // Choose picks an instance. It reports false only where there is none that was not tried.
 func (s *Set) Choose(now time.Time, random Source, r Request) (*Instance, bool) {
 	c := s.survey(now, r)
-	for t := c.first(s.config.SpillFrom, random); t < tiers; t++ {
-		if c.counts[t] > 0 {
-			return s.pick(now, random, r, t, c.counts[t]), true
+	for t := near; t < tiers; t++ {
+		if c.counts[t] == 0 {
+			continue
+		}
+		chosen := s.pick(now, random, r, t, c.counts[t])
+		if t == near && c.isFull(s.config.SpillFrom) {
+			return s.spill(now, random, r, chosen, &c), true
 		}
+		return chosen, true
 	}
 	return nil, false
 }
 
+// spill returns an instance of another availability zone where it is clearly cheaper than the one of the own, and that
+// one else.
+func (s *Set) spill(now time.Time, random Source, r Request, own *Instance, c *survey) *Instance {
+	if c.counts[healthy] == c.counts[near] {
+		return own
+	}
+	for range spillTries {
+		other := s.pick(now, random, r, healthy, c.counts[healthy])
+		if other.Member.Zone != s.config.Zone && other.isCheaper(now, r, own, s.config.FarFactor) {
+			return other
+		}
+	}
+	return own
+}
+
+// spillTries is how often another availability zone is looked for.
+const spillTries = 3
+
 // survey sums up one look at the instances.
 type survey struct {
 	// counts are the instances in each tier, with those of the narrower ones.
@@ -120,19 +143,9 @@
 	return near
 }
 
-// first returns the tier to begin with: past the own zone for a part of the requests that grows as the zone fills.
-func (c *survey) first(spillFrom float64, random Source) tier {
-	if c.counts[near] == 0 {
-		return healthy
-	}
-	utilization := (c.nearAhead + 1) / c.nearCapacity
-	if utilization <= spillFrom {
-		return near
-	}
-	if random.Float64() < (utilization-spillFrom)/(1-spillFrom) {
-		return healthy
-	}
-	return near
+// isFull reports whether the own zone is used so far that others are worth a look.
+func (c *survey) isFull(spillFrom float64) bool {
+	return c.nearAhead+1 > spillFrom*c.nearCapacity
 }
 
 // pick takes two different ones of the tier's instances at random and returns the cheaper for the request.
@@ -146,7 +159,7 @@
 		second++
 	}
 	a, b := s.nth(t, first), s.nth(t, second)
-	if b.isCheaper(now, r, a) {
+	if b.isCheaper(now, r, a, 1) {
 		return b
 	}
 	return a
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -120,7 +120,9 @@
 
 func (n *Node) buildReceiver(s *settings.Settings, incarnation uint64) {
 	presence := backend.NewPresence()
-	n.gate = backend.NewGate(parts.GateConfig(s))
+	gate := parts.GateConfig(s)
+	gate.Limit.Initial = gate.Limit.Max // announced slots are true here, so that the limit begins there
+	n.gate = backend.NewGate(gate)
 	n.pool = peer.NewPool(parts.PoolConfig(s))
 	client := backend.NewClient(backend.ClientConfig{
 		MaxBody:  s.Caller.MaxBody,
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -92,9 +92,20 @@
 		if !s.again(ctx, r, reply, t) {
 			return t.end(reply)
 		}
+		s.logAgain(target.Node, r, &reply)
 	}
 }
 
+func (s *Sender) logAgain(node string, r *call.Request, reply *call.Reply) {
+	s.config.Events.Emit(time.Now(), events.RequestRetried, events.Fields{
+		"request":    r.Root.ID,
+		"kind":       r.Kind,
+		"service":    r.Service,
+		"refused_by": node,
+		"reason":     string(reply.Failure()),
+	})
+}
+
 // spent returns how many of the attempts lent to a call count as used: all, where its own reply was lost.
 func spent(reply *call.Reply, lent int) int {
 	if reply.Outcome == call.Unknown && !crashed(reply) {
