--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -30,6 +30,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/throttle"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/trees"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/local"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/parts"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
@@ -141,6 +142,7 @@
 		Gate:       n.gate,
 		Backend:    client,
 		Quarantine: n.quarantine,
+		Trees:      flow.NewTrees(trees.DefaultConfig),
 		Events:     n.limiter,
 	})
 	n.fenced = flow.NewFenced(n.receiver, incarnation)
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -121,6 +121,8 @@
 	Overloaded bool
 	// Broken says that the connection broke after the request was sent.
 	Broken bool
+	// Below is what the calls that the backend server made for the request came to.
+	Below call.Below
 }
 
 // Target is the backend server that is to run a request.
@@ -139,13 +141,14 @@
 	reply, err := c.exchange(ctx, target, r, token)
 	end := time.Now()
 	below := chain.ChildTime(end)
-	result := Result{Reply: reply, Took: end.Sub(start) - below, Held: end.Sub(start)}
+	result := Result{Reply: reply, Took: end.Sub(start) - below, Held: end.Sub(start), Below: chain.Below()}
 	if err != nil {
 		result.Reply = failedReply(ctx, err)
 		result.Broken = ctx.Err() == nil && err.sent && !errors.Is(err.cause, errAnswerTooLarge)
 	}
 	result.Overloaded = err == nil && isOverloaded(&result.Reply) && below == 0
 	chain.Settle(&result.Reply)
+	result.Reply.Waited = result.Below.Waited
 	return result
 }
 
--- a/internal/traffic/call/attempts_test.go
+++ b/internal/traffic/call/attempts_test.go
@@ -70,7 +70,8 @@
 	}
 	for range w.calls {
 		if w.send(chain.Attempts, level+1) {
-			chain.NoteFailure(call.ReasonOverload)
+			refused := call.Refused(call.NotRun, call.ReasonOverload, 0)
+			chain.NoteReply(&refused)
 			reply.Status = 503
 		}
 	}
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -123,6 +123,8 @@
 	// to a failure may try again, so such a reply is passed up.
 	Deeper Reason
 	Load   Load
+	// Waited is how long the request, and the calls down its chain, stood in queues.
+	Waited time.Duration
 	// Confirm is the token of a challenge: the request runs only if it is sent again with it.
 	Confirm string
 }
--- a/internal/traffic/call/chain.go
+++ b/internal/traffic/call/chain.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/lineage"
 )
 
 // Chain is a request that runs on the local backend server. Calls that the backend server makes for it inherit its
@@ -11,6 +13,7 @@
 type Chain struct {
 	Root     Root
 	Depth    int
+	Started  time.Time
 	Deadline time.Time
 	// Running ends with the request, so that its calls end too.
 	Running context.Context
@@ -23,13 +26,36 @@
 	children   int
 	childStart time.Time
 	childTime  time.Duration
+	// calls counts the calls down the chain, and waited is how long they stood in queues.
+	calls  int
+	waited time.Duration
+}
+
+// Below is what the calls of a request came to.
+type Below struct {
+	Calls int
+	// Waited is how long they, and those below them, stood in queues.
+	Waited time.Duration
+	// Failure is why one of them failed, or ReasonNone.
+	Failure Reason
+}
+
+// Below returns what the calls have come to.
+func (c *Chain) Below() Below {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Below{Calls: c.calls, Waited: c.waited, Failure: c.failure}
 }
 
-// NoteFailure remembers that a call down the chain failed.
-func (c *Chain) NoteFailure(reason Reason) {
+// NoteReply takes in the reply to a call down the chain.
+func (c *Chain) NoteReply(reply *Reply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.failure = reason
+	c.calls++
+	c.waited += reply.Waited
+	if cause := reply.Cause(); cause != ReasonNone {
+		c.failure = cause
+	}
 }
 
 // Settle completes the reply to the request: the attempts that were spent below, and whether its failure came from
@@ -83,6 +109,10 @@
 	// canceled holds the tokens of requests that were canceled while they ran, and canceledOrder the oldest first.
 	canceled      map[string]bool
 	canceledOrder []string
+	// matcher finds the requests of calls without a token, among candidates, which are the same as running.
+	matcher    *lineage.Matcher
+	candidates []*Chain
+	running    []lineage.Running
 }
 
 // maxCanceled is how many tokens of canceled requests are remembered.
@@ -90,7 +120,7 @@
 
 // NewChains returns an empty table.
 func NewChains() *Chains {
-	return &Chains{byToken: map[string]*Chain{}, canceled: map[string]bool{}}
+	return &Chains{byToken: map[string]*Chain{}, canceled: map[string]bool{}, matcher: lineage.NewMatcher()}
 }
 
 // Begin enters a request under the token and returns its chain.
@@ -98,6 +128,7 @@
 	c := &Chain{
 		Root:     r.Root,
 		Depth:    r.Depth,
+		Started:  time.Now(),
 		Deadline: r.Deadline,
 		Running:  running,
 		Attempts: NewAttempts(r.AttemptsLeft),
@@ -139,24 +170,20 @@
 	return t.byToken[token]
 }
 
-// deadlineSlack is by how much the deadline of a call may differ from that of its request: callers give whole
-// milliseconds, and messages take time.
-const deadlineSlack = 4 * time.Millisecond
-
-// ByDeadline returns a running request that a call with the deadline may have been made for, or nil. A call without a
-// token expires with its request, so that its deadline tells most requests apart; it proves nothing.
-func (t *Chains) ByDeadline(now, deadline time.Time) *Chain {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var nearest *Chain
-	least := deadlineSlack
-	for _, c := range t.byToken {
-		difference := c.Deadline.Sub(deadline).Abs()
-		if difference <= least && now.Before(c.Deadline) {
-			nearest, least = c, difference
-		}
+// Parent returns the running request that a call without a token was most likely made for, or nil. It proves nothing.
+func (t *Chains) Parent(now time.Time, c lineage.Call) *Chain {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.candidates, t.running = t.candidates[:0], t.running[:0]
+	for _, chain := range t.byToken {
+		t.candidates = append(t.candidates, chain)
+		t.running = append(t.running, lineage.Running{Started: chain.Started, Deadline: chain.Deadline})
+	}
+	index, ok := t.matcher.Match(now, c, t.running)
+	if !ok {
+		return nil
 	}
-	return nearest
+	return t.candidates[index]
 }
 
 // IsCanceled reports whether the token belongs to a request that was canceled while it ran.
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -121,9 +121,7 @@
 	chain.BeginChild(time.Now())
 	reply := h.config.Sender.Send(ctx, request)
 	chain.EndChild(time.Now())
-	if cause := reply.Cause(); cause != call.ReasonNone {
-		chain.NoteFailure(cause)
-	}
+	chain.NoteReply(&reply)
 	return reply
 }
 
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -15,6 +15,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/routes"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/lineage"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
@@ -96,7 +97,7 @@
 
 // send sends the request on. A call of the local backend server waits on behalf of the request that it is made for.
 func (h *Routed) send(ctx context.Context, request *call.Request) call.Reply {
-	parent := h.config.Chains.ByDeadline(request.Entered, request.CallerWaits)
+	parent := h.config.Chains.Parent(request.Entered, lineage.Call{Kind: request.Kind, Expires: request.CallerWaits})
 	if parent == nil {
 		request.Attempts = call.NewAttempts(request.AttemptsLeft)
 		return h.config.Sender.Send(ctx, request)
@@ -106,9 +107,7 @@
 	parent.BeginChild(time.Now())
 	reply := h.config.Sender.Send(ctx, request)
 	parent.EndChild(time.Now())
-	if cause := reply.Cause(); cause != call.ReasonNone {
-		parent.NoteFailure(cause)
-	}
+	parent.NoteReply(&reply)
 	return reply
 }
 
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -19,6 +19,8 @@
 	Backend *backend.Client
 	// Quarantine keeps away requests that crash backend servers.
 	Quarantine *Quarantine
+	// Trees bounds the requests whose calls have to wait further down; nil for no bound.
+	Trees *Trees
 	// Events takes what operators should know.
 	Events *events.Limiter
 }
@@ -62,13 +64,22 @@
 
 // run admits the request and runs it on the backend server.
 func (v *Receiver) run(ctx context.Context, b *board.Board, r *call.Request) call.Reply {
+	if refusal, admitted := v.config.Trees.begin(r); !admitted {
+		v.counters.notStarted.Add(1)
+		return refusal
+	}
+	offered := time.Now()
 	refusal, admitted := v.config.Gate.Enter(ctx, r, share(b, r))
 	if !admitted {
+		v.config.Trees.cancel(r)
 		v.counters.notStarted.Add(1)
 		return refusal
 	}
+	waited := time.Since(offered)
 	result := v.config.Backend.Run(ctx, backend.Target{Address: b.Backend.Address, Instance: b.Backend.Instance}, r)
 	v.config.Gate.Leave(sample(r, result))
+	v.config.Trees.end(r, result)
+	result.Reply.Waited += waited
 	v.counters.ended(result)
 	if result.Broken {
 		v.config.Events.Emit(time.Now(), events.BackendFailed, events.Fields{"service": r.Service, "kind": r.Kind})
--- /dev/null
+++ b/internal/traffic/flow/trees.go
@@ -0,0 +1,68 @@
+package flow
+
+import (
+	"sync"
+	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/trees"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+// Trees bounds the root requests whose calls have to wait further down. A nil Trees bounds nothing.
+type Trees struct {
+	mu     sync.Mutex
+	limits *trees.Limits
+}
+
+// NewTrees returns bounds for the requests of one node.
+func NewTrees(config trees.Config) *Trees {
+	return &Trees{limits: trees.NewLimits(config)}
+}
+
+// begin counts a root request, or returns the reply that refuses it. Calls are part of what was admitted before.
+func (t *Trees) begin(r *call.Request) (call.Reply, bool) {
+	if t == nil || r.Depth > 0 {
+		return call.Reply{}, true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.limits.Begin(time.Now(), r.Kind) {
+		return call.Reply{}, true
+	}
+	return call.Refused(call.NotRun, call.ReasonOverload, t.limits.RetryAfter(r.Kind)), false
+}
+
+// cancel takes back a begin whose request did not start.
+func (t *Trees) cancel(r *call.Request) {
+	if t == nil || r.Depth > 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limits.Cancel(r.Kind)
+}
+
+// end takes in how a request ended.
+func (t *Trees) end(r *call.Request, result backend.Result) {
+	if t == nil || r.Depth > 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limits.End(time.Now(), r.Kind, trees.Sample{
+		Took:    result.Held,
+		Waited:  result.Below.Waited,
+		Calls:   result.Below.Calls,
+		Refused: isShort(result.Below.Failure),
+	})
+}
+
+// isShort reports whether a call failed for want of room or time.
+func isShort(reason call.Reason) bool {
+	switch reason {
+	case call.ReasonOverload, call.ReasonQueueTimeout, call.ReasonBackendShed, call.ReasonDeadline:
+		return true
+	}
+	return false
+}
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -114,7 +114,8 @@
 			Limit:        int32(r.Load.Limit),
 			SheddingRank: int32(r.Load.SheddingRank),
 		},
-		Confirm: r.Confirm,
+		Confirm:      r.Confirm,
+		WaitedMicros: r.Waited.Microseconds(),
 	}
 }
 
@@ -136,6 +137,7 @@
 			SheddingRank: int(m.GetLoad().GetSheddingRank()),
 		},
 		Confirm: m.GetConfirm(),
+		Waited:  time.Duration(m.GetWaitedMicros()) * time.Microsecond,
 	}
 }
 
