Calls are known by when a part of them expire; messages between zones are packed; calls keep to their zone

Now a kind is known by the part of its requests that do expire so and by uneven times; requests that go to another zone take their calls along.

--- a/internal/decide/lineage/lineage.go
+++ b/internal/decide/lineage/lineage.go
@@ -1,7 +1,9 @@
 // Package lineage guesses which running request a call of the local backend server was made for, where the call itself
-// doesn't say so. A call expires with the request that it is made for, or, where its kind has a shorter time of its own,
-// that time after the request started. Requests whose starts and ends lie close together can be taken for each other, so
-// a guess may give a call its rank and its place in a queue, and never a promise.
+// doesn't say so. A call expires with the request that it is made for, unless its sender gives it less time. Kinds of which
+// a good part expire so are calls; of the others it is known only that one of the running requests made them, most
+// likely one whose last call has just ended, since backend servers make many calls one after the other.
+//
+// Requests can be taken for each other, so a guess may give a call its rank and its place in a queue, and never a promise.
 //
 // # Usage
 //
@@ -24,32 +26,37 @@
 type Running struct {
 	Started  time.Time
 	Deadline time.Time
+	// Calling says that a call of it has not been answered.
+	Calling bool
+	// LastCall is when its last call was answered; zero for none.
+	LastCall time.Time
 }
 
 const (
 	// tolerance is by how much times may differ: senders give whole milliseconds, and messages take time.
-	tolerance = 5 * time.Millisecond
-	// leastAge is how long a request has run before it makes calls. Requests of callers come with a whole time of their
-	// own, which would fit one that has just started.
-	leastAge = 2 * time.Millisecond
-	// ownTimeStep is what the time of a kind is a multiple of.
-	ownTimeStep = 50 * time.Millisecond
-	// matchedWeight is the weight of one call in the share of those that match.
-	matchedWeight = 0.05
-	// leastMatched is the share of a kind's requests from which on they count as calls.
-	leastMatched = 0.5
+	tolerance = 2500 * time.Microsecond
+	// leastAge is how long a request has run before it makes calls.
+	leastAge = time.Millisecond
+	// sampleWeight is the weight of one request in what is known of its kind.
+	sampleWeight = 0.03
+	// leastFitting is the share of a kind's requests that expire with a running one, from which on they count as calls.
+	leastFitting = 0.12
+	// mostWhole is the share of a kind's requests that have the longest time of all, up to which they count as calls:
+	// callers give each request the same time.
+	mostWhole = 0.3
 )
 
-// Matcher learns which kinds of requests are calls, and how long each of them takes at most.
+// Matcher learns which kinds of requests are calls.
 type Matcher struct {
 	kinds map[string]*kind
 }
 
 type kind struct {
-	// ownTime is the longest time that a sender gave, rounded up.
-	ownTime time.Duration
-	// matched is the share of the requests that fitted one that was running.
-	matched float64
+	// longest is the longest time that a sender gave, in whole milliseconds.
+	longest int64
+	// whole is the share of the requests with that time, and fitting the share of those that expire with a running one.
+	whole   float64
+	fitting float64
 }
 
 // NewMatcher returns a matcher that knows no kinds.
@@ -57,35 +64,70 @@
 	return &Matcher{kinds: map[string]*kind{}}
 }
 
-// Match returns the index of the request that the call was most likely made for, or false where there is none.
+// Match returns the index of the request that the call was most likely made for, or false where the kind is not known
+// to be made up of calls, or nothing runs.
 func (m *Matcher) Match(now time.Time, c Call, running []Running) (int, bool) {
-	k := m.kind(now, c)
+	index, fits := fitting(now, c, running)
+	if !m.learn(now, c, fits) {
+		return 0, false
+	}
+	if fits {
+		return index, true
+	}
+	return likeliest(now, c, running)
+}
+
+// fitting returns the request that expires with the call.
+func fitting(now time.Time, c Call, running []Running) (int, bool) {
 	best, least := -1, tolerance
 	for i, r := range running {
-		if now.Sub(r.Started) < leastAge || now.After(r.Deadline) {
+		difference := r.Deadline.Sub(c.Expires).Abs()
+		if now.Sub(r.Started) >= leastAge && difference <= least {
+			best, least = i, difference
+		}
+	}
+	return best, best >= 0
+}
+
+// likeliest returns the request whose last call was answered last, of those that have no call open and outlast the call;
+// else the one that has run longest.
+func likeliest(now time.Time, c Call, running []Running) (int, bool) {
+	best := -1
+	for i, r := range running {
+		if r.Calling || now.Sub(r.Started) < leastAge || r.Deadline.Before(c.Expires.Add(-tolerance)) {
 			continue
 		}
-		difference := min(r.Deadline.Sub(c.Expires).Abs(), r.Started.Add(k.ownTime).Sub(c.Expires).Abs())
-		if difference <= least {
-			best, least = i, difference
+		if best < 0 || isLikelier(r, running[best]) {
+			best = i
 		}
 	}
-	fits := 0.0
-	if best >= 0 {
-		fits = 1
+	return best, best >= 0
+}
+
+func isLikelier(a, b Running) bool {
+	if !a.LastCall.Equal(b.LastCall) {
+		return a.LastCall.After(b.LastCall)
 	}
-	k.matched += matchedWeight * (fits - k.matched)
-	return best, best >= 0 && k.matched >= leastMatched
+	return a.Started.Before(b.Started)
 }
 
-func (m *Matcher) kind(now time.Time, c Call) *kind {
+// learn takes in one request and reports whether its kind is made up of calls.
+func (m *Matcher) learn(now time.Time, c Call, fits bool) bool {
 	k, known := m.kinds[c.Kind]
 	if !known {
-		k = &kind{matched: leastMatched}
+		k = &kind{whole: mostWhole, fitting: leastFitting}
 		m.kinds[c.Kind] = k
 	}
-	if left := c.Expires.Sub(now); left > k.ownTime {
-		k.ownTime = (left + ownTimeStep - 1) / ownTimeStep * ownTimeStep
+	left := c.Expires.Sub(now).Milliseconds()
+	k.longest = max(k.longest, left)
+	k.whole += sampleWeight * (truth(left >= k.longest) - k.whole)
+	k.fitting += sampleWeight * (truth(fits) - k.fitting)
+	return k.fitting >= leastFitting && k.whole <= mostWhole
+}
+
+func truth(value bool) float64 {
+	if value {
+		return 1
 	}
-	return k
+	return 0
 }
--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -46,6 +46,9 @@
 	// FarFactor is how many times the expected time at another zone's instance is taken before it counts as less than
 	// that at one of the own zone: bytes between zones cost more than bytes within.
 	FarFactor float64
+	// CallFarFactor is the same for calls down a chain. A request that goes to another zone takes all of its calls there,
+	// at the price of one.
+	CallFarFactor float64
 	// SlowStart is the time in which a new instance comes up to its whole part.
 	SlowStart time.Duration
 	// Failures in a row eject an instance for EjectionTime.
@@ -64,12 +67,15 @@
 // DefaultConfig returns the values that hold where nothing else is set.
 func DefaultConfig(node, zone string) Config {
 	return Config{
-		Node:         node,
-		Zone:         zone,
-		SubsetSize:   16,
-		SubsetFar:    4,
-		SpillFrom:    0.7,
-		FarFactor:    1.3,
+		Node:       node,
+		Zone:       zone,
+		SubsetSize: 16,
+		SubsetFar:  4,
+		SpillFrom:  0.7,
+		FarFactor:  1.3,
+
+		CallFarFactor: 4,
+
 		SlowStart:    5 * time.Second,
 		Failures:     3,
 		EjectionTime: 2 * time.Second,
@@ -95,6 +101,8 @@
 type Request struct {
 	Rank int
 	Kind string
+	// IsCall says that the request is a call down a chain.
+	IsCall bool
 	// Tried are nodes that already refused the request.
 	Tried []string
 }
--- a/internal/decide/routing/set.go
+++ b/internal/decide/routing/set.go
@@ -92,9 +92,13 @@
 	if c.counts[healthy] == c.counts[near] {
 		return own
 	}
+	factor := s.config.FarFactor
+	if r.IsCall {
+		factor = s.config.CallFarFactor
+	}
 	for range spillTries {
 		other := s.pick(now, random, r, healthy, c.counts[healthy])
-		if other.Member.Zone != s.config.Zone && other.isCheaper(now, r, own, s.config.FarFactor) {
+		if other.Member.Zone != s.config.Zone && other.isCheaper(now, r, own, factor) {
 			return other
 		}
 	}
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -52,6 +52,8 @@
 	RegisterReady  func(router *httprouter.Router, ready func() bool)
 	CallerHeaders  caller.RoutedHeaders
 	BackendHeaders backend.Headers
+	// CommonWords stand in many messages between nodes, which they make smaller.
+	CommonWords []string
 }
 
 // Announcements takes what the local backend server says of itself.
@@ -79,6 +81,7 @@
 	loop     *board.Loop
 	gate     *backend.Gate
 	pool     *peer.Pool
+	packer   *peer.Packer
 	local    *local.Server
 	receiver *flow.Receiver
 	fenced   *flow.Fenced
@@ -100,9 +103,13 @@
 var retryBudget = retry.BudgetConfig{PerSuccess: 0.05, Max: 3}
 
 // New builds a node without starting it.
-func New(config Config) *Node {
+func New(config Config) (*Node, error) {
 	s := config.Settings
-	n := &Node{config: config, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, parts.LimitedEvery)}
+	packer, err := peer.NewPacker(config.Adapter.CommonWords...)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n := &Node{config: config, packer: packer, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, parts.LimitedEvery)}
 	incarnation := uint64(time.Now().UnixNano())
 	n.loop = board.NewLoop(board.Board{Self: board.Self{
 		Node:          s.Node.Name,
@@ -116,7 +123,7 @@
 	n.buildSender(s)
 	n.members = members.NewController(members.Config{Board: n.loop, Store: config.Adapter.Store, Log: n.limiter})
 	n.routes = newRoutesFollower(n.loop, config)
-	return n
+	return n, nil
 }
 
 func (n *Node) buildReceiver(s *settings.Settings, incarnation uint64) {
@@ -124,7 +131,9 @@
 	gate := parts.GateConfig(s)
 	gate.Limit.Initial = gate.Limit.Max // announced slots are true here, so that the limit begins there
 	n.gate = backend.NewGate(gate)
-	n.pool = peer.NewPool(parts.PoolConfig(s))
+	pool := parts.PoolConfig(s)
+	pool.Packer = n.packer
+	n.pool = peer.NewPool(pool)
 	client := backend.NewClient(backend.ClientConfig{
 		MaxBody:  s.Caller.MaxBody,
 		Presence: presence,
@@ -163,8 +172,11 @@
 
 // Run listens and works until the context ends and the node has drained.
 func Run(ctx context.Context, config Config) error {
-	n := New(config)
-	if err := n.listen(); err != nil {
+	n, err := New(config)
+	if err == nil {
+		err = n.listen()
+	}
+	if err != nil {
 		config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return trace.Wrap(err)
 	}
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -99,7 +99,7 @@
 		n.config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return
 	}
-	server := drpcserver.NewWithOptions(peer.SealHandler(n.work.countRPCs(mux)), drpcserver.Options{
+	server := drpcserver.NewWithOptions(peer.SealHandler(n.work.countRPCs(mux), n.packer), drpcserver.Options{
 		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
 		Log:     n.peerFailed,
 	})
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -82,6 +82,8 @@
 	// NewConnection says that an earlier attempt went out on a connection that was silent, so that no kept one is
 	// trusted; it is not passed on.
 	NewConnection bool
+	// IsFar says that the attempt goes to another availability zone; it is not passed on.
+	IsFar bool
 	// Crashes is how many backend servers crashed, as far as the sender knows, while they ran the request.
 	Crashes int
 	// SourceNode is the node that sent the request here; empty at the entry.
--- a/internal/traffic/call/chain.go
+++ b/internal/traffic/call/chain.go
@@ -25,6 +25,7 @@
 	failure    Reason
 	children   int
 	childStart time.Time
+	childEnd   time.Time
 	childTime  time.Duration
 	// calls counts the calls down the chain, and waited is how long they stood in queues.
 	calls  int
@@ -70,6 +71,12 @@
 	reply.Deeper = c.failure
 }
 
+func (c *Chain) asRunning() lineage.Running {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return lineage.Running{Started: c.Started, Deadline: c.Deadline, Calling: c.children > 0, LastCall: c.childEnd}
+}
+
 // BeginChild marks the start of a call down the chain.
 func (c *Chain) BeginChild(now time.Time) {
 	c.mu.Lock()
@@ -85,6 +92,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.children--
+	c.childEnd = now
 	if c.children == 0 {
 		c.childTime += now.Sub(c.childStart)
 	}
@@ -177,7 +185,7 @@
 	t.candidates, t.running = t.candidates[:0], t.running[:0]
 	for _, chain := range t.byToken {
 		t.candidates = append(t.candidates, chain)
-		t.running = append(t.running, lineage.Running{Started: chain.Started, Deadline: chain.Deadline})
+		t.running = append(t.running, chain.asRunning())
 	}
 	index, ok := t.matcher.Match(now, c, t.running)
 	if !ok {
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -192,6 +192,7 @@
 // forwarded returns the headers for the backend server, with the host that the caller asked for.
 func (h *Routed) forwarded(r *http.Request) http.Header {
 	header := forwarded(r.Header)
+	header.Del(h.config.Headers.TimeLeft)
 	header.Set("Host", r.Host)
 	header.Set(h.config.Headers.CallerService, h.config.Service)
 	return header
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -12,10 +12,9 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
@@ -158,7 +157,7 @@
 func (s *Sender) choose(r *call.Request, tried []string) (membership.Member, bool) {
 	b := s.config.Board.Snapshot()
 	members := b.Members.ByService[r.Service]
-	node, ok := s.views.choose(r.Service, members, time.Now(), routing.Request{Rank: r.Root.Rank, Kind: r.Kind, Tried: tried})
+	node, ok := s.views.choose(r.Service, members, time.Now(), routing.Request{Rank: r.Root.Rank, Kind: r.Kind, IsCall: r.Depth > 0, Tried: tried})
 	if !ok {
 		return membership.Member{}, false
 	}
@@ -167,8 +166,9 @@
 
 func (s *Sender) attempt(ctx context.Context, target membership.Member, r *call.Request, attemptsLeft int) call.Reply {
 	attempt := *r
-	attempt.AttemptID = uuid.NewString()
+	attempt.AttemptID = newAttemptID()
 	attempt.AttemptsLeft = max(attemptsLeft, 0)
+	attempt.IsFar = target.Zone != s.config.Board.Snapshot().Self.Zone
 	if r.KeyMinted {
 		mint(&attempt, target)
 		r.Key = attempt.Key
@@ -243,6 +243,12 @@
 	return true
 }
 
+// newAttemptID returns an id that no other attempt has at the same time.
+func newAttemptID() string {
+	const base = 36
+	return strconv.FormatUint(rand.Uint64(), base)
+}
+
 // globalRandom is the program's own random source.
 type globalRandom struct{}
 
--- a/internal/traffic/peer/client.go
+++ b/internal/traffic/peer/client.go
@@ -58,7 +58,7 @@
 	if r.NewConnection {
 		return c.pool.UseNew(ctx, address, f)
 	}
-	return c.pool.UseFor(ctx, address, r.Root.Rank, f)
+	return c.pool.UseFor(ctx, Use{Address: address, Rank: r.Root.Rank, Packs: r.IsFar}, f)
 }
 
 // Call sends one attempt to the node at the address and returns its reply.
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -20,6 +20,8 @@
 	DialTimeout time.Duration
 	// LocalIP is the IP to connect from; nil for any.
 	LocalIP net.IP
+	// Packer makes messages small; nil for none.
+	Packer *Packer
 }
 
 // Pool keeps drpc connections to other nodes. A connection carries one RPC at a time.
@@ -67,16 +69,25 @@
 
 // Use runs f on a connection to the address. The connection is kept for later use only if f succeeds.
 func (p *Pool) Use(ctx context.Context, address string, f func(drpc.Conn) error) error {
-	return p.UseFor(ctx, address, 0, f)
+	return p.UseFor(ctx, Use{Address: address}, f)
 }
 
-// UseFor is Use for a request of the rank. Less urgent ranks may use fewer connections.
-func (p *Pool) UseFor(ctx context.Context, address string, rank int, f func(drpc.Conn) error) error {
-	conn, err := p.take(ctx, address, rank)
+// Use says what a connection is for.
+type Use struct {
+	Address string
+	// Rank is that of the request. Less urgent ranks may use fewer connections.
+	Rank int
+	// Packs says that the messages are to be packed.
+	Packs bool
+}
+
+// UseFor is Use for a request.
+func (p *Pool) UseFor(ctx context.Context, u Use, f func(drpc.Conn) error) error {
+	conn, err := p.take(ctx, u.Address, u.Rank)
 	if err != nil {
 		return err
 	}
-	return p.run(address, conn, f)
+	return p.run(u, conn, f)
 }
 
 // UseNew runs f on a connection that is made for it, for what an older connection left open.
@@ -86,7 +97,7 @@
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	return f(sealedConn{conn})
+	return f(sealedConn{Conn: conn, packer: p.config.Packer})
 }
 
 // Drop closes the idle connections to a node that was found silent, so that none of them is trusted again.
@@ -116,14 +127,14 @@
 	return open
 }
 
-func (p *Pool) run(address string, conn *drpcconn.Conn, f func(drpc.Conn) error) error {
-	err := f(sealedConn{conn})
+func (p *Pool) run(u Use, conn *drpcconn.Conn, f func(drpc.Conn) error) error {
+	err := f(sealedConn{Conn: conn, packer: p.config.Packer, packs: u.Packs})
 	if err != nil || isClosed(conn) {
 		_ = conn.Close()
-		p.drop(address)
+		p.drop(u.Address)
 		return err
 	}
-	p.put(address, conn)
+	p.put(u.Address, conn)
 	return nil
 }
 
