--- a/cmd/comfreyhoist/node.go
+++ b/cmd/comfreyhoist/node.go
@@ -8,10 +8,12 @@
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/node"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/reload"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/routed"
 	"github.com/comfreyhoist/comfreyhoist/platform"
 )
@@ -34,11 +36,13 @@
 		LongHelp:   nodeHelp,
 		FlagSet:    flags,
 		Options:    s.Options(flags),
-		Exec:       func(ctx context.Context, _ []string) error { return runNode(ctx, s) },
+		Exec: func(ctx context.Context, _ []string) error {
+			return runNode(ctx, s, flags.Lookup("config").Value.String())
+		},
 	}
 }
 
-func runNode(ctx context.Context, s *settings.Settings) error {
+func runNode(ctx context.Context, s *settings.Settings, config string) error {
 	if err := s.Check(); err != nil {
 		return trace.Wrap(err)
 	}
@@ -47,6 +51,11 @@
 		return trace.BadParameter("log.level: %v", err)
 	}
 	log := events.NewLog(os.Stdout, level, s.Node.Name)
+	var group conc.WaitGroup
+	defer group.Wait()
+	reloading, stop := context.WithCancel(ctx)
+	defer stop()
+	reload.New(reload.Config{Arguments: []string{"-config", config}, Log: log}).Run(reloading, &group)
 	if s.Platform.Source == settings.FromRoutes {
 		return trace.Wrap(routed.Run(ctx, routed.Config{Settings: s, Log: log, Adapter: platform.NewAdapter(s)}))
 	}
--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -184,6 +184,8 @@
 	board    Board
 	inbox    chan func(*Board)
 	snapshot atomic.Pointer[Board]
+	// changed is closed, and replaced, when the board changes.
+	changed atomic.Pointer[chan struct{}]
 }
 
 // inboxLength is how many updates may wait.
@@ -239,4 +241,14 @@
 func (l *Loop) publish() {
 	copied := l.board
 	l.snapshot.Store(&copied)
+	next := make(chan struct{})
+	if before := l.changed.Swap(&next); before != nil {
+		close(*before)
+	}
+}
+
+// Changed returns a channel that is closed at the next change. Whoever waits for a change takes the channel first and
+// reads the snapshot then.
+func (l *Loop) Changed() <-chan struct{} {
+	return *l.changed.Load()
 }
--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -21,6 +21,8 @@
 	NodeFailed         Number = 1003
 	DrainStarted       Number = 1004
 	DrainFinished      Number = 1005
+	SettingsReloaded   Number = 1006
+	SettingsRefused    Number = 1007
 	BackendAnnounced   Number = 1101
 	BackendLeaving     Number = 1102
 	BackendFailed      Number = 1103
@@ -74,6 +76,8 @@
 	NodeFailed:         {Name: "node_failed", Level: zerolog.ErrorLevel, Since: "0.1", Text: "The node can't go on.", Action: "Read the error; the process has ended and should be started again."},
 	DrainStarted:       {Name: "drain_started", Level: zerolog.InfoLevel, Since: "0.1", Text: "The node takes no new work and finishes what it has."},
 	DrainFinished:      {Name: "drain_finished", Level: zerolog.InfoLevel, Since: "0.1", Text: "No request is left in flight."},
+	SettingsReloaded:   {Name: "settings_reloaded", Level: zerolog.InfoLevel, Since: "0.3", Text: "The settings were read again after SIGHUP; the log level is in force now, all else from the next start on."},
+	SettingsRefused:    {Name: "settings_refused", Level: zerolog.WarnLevel, Since: "0.3", Text: "The settings that were read again have faults; those of before stay in force.", Action: "Mend the file; the error names the line."},
 	BackendAnnounced:   {Name: "backend_announced", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server announced itself."},
 	BackendLeaving:     {Name: "backend_leaving", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server announced that it leaves."},
 	BackendFailed:      {Name: "backend_failed", Level: zerolog.WarnLevel, Since: "0.1", Text: "The backend server broke a connection in the middle of a request.", Action: "If it repeats, look for a crash of the backend server."},
--- a/internal/control/events/log.go
+++ b/internal/control/events/log.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,16 +15,27 @@
 // Log writes events as lines of JSON.
 type Log struct {
 	logger zerolog.Logger
+	level  atomic.Int32
 }
 
 // NewLog returns a log that writes events of at least the level to w and marks them with the node's name.
 func NewLog(w io.Writer, level zerolog.Level, node string) *Log {
-	return &Log{logger: zerolog.New(w).Level(level).With().Timestamp().Str("node", node).Logger()}
+	l := &Log{logger: zerolog.New(w).With().Timestamp().Str("node", node).Logger()}
+	l.SetLevel(level)
+	return l
+}
+
+// SetLevel makes the log write events of at least the level from now on.
+func (l *Log) SetLevel(level zerolog.Level) {
+	l.level.Store(int32(level))
 }
 
 // Emit writes one event.
 func (l *Log) Emit(n Number, fields Fields) {
 	entry := Catalogue[n]
+	if entry.Level < zerolog.Level(l.level.Load()) {
+		return
+	}
 	l.logger.WithLevel(entry.Level).Int("event", int(n)).Str("name", entry.Name).Fields(map[string]any(fields)).Msg(entry.Text)
 }
 
--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -35,8 +35,8 @@
 	leaseTime = 4 * time.Second
 	// renewEvery is the time between renewals.
 	renewEvery = 1300 * time.Millisecond
-	// lookEvery is the time between looks at whether the own entry still says what is so.
-	lookEvery = 20 * time.Millisecond
+	// lookEvery is the longest time between looks at whether the own entry still says what is so.
+	lookEvery = 300 * time.Millisecond
 	// writeTimeout bounds one call for the own entry.
 	writeTimeout = 700 * time.Millisecond
 	// writeRetry is the pause after a call that failed.
@@ -254,34 +254,48 @@
 // announce keeps the own entry in the store.
 func (c *Controller) announce(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := c.tend(ctx); err != nil && ctx.Err() == nil {
+		changed := c.config.Board.Changed()
+		done, err := c.tend(ctx)
+		switch {
+		case err != nil && ctx.Err() == nil:
 			c.config.Log.Emit(time.Now(), events.EntryUnwritten, events.Fields{"error": err.Error()})
 			pause.For(ctx, writeRetry)
-			continue
+		case done:
+			waitFor(ctx, changed, lookEvery)
 		}
-		pause.For(ctx, lookEvery)
 	}
 }
 
-// tend makes the calls that are due.
-func (c *Controller) tend(ctx context.Context) error {
+// waitFor returns when the channel is closed, at the latest after the time.
+func waitFor(ctx context.Context, changed <-chan struct{}, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+// tend makes one call that is due, and reports true where none is.
+func (c *Controller) tend(ctx context.Context) (done bool, err error) {
 	own, known := Own(c.config.Board.Snapshot())
 	if !known {
-		return nil
+		return true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	e := &c.entry
 	if e.lease != 0 && time.Since(e.renewedAt) >= renewEvery {
-		return c.renew(ctx)
+		return false, c.renew(ctx)
 	}
 	if e.held && e.written == own && e.revision >= c.goneAt.Load() {
-		return nil
+		return true, nil
 	}
 	if e.lease == 0 {
-		return c.grant(ctx)
+		return false, c.grant(ctx)
 	}
-	return c.write(ctx, own)
+	return false, c.write(ctx, own)
 }
 
 func (c *Controller) grant(ctx context.Context) error {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -251,7 +251,7 @@
 	group.Go(func() { n.controller.Run(ctx) })
 	group.Go(func() { n.homes.Run(ctx, n.controller) })
 	group.Go(func() { n.home.Run(ctx) })
-	group.Go(func() { n.advanceGate(ctx) })
+	group.Go(func() { n.gate.Run(ctx, parts.GateTick) })
 	group.Go(func() { n.local.Watch(ctx) })
 	group.Go(func() { n.quarantine.Run(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
@@ -287,19 +287,6 @@
 	return router
 }
 
-func (n *Node) advanceGate(ctx context.Context) {
-	ticker := time.NewTicker(parts.GateTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.gate.Advance()
-		}
-	}
-}
-
 func (n *Node) servePeers(ctx context.Context) {
 	mux := drpcmux.New()
 	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.home, n.home, n.homes))
--- /dev/null
+++ b/internal/process/routed/fleet_test.go
@@ -0,0 +1,224 @@
+package routed_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/routes"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/kv"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/routed"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
+)
+
+// The headers of the tests.
+var (
+	callerHeaders  = caller.RoutedHeaders{RequestID: "Request-Name", TimeLeft: "Time-Left", CallerService: "Calling-Service"}
+	backendHeaders = backend.Headers{
+		TimeLeft: "Time-Left", Instance: "Only-Instance", RequestID: "Request-Name", Signature: "Signature", NotRun: "Not-Run",
+	}
+)
+
+const routesKey = "op/routes"
+
+// fleet is a store and nodes on loopback, each beside a backend server of the test.
+type fleet struct {
+	store *kv.Store
+	group conc.WaitGroup
+	nodes []*member
+}
+
+// member is one node with its backend server.
+type member struct {
+	settings *settings.Settings
+	server   *httptest.Server
+	log      *syncBuffer
+	announce func(backend.Announcement)
+	left     func(instance string)
+	ready    func() bool
+	stop     context.CancelFunc
+	ended    chan struct{}
+	sequence atomic.Uint64
+	service  string
+}
+
+// syncBuffer is a buffer for several goroutines.
+type syncBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+func newFleet(tb testing.TB, catalogue routes.Catalogue) *fleet {
+	f := &fleet{store: kv.New()}
+	f.setRoutes(tb, catalogue)
+	tb.Cleanup(f.stop)
+	return f
+}
+
+func (f *fleet) setRoutes(tb testing.TB, catalogue routes.Catalogue) {
+	value, err := json.Marshal(catalogue)
+	is.New(tb).NoErr(err)
+	f.store.Operator(routesKey, value)
+}
+
+func (f *fleet) stop() {
+	for _, m := range f.nodes {
+		m.stop()
+	}
+	f.group.Wait()
+	for _, m := range f.nodes {
+		m.server.Close()
+	}
+}
+
+func freeAddress(tb testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(tb).NoErr(err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// add starts a node in the zone, beside a backend server of the service that answers with the handler.
+func (f *fleet) add(tb testing.TB, zone, service string, handler http.HandlerFunc) *member {
+	flags := flag.NewFlagSet("node", flag.ContinueOnError)
+	s := settings.Register(flags)
+	is.New(tb).NoErr(s.Parse(flags, []string{
+		"-node.name", fmt.Sprintf("node_%d", len(f.nodes)+1), "-node.zone", zone, "-node.zones", zone, "-node.service", service,
+		"-caller.address", freeAddress(tb), "-peer.address", freeAddress(tb), "-backend.address", freeAddress(tb),
+		"-ready.address", freeAddress(tb), "-platform.url", "http://127.0.0.1:1", "-platform.source", settings.FromRoutes,
+	}))
+	is.New(tb).NoErr(s.Check())
+	m := &member{settings: s, log: &syncBuffer{}, service: service, ended: make(chan struct{})}
+	m.server = httptest.NewServer(signed(handler))
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	registered := make(chan struct{})
+	adapter := routed.Adapter{
+		Store:     f.store.As(s.Node.Name),
+		RoutesKey: routesKey,
+		DecodeRoutes: func(value []byte) (*routes.Table, error) {
+			var c routes.Catalogue
+			if err := json.Unmarshal(value, &c); err != nil {
+				return nil, err
+			}
+			return routes.NewTable(c)
+		},
+		RegisterAnnouncements: func(_ *httprouter.Router, a routed.Announcements) {
+			m.announce, m.left = a.Announced, a.Left
+			close(registered)
+		},
+		RegisterReady:  func(_ *httprouter.Router, ready func() bool) { m.ready = ready },
+		CallerHeaders:  callerHeaders,
+		BackendHeaders: backendHeaders,
+	}
+	log := events.NewLog(m.log, zerolog.DebugLevel, s.Node.Name)
+	f.group.Go(func() {
+		defer close(m.ended)
+		_ = routed.Run(ctx, routed.Config{Settings: s, Log: log, Adapter: adapter})
+	})
+	<-registered
+	m.heartbeat(false)
+	f.nodes = append(f.nodes, m)
+	return m
+}
+
+// signed marks the answers of a backend server as its own.
+func signed(handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signature", "s")
+		w.Header().Set("Request-Name", r.Header.Get("Request-Name"))
+		handler(w, r)
+	}
+}
+
+func (m *member) heartbeat(leaving bool) {
+	m.announce(backend.Announcement{
+		Service: m.service, Address: strings.TrimPrefix(m.server.URL, "http://"), Slots: 64, Connections: 256,
+		Instance: "i_" + m.settings.Node.Name, Started: 1, Sequence: m.sequence.Add(1), Leaving: leaving,
+	})
+}
+
+// settle waits until every node knows every other.
+func (f *fleet) settle(tb testing.TB) {
+	deadline := time.Now().Add(10 * time.Second)
+	for _, m := range f.nodes {
+		for !strings.Contains(m.log.String(), "routes_in_force") || m.ready == nil || !m.ready() {
+			if time.Now().After(deadline) {
+				tb.Fatal("the nodes don't become ready: " + m.log.String())
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+}
+
+// call sends one request to the node as a caller.
+func (m *member) call(tb testing.TB, client *http.Client, method, host, path string) answer {
+	r, err := http.NewRequestWithContext(tb.Context(), method, "http://"+m.settings.Caller.Address+path, http.NoBody)
+	is.New(tb).NoErr(err)
+	r.Host = host
+	r.Header.Set("Request-Name", fmt.Sprintf("r%d", requestNumber.Add(1)))
+	r.Header.Set("Time-Left", "5000")
+	response, err := client.Do(r)
+	if err != nil {
+		return answer{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{}
+	}
+	return answer{status: response.StatusCode, body: string(body), header: response.Header}
+}
+
+var requestNumber atomic.Uint64
+
+// twoServices has a route to each of two services.
+func twoServices(version uint64) routes.Catalogue {
+	return routes.Catalogue{
+		Version: version,
+		Routes: []routes.Route{
+			{Name: "sheets", Host: "sheets.example", Prefix: "/", Idempotent: true, Timeout: 2 * time.Second, Target: time.Second, Rank: 1, Attempts: 2, Clusters: []routes.Cluster{{Service: "crew", Weight: 1}}},
+			{Name: "deposits", Host: "deposits.example", Prefix: "/", Timeout: 2 * time.Second, Target: time.Second, Rank: 2, Attempts: 2, Clusters: []routes.Cluster{{Service: "bookings", Weight: 1}}},
+		},
+		Services: []routes.Service{{Name: "crew", Connections: 256}, {Name: "bookings", Connections: 256}},
+	}
+}
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -15,6 +15,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -170,6 +171,10 @@
 	})
 }
 
+// garbagePercent lets the small heap of a node grow further between collections than the runtime would: processor time is
+// scarcer than memory beside a backend server.
+const garbagePercent = 300
+
 // Run listens and works until the context ends and the node has drained.
 func Run(ctx context.Context, config Config) error {
 	n, err := New(config)
@@ -180,6 +185,7 @@
 		config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return trace.Wrap(err)
 	}
+	debug.SetGCPercent(garbagePercent)
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group conc.WaitGroup
@@ -199,7 +205,7 @@
 	group.Go(func() { n.loop.Run(ctx) })
 	group.Go(func() { n.members.Run(ctx) })
 	group.Go(func() { n.routes.run(ctx) })
-	group.Go(func() { n.advanceGate(ctx) })
+	group.Go(func() { n.gate.Run(ctx, parts.GateTick) })
 	group.Go(func() { n.local.Watch(ctx) })
 	group.Go(func() { n.quarantine.Run(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
@@ -251,19 +257,6 @@
 	return router
 }
 
-func (n *Node) advanceGate(ctx context.Context) {
-	ticker := time.NewTicker(parts.GateTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.gate.Advance()
-		}
-	}
-}
-
 // listeners are the sockets of a node.
 type listeners struct {
 	caller  net.Listener
--- /dev/null
+++ b/internal/process/routed/routed_test.go
@@ -0,0 +1,94 @@
+package routed_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/kv"
+)
+
+func hello(w http.ResponseWriter, r *http.Request) {
+	_, _ = w.Write([]byte("hello " + r.URL.Path + " from " + r.Header.Get("Calling-Service") + " to " + r.Header.Get("Only-Instance") + " at " + r.Host))
+}
+
+func TestRequestGoesToItsService(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, twoServices(1))
+	crew := f.add(t, "zone_1", "crew", hello)
+	f.add(t, "zone_1", "bookings", hello)
+	f.settle(t)
+	client := &http.Client{}
+	is.Equal(crew.call(t, client, "GET", "sheets.example", "/a").body, "hello /a from crew to i_node_1 at sheets.example")
+	is.Equal(crew.call(t, client, "POST", "deposits.example", "/b").body, "hello /b from crew to i_node_2 at deposits.example")
+	is.Equal(crew.call(t, client, "GET", "unknown.example", "/").status, http.StatusNotFound)
+}
+
+func TestLeavingBackendServerIsToldAndGetsNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, twoServices(1))
+	crew := f.add(t, "zone_1", "crew", hello)
+	first := f.add(t, "zone_1", "bookings", hello)
+	f.add(t, "zone_1", "bookings", hello)
+	f.settle(t)
+	client := &http.Client{}
+	first.heartbeat(true) // returns when the node goes by it
+	for range 20 {
+		is.True(strings.Contains(crew.call(t, client, "POST", "deposits.example", "/b").body, "to i_node_3"))
+	}
+}
+
+// A node that the store turns away loses its entry, and goes on to get requests.
+func TestNodeCutFromTheStoreGoesOn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, twoServices(1))
+	crew := f.add(t, "zone_1", "crew", hello)
+	f.add(t, "zone_1", "bookings", hello)
+	f.settle(t)
+	f.store.SetFaults(kv.Faults{RefuseNodes: map[string]bool{"node_2": true}})
+	f.store.Revoke("members/node_2")
+	time.Sleep(time.Second)
+	client := &http.Client{}
+	is.Equal(crew.call(t, client, "POST", "deposits.example", "/b").status, http.StatusOK)
+	f.store.SetFaults(kv.Faults{})
+	time.Sleep(2 * time.Second)
+	is.True(f.store.Item("members/node_2").Revision > 0) // it is back by itself
+}
+
+// Requests that are in flight, and those that still come, are answered while a node leaves.
+func TestLeavingNodeAnswersWhatComes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, twoServices(1))
+	crew := f.add(t, "zone_1", "crew", hello)
+	f.add(t, "zone_1", "bookings", hello)
+	f.settle(t)
+	is.True(crew.ready())
+	crew.stop()
+	time.Sleep(100 * time.Millisecond)
+	is.True(!crew.ready())
+	client := &http.Client{}
+	for begin := time.Now(); time.Since(begin) < 2500*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+		is.Equal(crew.call(t, client, "POST", "deposits.example", "/b").status, http.StatusOK)
+	}
+	select {
+	case <-crew.ended:
+	case <-time.After(4 * time.Second):
+		t.Fatal("the node doesn't end")
+	}
+}
+
+// What can't run is refused at once, with a status that says so and when to come back.
+func TestRefusalSaysNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, twoServices(1))
+	crew := f.add(t, "zone_1", "crew", hello)
+	f.settle(t)
+	begin := time.Now()
+	got := crew.call(t, &http.Client{}, "POST", "deposits.example", "/b")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+	is.True(time.Since(begin) < time.Second)
+}
--- a/internal/traffic/backend/gate.go
+++ b/internal/traffic/backend/gate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
@@ -15,6 +16,8 @@
 	mu      sync.Mutex
 	gate    *admission.Gate
 	waiters map[*admission.Ticket]chan answer
+	// waiting is signalled when a request begins to wait.
+	waiting chan struct{}
 }
 
 // answer is the final word on a ticket that waited.
@@ -25,7 +28,7 @@
 
 // NewGate returns a gate.
 func NewGate(config admission.GateConfig) *Gate {
-	return &Gate{gate: admission.NewGate(config), waiters: map[*admission.Ticket]chan answer{}}
+	return &Gate{gate: admission.NewGate(config), waiters: map[*admission.Ticket]chan answer{}, waiting: make(chan struct{}, 1)}
 }
 
 // Enter waits for a slot. Without one it returns the reply that refuses the request. Whoever got a slot calls Leave.
@@ -58,6 +61,20 @@
 	g.signal(g.gate.Advance(time.Now()))
 }
 
+// Run drops requests that waited too long, with a look each tick while any wait, until the context ends.
+func (g *Gate) Run(ctx context.Context, tick time.Duration) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.waiting:
+		}
+		for g.Load().Queued > 0 && pause.For(ctx, tick) {
+			g.Advance()
+		}
+	}
+}
+
 // Announce sets the slots and connections that the backend server claims.
 func (g *Gate) Announce(slots, connections int) {
 	g.mu.Lock()
@@ -121,6 +138,10 @@
 	}
 	waiter := make(chan answer, 1)
 	g.waiters[t] = waiter
+	select {
+	case g.waiting <- struct{}{}:
+	default:
+	}
 	return verdict, waiter
 }
 
--- a/internal/traffic/flow/exchange.go
+++ b/internal/traffic/flow/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -120,7 +121,7 @@
 // isFenced asks about an attempt and reports true where that settles it. While nobody can be asked, waiting goes on.
 func (x *exchange) isFenced(ctx context.Context, address string, attempt *call.Request) (answer, bool) {
 	resolution, err := x.ask(ctx, address, attempt)
-	if err != nil || resolution.Known && resolution.State == outcome.Running {
+	if err != nil || ctx.Err() != nil || resolution.Known && resolution.State == outcome.Running {
 		return answer{}, false
 	}
 	x.leave(address)
@@ -144,52 +145,85 @@
 // goes on.
 type resolver func(ctx context.Context, address string, attempt *call.Request) (answer, bool)
 
-// send sends one copy and watches over it.
+// send sends one copy and watches over it. The watch ends the copy where it settles the attempt first.
 func (x *exchange) send(ctx context.Context, address string, attempt *call.Request, resolve resolver) (call.Reply, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	var group conc.WaitGroup
-	defer group.Wait()
-	defer cancel()
-	answers := make(chan answer, 1)
 	sent := *attempt
-	start := time.Now()
-	group.Go(func() {
-		reply, err := x.peers.Call(ctx, address, &sent)
-		x.reportUnreachable(err)
-		answers <- answer{reply, err}
-	})
 	kind := workKind{service: attempt.Service, kind: attempt.Kind}
-	patience := x.paces.bound(kind)
-	for {
-		timer := time.NewTimer(patience)
-		select {
-		case a := <-answers:
-			timer.Stop()
-			if a.err == nil && a.reply.Outcome == call.Ran {
-				x.paces.learn(kind, time.Since(start))
-			}
-			return a.reply, a.err
-		case <-timer.C:
-		}
-		if a, ok := resolve(ctx, address, &sent); ok {
-			return lastChance(answers, a)
-		}
-		patience *= 2
+	w := &watch{settled: make(chan answer, 1)}
+	defer w.group.Wait()
+	start := time.Now()
+	w.after(ctx, x.paces.bound(kind), func() (answer, bool) { return resolve(ctx, address, &sent) }, cancel)
+	reply, err := x.peers.Call(ctx, address, &sent)
+	w.stop()
+	cancel()
+	x.reportUnreachable(err)
+	if err == nil && reply.Outcome == call.Ran {
+		x.paces.learn(kind, time.Since(start))
+	}
+	if settled, ok := w.answer(); ok && err != nil {
+		return settled.reply, settled.err
+	}
+	return reply, err
+}
+
+// watch asks about an attempt whose answer takes long, again and again, each time after twice the patience.
+type watch struct {
+	settled chan answer
+	group   conc.WaitGroup
+
+	mu      sync.Mutex
+	stopped bool
+	timer   *time.Timer
+}
+
+// after asks once the patience has passed. Where that settles the attempt, a last moment is given to the answer itself.
+func (w *watch) after(ctx context.Context, patience time.Duration, ask func() (answer, bool), cancel context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
 	}
+	w.timer = time.AfterFunc(patience, func() {
+		w.spawn(func() {
+			a, ok := ask()
+			if !ok {
+				w.after(ctx, 2*patience, ask, cancel)
+				return
+			}
+			if a.err != nil {
+				pause.For(ctx, answerGrace)
+			}
+			w.settled <- a
+			cancel()
+		})
+	})
 }
 
-// lastChance prefers the answer itself where it comes while the other node is being asked about it.
-func lastChance(answers <-chan answer, resolved answer) (call.Reply, error) {
-	if resolved.err == nil {
-		return resolved.reply, nil
+// spawn runs f in the group, unless the watch has ended.
+func (w *watch) spawn(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.group.Go(f)
 	}
-	timer := time.NewTimer(answerGrace)
-	defer timer.Stop()
+}
+
+// stop ends the watch; what is being asked goes on.
+func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+// answer returns what settled the attempt.
+func (w *watch) answer() (answer, bool) {
 	select {
-	case a := <-answers:
-		return a.reply, a.err
-	case <-timer.C:
-		return resolved.reply, resolved.err
+	case a := <-w.settled:
+		return a, true
+	default:
+		return answer{}, false
 	}
 }
 
@@ -223,7 +257,9 @@
 		Delegated:   attempt.Delegated,
 	}, resolveTimeout)
 	if err != nil {
-		x.leave(address)
+		if ctx.Err() == nil {
+			x.leave(address)
+		}
 		return answer{}, false
 	}
 	return settled(address, resolution)
@@ -251,7 +287,7 @@
 // isWorkedOn asks whether the other node is working on the attempt of an idempotent request.
 func (x *exchange) isWorkedOn(ctx context.Context, address string, attempt *call.Request) (answer, bool) {
 	resolution, err := x.ask(ctx, address, attempt)
-	if err == nil && resolution.State == outcome.Running {
+	if ctx.Err() != nil || err == nil && resolution.State == outcome.Running {
 		return answer{}, false
 	}
 	x.leave(address)
