--- a/internal/decide/routing/instance.go
+++ b/internal/decide/routing/instance.go
@@ -93,10 +93,11 @@
 		}
 	case Shed:
 		i.sheddingRank = s.Rank
+		i.shedUntil = now.Add(i.config.SheddingTime)
 		if s.AllShed {
 			i.sheddingRank = 0
+			i.shedUntil = now.Add(i.config.LeavingTime)
 		}
-		i.shedUntil = now.Add(i.config.SheddingTime)
 		i.lastShed = ShedEvidence{Reason: ShedReply, Told: s.Reason, At: now}
 	}
 }
--- a/internal/traffic/flow/trees.go
+++ b/internal/traffic/flow/trees.go
@@ -58,10 +58,10 @@
 	})
 }
 
-// isShort reports whether a call failed for want of room or time.
+// isShort reports whether a call failed for want of room. One that ran out of time may just have worked for long.
 func isShort(reason call.Reason) bool {
 	switch reason {
-	case call.ReasonOverload, call.ReasonQueueTimeout, call.ReasonBackendShed, call.ReasonDeadline:
+	case call.ReasonOverload, call.ReasonQueueTimeout, call.ReasonBackendShed:
 		return true
 	}
 	return false
