The limit stays at announced slots that are true; only kinds that make calls are taken for their makers

Archive browsing, which makes no calls, was bounded because calls of its neighbours were taken for its own: 640 of 1879 refused.

--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -88,7 +88,7 @@
 // pause holds starts back until a slot of the backend server should be free, where it shed a request: the freed slot
 // of the gate isn't one of the backend server, and all that waits would be shed in one moment.
 func (g *Gate) pause(now time.Time, s Sample) {
-	if !s.Overloaded {
+	if !s.Overloaded || g.limit.isFixed() {
 		g.pausedUntil = time.Time{}
 		return
 	}
--- a/internal/decide/admission/limit.go
+++ b/internal/decide/admission/limit.go
@@ -7,6 +7,9 @@
 
 // LimitConfig sets a Limit up.
 type LimitConfig struct {
+	// Fixed keeps the limit at the announced slots, where these are known to be true. A backend server that sheds below
+	// its slots then fails a part of its requests; fewer in flight would not cure that.
+	Fixed bool
 	// Initial is where the limit starts, below what is announced.
 	Initial int
 	Min     int
@@ -131,6 +134,9 @@
 
 // Value returns the limit in force, at least 1.
 func (l *Limit) Value() int {
+	if l.isFixed() {
+		return int(math.Min(float64(l.announced), l.highest()))
+	}
 	return max(int(l.value), 1)
 }
 
@@ -308,6 +314,11 @@
 	l.value = math.Max(l.value, float64(l.config.Min))
 }
 
+// isFixed reports whether the limit stays at the announced slots.
+func (l *Limit) isFixed() bool {
+	return l.config.Fixed && l.announced > 0
+}
+
 // highest returns the bound that holds whatever the backend server is seen to do.
 func (l *Limit) highest() float64 {
 	if l.connections > 0 {
--- a/internal/decide/lineage/lineage.go
+++ b/internal/decide/lineage/lineage.go
@@ -24,6 +24,7 @@
 
 // Running is a request that the backend server works on.
 type Running struct {
+	Kind     string
 	Started  time.Time
 	Deadline time.Time
 	// Calling says that a call of it has not been answered.
@@ -57,6 +58,21 @@
 	// whole is the share of the requests with that time, and fitting the share of those that expire with a running one.
 	whole   float64
 	fitting float64
+	// parents counts the requests of each kind that calls of this kind expired with.
+	parents map[string]int
+}
+
+// leastOfParents is the least part of the calls that a kind of request must have made to be taken for the maker of
+// others: some requests expire with a call by chance.
+const leastOfParents = 0.1
+
+// isMadeBy reports whether requests of the kind make calls of this one.
+func (k *kind) isMadeBy(parent string) bool {
+	total := 0
+	for _, count := range k.parents {
+		total += count
+	}
+	return float64(k.parents[parent]) >= leastOfParents*float64(total)
 }
 
 // NewMatcher returns a matcher that knows no kinds.
@@ -68,13 +84,18 @@
 // to be made up of calls, or nothing runs.
 func (m *Matcher) Match(now time.Time, c Call, running []Running) (int, bool) {
 	index, fits := fitting(now, c, running)
-	if !m.learn(now, c, fits) {
-		return 0, false
-	}
+	k := m.kind(c)
+	k.learn(now, c, fits)
 	if fits {
+		k.parents[running[index].Kind]++
+	}
+	switch {
+	case !k.isCall():
+		return 0, false
+	case fits && k.isMadeBy(running[index].Kind):
 		return index, true
 	}
-	return likeliest(now, c, running)
+	return k.likeliest(now, c, running)
 }
 
 // fitting returns the request that expires with the call.
@@ -91,13 +112,13 @@
 
 // likeliest returns the request whose last call was answered last, of those that have no call open and outlast the call;
 // else the one that has run longest.
-func likeliest(now time.Time, c Call, running []Running) (int, bool) {
+func (k *kind) likeliest(now time.Time, c Call, running []Running) (int, bool) {
 	best := -1
 	for i, r := range running {
 		if r.Calling || now.Sub(r.Started) < leastAge || r.Deadline.Before(c.Expires.Add(-tolerance)) {
 			continue
 		}
-		if best < 0 || isLikelier(r, running[best]) {
+		if k.isMadeBy(r.Kind) && (best < 0 || isLikelier(r, running[best])) {
 			best = i
 		}
 	}
@@ -111,17 +132,25 @@
 	return a.Started.Before(b.Started)
 }
 
-// learn takes in one request and reports whether its kind is made up of calls.
-func (m *Matcher) learn(now time.Time, c Call, fits bool) bool {
+func (m *Matcher) kind(c Call) *kind {
 	k, known := m.kinds[c.Kind]
 	if !known {
-		k = &kind{whole: mostWhole, fitting: leastFitting}
+		k = &kind{whole: mostWhole, fitting: leastFitting, parents: map[string]int{}}
 		m.kinds[c.Kind] = k
 	}
+	return k
+}
+
+// learn takes in one request.
+func (k *kind) learn(now time.Time, c Call, fits bool) {
 	left := c.Expires.Sub(now).Milliseconds()
 	k.longest = max(k.longest, left)
 	k.whole += sampleWeight * (truth(left >= k.longest) - k.whole)
 	k.fitting += sampleWeight * (truth(fits) - k.fitting)
+}
+
+// isCall reports whether the kind is made up of calls.
+func (k *kind) isCall() bool {
 	return k.fitting >= leastFitting && k.whole <= mostWhole
 }
 
--- a/internal/decide/lineage/lineage_test.go
+++ b/internal/decide/lineage/lineage_test.go
@@ -20,7 +20,7 @@
 func knowing() *lineage.Matcher {
 	m := lineage.NewMatcher()
 	for n := range 100 {
-		running := []lineage.Running{{Started: at(-50), Deadline: at(700 - n)}}
+		running := []lineage.Running{{Kind: "sheets", Started: at(-50), Deadline: at(700 - n)}}
 		_, _ = m.Match(at(0), lineage.Call{Kind: "keys", Expires: at(700 - n)}, running)
 	}
 	return m
@@ -28,10 +28,11 @@
 
 func TestMatch(t *testing.T) {
 	running := []lineage.Running{
-		{Started: at(0), Deadline: at(1200), LastCall: at(40)},
-		{Started: at(40), Deadline: at(900), LastCall: at(98)},
-		{Started: at(50), Deadline: at(1300), Calling: true},
-		{Started: at(100), Deadline: at(2000)},
+		{Kind: "sheets", Started: at(0), Deadline: at(1200), LastCall: at(40)},
+		{Kind: "sheets", Started: at(40), Deadline: at(900), LastCall: at(98)},
+		{Kind: "sheets", Started: at(50), Deadline: at(1300), Calling: true},
+		{Kind: "sheets", Started: at(100), Deadline: at(2000)},
+		{Kind: "browse", Started: at(10), Deadline: at(1900), LastCall: at(99)},
 	}
 	for name, test := range map[string]struct {
 		expires int
@@ -42,6 +43,8 @@
 		"given less time, after the last call":      {700, running, 1},
 		"given less time, outlasts the last caller": {1000, running, 0},
 		"of one that makes no second call now":      {1250, running, -1},
+		"only a kind runs that makes no such calls": {700, running[4:], -1},
+		"expires by chance with such a kind":        {1900, running[4:], -1},
 		"nothing runs":                              {700, nil, -1},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -130,7 +130,7 @@
 func (n *Node) buildReceiver(s *settings.Settings, incarnation uint64) {
 	presence := backend.NewPresence()
 	gate := parts.GateConfig(s)
-	gate.Limit.Initial = gate.Limit.Max // announced slots are true here, so that the limit begins there
+	gate.Limit.Fixed = true
 	n.gate = backend.NewGate(gate)
 	pool := parts.PoolConfig(s)
 	pool.Packer = n.packer
--- a/internal/traffic/call/chain.go
+++ b/internal/traffic/call/chain.go
@@ -13,6 +13,7 @@
 type Chain struct {
 	Root     Root
 	Depth    int
+	Kind     string
 	Started  time.Time
 	Deadline time.Time
 	// Running ends with the request, so that its calls end too.
@@ -74,7 +75,7 @@
 func (c *Chain) asRunning() lineage.Running {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return lineage.Running{Started: c.Started, Deadline: c.Deadline, Calling: c.children > 0, LastCall: c.childEnd}
+	return lineage.Running{Kind: c.Kind, Started: c.Started, Deadline: c.Deadline, Calling: c.children > 0, LastCall: c.childEnd}
 }
 
 // BeginChild marks the start of a call down the chain.
@@ -136,6 +137,7 @@
 	c := &Chain{
 		Root:     r.Root,
 		Depth:    r.Depth,
+		Kind:     r.Kind,
 		Started:  time.Now(),
 		Deadline: r.Deadline,
 		Running:  running,
