--- /dev/null
+++ b/internal/decide/roster/roster_test.go
@@ -0,0 +1,72 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/roster"
+)
+
+func entry(node string, revision uint64, state membership.State) roster.Entry {
+	return roster.Entry{
+		Key: node, Revision: revision,
+		Member: membership.Member{Node: node, PeerAddress: "10.0.0.1:" + node, Service: "keys", State: state},
+	}
+}
+
+func gone(node string, revision uint64) roster.Change {
+	return roster.Change{Entry: roster.Entry{Key: node, Revision: revision}, Deleted: true}
+}
+
+func TestMembers(t *testing.T) {
+	now := time.Now()
+	up, leaving := entry("a", 5, membership.Up), entry("a", 5, membership.Leaving)
+	for name, test := range map[string]struct {
+		changes     []roster.Change
+		after       time.Duration
+		want        bool
+		unconfirmed bool
+	}{
+		"entry stands":                   {[]roster.Change{{Entry: up}}, 0, true, false},
+		"entry went without a word":      {[]roster.Change{{Entry: up}, gone("a", 6)}, time.Second, true, true},
+		"kept long enough":               {[]roster.Change{{Entry: up}, gone("a", 6)}, time.Minute, false, false},
+		"said that it leaves":            {[]roster.Change{{Entry: leaving}, gone("a", 6)}, 0, false, false},
+		"back under its name":            {[]roster.Change{{Entry: up}, gone("a", 6), {Entry: entry("a", 7, membership.Up)}}, 0, true, false},
+		"an older change comes late":     {[]roster.Change{{Entry: up}, gone("a", 4)}, 0, true, false},
+		"address taken by another later": {[]roster.Change{{Entry: up}, gone("a", 6), {Entry: roster.Entry{Key: "b", Revision: 8, Member: membership.Member{Node: "b", PeerAddress: up.Member.PeerAddress}}}}, 0, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.DefaultConfig)
+			for _, c := range test.changes {
+				r.Apply(now, c)
+			}
+			var found *membership.Member
+			for _, m := range r.Members(now.Add(test.after)) {
+				if m.Node == "a" {
+					found = &m
+				}
+			}
+			is.Equal(found != nil, test.want)
+			if found != nil {
+				is.Equal(found.Unconfirmed, test.unconfirmed)
+			}
+		})
+	}
+}
+
+// A list that lacks a member is like its entry going away.
+func TestReplaceKeepsWhoIsMissing(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := roster.New(roster.DefaultConfig)
+	r.Replace(now, []roster.Entry{entry("a", 1, membership.Up), entry("b", 2, membership.Up)})
+	r.Replace(now, []roster.Entry{entry("b", 2, membership.Up)})
+	members := r.Members(now)
+	is.Equal(len(members), 2)
+	is.True(members[0].Unconfirmed)
+	is.True(!members[1].Unconfirmed)
+}
--- a/internal/decide/trees/trees.go
+++ b/internal/decide/trees/trees.go
@@ -3,14 +3,16 @@
 // for nothing; the one place where few refusals help is before it starts. In a closed circle of requests and calls a bound
 // of the requests bounds the queues below, from the first moment of a burst on.
 //
-// The bound of a kind shrinks while the calls of finished requests stood in queues for a large part of their time, or were
-// turned away, and grows while it is used and they didn't. Calls that are less urgent wait longer than urgent ones at the
-// same backend server, so the bounds of less urgent kinds shrink first.
+// Each finished request tells how many may run beside it for calls to stand in queues for a small part of their time: as
+// many as ran beside it, times what the waits leave of its time. The bound follows what they tell; up only while it is
+// used. Calls that are less urgent wait longer than urgent ones at the same backend server, so the bounds of less urgent
+// kinds go down first.
 //
 // # Usage
 //
-//	if !limits.Begin(now, kind) { ... refuse ... }
-//	limits.End(now, kind, trees.Sample{Took: took, Waited: waited, Calls: calls})
+//	start, ok := limits.Begin(now, kind)
+//	if !ok { ... refuse ... }
+//	limits.End(now, start, trees.Sample{Took: took, Waited: waited, Calls: calls})
 //
 // The package does no I/O and reads no clock. Limits is not safe for concurrent use.
 package trees
@@ -21,26 +23,25 @@
 type Config struct {
 	// Initial is the bound of a kind of which nothing is known, Min the least and Max the highest.
 	Initial, Min, Max float64
-	// HighWait is the part of its time that a request's calls may stand in queues before the bound shrinks; below LowWait
-	// the bound may grow.
-	HighWait, LowWait float64
-	// Backoff is the factor by which the bound shrinks, at most once in the time that a request takes.
-	Backoff float64
-	// Growth is the part of the bound that is added in each GrowthTime in which it is used.
-	Growth     float64
-	GrowthTime time.Duration
+	// Wait is the part of its time that the calls of a request should stand in queues.
+	Wait float64
+	// Headroom is how many requests more than a request tells the bound goes for.
+	Headroom float64
+	// Gain is the part of the way that the bound goes while as many requests end as it holds.
+	Gain float64
+	// UsedTime is how long ago the bound was reached at most for it to count as used.
+	UsedTime time.Duration
 }
 
 // DefaultConfig holds where nothing else is set.
 var DefaultConfig = Config{
-	Initial:    10,
-	Min:        2,
-	Max:        1000,
-	HighWait:   0.15,
-	LowWait:    0.08,
-	Backoff:    0.8,
-	Growth:     0.1,
-	GrowthTime: 150 * time.Millisecond,
+	Initial:  16,
+	Min:      2,
+	Max:      1000,
+	Wait:     0.15,
+	Headroom: 1,
+	Gain:     1,
+	UsedTime: 150 * time.Millisecond,
 }
 
 // Sample is what a finished request showed.
@@ -60,7 +61,7 @@
 	kinds  map[string]*limit
 }
 
-// NewLimits returns limits that bound nothing until a kind makes calls.
+// NewLimits returns limits that know no kind.
 func NewLimits(config Config) *Limits {
 	return &Limits{config: config, kinds: map[string]*limit{}}
 }
@@ -69,56 +70,78 @@
 type limit struct {
 	value    float64
 	inFlight int
-	// calls says that requests of the kind make calls.
+	// seen says that a request of the kind has ended, and calls that one made calls. Until then the kind is bounded: a flood
+	// may come first.
+	seen  bool
 	calls bool
-	// waitShare is the recent part of their time that calls stood in queues, and took the recent time of a request.
-	waitShare float64
-	took      time.Duration
-	usedAt    time.Time
-	grownAt   time.Time
-	shrunkAt  time.Time
+	// took is the recent time of a request.
+	took time.Duration
+	// usedAt is when the bound was last reached.
+	usedAt time.Time
 }
 
-// sampleWeight is the weight of one request in the recent values.
-const sampleWeight = 0.2
+const (
+	// sampleWeight is the weight of one request in the recent values.
+	sampleWeight = 0.2
+	// refusedShare is the part of its time that a request with a call that was turned away counts as having waited.
+	refusedShare = 0.5
+)
+
+// Start is a request that has started.
+type Start struct {
+	kind string
+	// beside is how many of its kind ran then, with it.
+	beside int
+}
 
 // Begin counts a request that starts, or reports false where the bound of its kind is reached.
-func (l *Limits) Begin(now time.Time, kind string) bool {
+func (l *Limits) Begin(now time.Time, kind string) (Start, bool) {
 	k := l.kind(kind)
-	if k.calls && float64(k.inFlight+1) > k.value {
+	if float64(k.inFlight+1) >= k.value {
 		k.usedAt = now
-		return false
+	}
+	if (k.calls || !k.seen) && float64(k.inFlight+1) > k.value {
+		return Start{}, false
 	}
 	k.inFlight++
-	return true
+	return Start{kind: kind, beside: k.inFlight}, true
 }
 
 // Cancel takes back a Begin whose request did not start.
-func (l *Limits) Cancel(kind string) {
-	l.kind(kind).inFlight--
+func (l *Limits) Cancel(s Start) {
+	l.kind(s.kind).inFlight--
 }
 
 // End takes in how a request ended.
-func (l *Limits) End(now time.Time, kind string, s Sample) {
-	k := l.kind(kind)
-	if float64(k.inFlight+1) > k.value {
-		k.usedAt = now
-	}
+func (l *Limits) End(now time.Time, start Start, s Sample) {
+	k := l.kind(start.kind)
+	beside := float64(start.beside+k.inFlight) / 2
 	k.inFlight--
+	k.seen = true
 	if s.Calls == 0 || s.Took <= 0 {
 		return
 	}
 	k.calls = true
-	k.waitShare += sampleWeight * (float64(s.Waited)/float64(s.Took) - k.waitShare)
 	k.took += time.Duration(sampleWeight * float64(s.Took-k.took))
-	switch {
-	case s.Refused || k.waitShare > l.config.HighWait:
-		l.shrink(now, k)
-	case k.waitShare < l.config.LowWait:
-		l.grow(now, k)
+	share := min(float64(s.Waited)/float64(s.Took), 1)
+	if s.Refused {
+		share = max(share, refusedShare)
 	}
+	l.move(now, k, beside*(1-share)/(1-l.config.Wait)+l.config.Headroom)
 }
 
+// move takes the bound a part of the way to what a request told.
+func (l *Limits) move(now time.Time, k *limit, told float64) {
+	if told > k.value && now.Sub(k.usedAt) > l.config.UsedTime {
+		return
+	}
+	weight := min(l.config.Gain/max(k.value, 1), mostWeight)
+	k.value = min(max(k.value+weight*(told-k.value), l.config.Min), l.config.Max)
+}
+
+// mostWeight is how far one request may take the bound.
+const mostWeight = 0.3
+
 // RetryAfter returns when a request of the kind that was refused may come back: when one of those that run has ended.
 func (l *Limits) RetryAfter(kind string) time.Duration {
 	return l.kind(kind).took / 2
@@ -130,25 +153,6 @@
 	return k.value, k.calls
 }
 
-func (l *Limits) shrink(now time.Time, k *limit) {
-	if now.Sub(k.shrunkAt) < k.took {
-		return
-	}
-	k.shrunkAt = now
-	k.value = max(min(k.value, float64(k.inFlight+1))*l.config.Backoff, l.config.Min)
-}
-
-func (l *Limits) grow(now time.Time, k *limit) {
-	if now.Sub(k.grownAt) < l.config.GrowthTime || now.Sub(k.usedAt) > l.config.GrowthTime {
-		return
-	}
-	k.grownAt = now
-	k.value = min(k.value+max(l.config.Growth*k.value, leastGrowth), l.config.Max)
-}
-
-// leastGrowth is added at least.
-const leastGrowth = 0.5
-
 func (l *Limits) kind(name string) *limit {
 	k, known := l.kinds[name]
 	if !known {
--- /dev/null
+++ b/internal/decide/trees/trees_test.go
@@ -0,0 +1,169 @@
+package trees_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/trees"
+)
+
+// circle is a closed circle of requests that each make eight calls, one after the other, to a service with few slots.
+type circle struct {
+	limits *trees.Limits
+	slots  int
+	now    time.Time
+	// running are the requests, by when they started and how far they are.
+	running []*request
+	queue   []*request
+	busy    int
+
+	done, failed, refused int
+}
+
+type request struct {
+	start   trees.Start
+	started time.Time
+	left    int
+	waited  time.Duration
+	queued  time.Time
+	ends    time.Time
+	calling bool
+}
+
+const (
+	step     = time.Millisecond
+	callTime = 50 * time.Millisecond
+	ownTime  = 150 * time.Millisecond
+	calls    = 8
+	// patience is how long a request may take; one that is over it has failed.
+	patience = 1200 * time.Millisecond
+)
+
+// tick moves everything one step on, with so many new requests.
+func (c *circle) tick(arrivals int) {
+	c.now = c.now.Add(step)
+	for range arrivals {
+		start, ok := c.limits.Begin(c.now, "sheet")
+		if !ok {
+			c.refused++
+			continue
+		}
+		c.running = append(c.running, &request{start: start, started: c.now, left: calls, ends: c.now.Add(ownTime)})
+	}
+	var still []*request
+	for _, r := range c.running {
+		if !c.advance(r) {
+			still = append(still, r)
+		}
+	}
+	c.running = still
+	for c.busy < c.slots && len(c.queue) > 0 {
+		r := c.queue[0]
+		c.queue = c.queue[1:]
+		r.waited += c.now.Sub(r.queued)
+		r.ends, r.calling = c.now.Add(callTime), true
+		c.busy++
+	}
+}
+
+// advance reports whether the request has ended.
+func (c *circle) advance(r *request) bool {
+	if r.ends.IsZero() || c.now.Before(r.ends) {
+		return false
+	}
+	if r.calling {
+		c.busy--
+		r.calling = false
+	}
+	took := c.now.Sub(r.started)
+	if r.left == 0 || took > patience {
+		if took > patience {
+			c.failed++
+		} else {
+			c.done++
+		}
+		c.limits.End(c.now, r.start, trees.Sample{Took: took, Waited: r.waited, Calls: calls})
+		return true
+	}
+	r.left--
+	r.queued, r.ends = c.now, time.Time{}
+	c.queue = append(c.queue, r)
+	return false
+}
+
+// Pattern: a flood of requests whose calls meet at one deep service. It comes to three times what the service can do.
+// Without a bound nearly all of them run out of time after most of their work.
+func TestFloodOfRequestsWithManyCalls(t *testing.T) {
+	for name, test := range map[string]struct {
+		config  trees.Config
+		atLeast float64
+		atMost  float64
+	}{
+		"bounded":   {trees.DefaultConfig, 0.75, 1},
+		"unbounded": {trees.Config{Initial: 1e6, Min: 1e6, Max: 1e6}, 0, 0.3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := &circle{limits: trees.NewLimits(test.config), slots: 12, now: time.Now()}
+			const seconds = 10
+			capacity := float64(c.slots) * float64(time.Second) / float64(calls*callTime) * seconds
+			for ms := range seconds * 1000 {
+				arrivals := 0
+				if ms%11 == 0 {
+					arrivals = 1
+				}
+				c.tick(arrivals)
+			}
+			t.Logf("%d done, %d failed, %d refused, %.0f can be done", c.done, c.failed, c.refused, capacity)
+			is.True(float64(c.done) >= test.atLeast*capacity)
+			is.True(float64(c.done) <= test.atMost*capacity)
+		})
+	}
+}
+
+// Kinds that make no calls are never bounded.
+func TestKindsWithoutCallsAreNotBounded(t *testing.T) {
+	is := is.New(t)
+	limits := trees.NewLimits(trees.DefaultConfig)
+	now := time.Now()
+	for range 100 {
+		start, ok := limits.Begin(now, "browse")
+		is.True(ok)
+		limits.End(now, start, trees.Sample{Took: time.Second})
+	}
+	for range 100 {
+		_, ok := limits.Begin(now, "browse")
+		is.True(ok)
+	}
+}
+
+// After a flood the bound is back within seconds.
+func TestBoundComesBack(t *testing.T) {
+	is := is.New(t)
+	limits := trees.NewLimits(trees.DefaultConfig)
+	now := time.Now()
+	for range 50 {
+		now = now.Add(200 * time.Millisecond)
+		start, ok := limits.Begin(now, "sheet")
+		is.True(ok)
+		limits.End(now, start, trees.Sample{Took: 100 * time.Millisecond, Waited: 90 * time.Millisecond, Calls: 1})
+	}
+	low, _ := limits.Value("sheet")
+	is.True(low < 3)
+	var running []trees.Start
+	for range 500 { // 5 s, in which the fleet is to be back
+		now = now.Add(10 * time.Millisecond)
+		for start, ok := limits.Begin(now, "sheet"); ok; start, ok = limits.Begin(now, "sheet") {
+			running = append(running, start)
+		}
+		ended := (len(running) + 9) / 10 // each takes 100 ms
+		for _, start := range running[:ended] {
+			limits.End(now, start, trees.Sample{Took: 100 * time.Millisecond, Calls: 1})
+		}
+		running = running[ended:]
+	}
+	high, _ := limits.Value("sheet")
+	is.True(high >= trees.DefaultConfig.Initial)
+}
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -95,6 +95,8 @@
 	limiter    *events.Limiter
 	work       work
 	listeners  listeners
+	// callerServer serves callers.
+	callerServer *http.Server
 }
 
 // maxRefusals is how many nodes may refuse a request before it is given up.
@@ -209,9 +211,10 @@
 	group.Go(func() { n.local.Watch(ctx) })
 	group.Go(func() { n.quarantine.Run(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
-	group.Go(func() { n.serveHTTP(ctx, n.listeners.caller, n.work.countCalls(n.callers())) })
-	group.Go(func() { n.serveHTTP(ctx, n.listeners.backend, n.backendRouter(ctx)) })
-	group.Go(func() { n.serveHTTP(ctx, n.listeners.ready, n.readyRouter()) })
+	n.callerServer = n.newServer(n.work.countCalls(n.callers()))
+	group.Go(func() { serveHTTP(ctx, n.callerServer, n.listeners.caller) })
+	group.Go(func() { serveHTTP(ctx, n.newServer(n.backendRouter(ctx)), n.listeners.backend) })
+	group.Go(func() { serveHTTP(ctx, n.newServer(n.readyRouter()), n.listeners.ready) })
 }
 
 func (n *Node) callers() http.Handler {
--- a/internal/process/routed/routed_test.go
+++ b/internal/process/routed/routed_test.go
@@ -70,9 +70,14 @@
 	time.Sleep(100 * time.Millisecond)
 	is.True(!crew.ready())
 	client := &http.Client{}
-	for begin := time.Now(); time.Since(begin) < 2500*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+	begin := time.Now()
+	for time.Since(begin) < 2300*time.Millisecond {
 		is.Equal(crew.call(t, client, "POST", "deposits.example", "/b").status, http.StatusOK)
+		time.Sleep(20 * time.Millisecond)
 	}
+	// Callers who don't go away are turned away before they are read, so that none is cut at the end.
+	time.Sleep(3200*time.Millisecond - time.Since(begin))
+	is.Equal(crew.call(t, client, "POST", "deposits.example", "/b").status, 0)
 	select {
 	case <-crew.ended:
 	case <-time.After(4 * time.Second):
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -63,8 +63,8 @@
 
 const (
 	// leaveTime is how long callers may still come after the node began to leave: those who look whether it is ready
-	// look each second, and go away after two misses.
-	leaveTime = 3500 * time.Millisecond
+	// look each second, and go away after two misses. What comes last has to end before the process is killed.
+	leaveTime = 2600 * time.Millisecond
 	// quietTime is how long nothing may be in flight before the process ends.
 	quietTime = 200 * time.Millisecond
 	// drainTimeout bounds the whole of it, below the time after which a process is killed.
@@ -79,6 +79,8 @@
 	n.work.closing.Store(true)
 	n.loop.Do(ctx, func(b *board.Board) { b.Self.Draining = true })
 	pause.For(ctx, leaveTime)
+	_ = n.listeners.caller.Close()
+	n.callerServer.SetKeepAlivesEnabled(false)
 	quiet := time.Now()
 	for ctx.Err() == nil && time.Since(quiet) < quietTime {
 		if n.work.calls.Load() > 0 || n.work.rpcs.Load() > 0 {
@@ -110,16 +112,21 @@
 const idleTimeout = 2 * time.Minute
 
 // serveHTTP serves until the context ends, when nothing is in flight any more.
-func (n *Node) serveHTTP(ctx context.Context, l net.Listener, handler http.Handler) {
-	server := &http.Server{
+func serveHTTP(ctx context.Context, server *http.Server, l net.Listener) {
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	_ = server.Serve(l)
+	<-ctx.Done()
+}
+
+// newServer returns a server that is not started.
+func (n *Node) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          log.New(httpErrors{n.limiter}, "", 0),
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	_ = server.Serve(l)
 }
 
 // httpErrors turns the lines that an HTTP server logs into events.
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -64,21 +64,22 @@
 
 // run admits the request and runs it on the backend server.
 func (v *Receiver) run(ctx context.Context, b *board.Board, r *call.Request) call.Reply {
-	if refusal, admitted := v.config.Trees.begin(r); !admitted {
+	start, refusal, admitted := v.config.Trees.begin(r)
+	if !admitted {
 		v.counters.notStarted.Add(1)
 		return refusal
 	}
 	offered := time.Now()
-	refusal, admitted := v.config.Gate.Enter(ctx, r, share(b, r))
+	refusal, admitted = v.config.Gate.Enter(ctx, r, share(b, r))
 	if !admitted {
-		v.config.Trees.cancel(r)
+		v.config.Trees.cancel(r, start)
 		v.counters.notStarted.Add(1)
 		return refusal
 	}
 	waited := time.Since(offered)
 	result := v.config.Backend.Run(ctx, backend.Target{Address: b.Backend.Address, Instance: b.Backend.Instance}, r)
 	v.config.Gate.Leave(sample(r, result))
-	v.config.Trees.end(r, result)
+	v.config.Trees.end(r, start, result)
 	result.Reply.Waited += waited
 	v.counters.ended(result)
 	if result.Broken {
--- a/internal/traffic/flow/trees.go
+++ b/internal/traffic/flow/trees.go
@@ -21,36 +21,36 @@
 }
 
 // begin counts a root request, or returns the reply that refuses it. Calls are part of what was admitted before.
-func (t *Trees) begin(r *call.Request) (call.Reply, bool) {
+func (t *Trees) begin(r *call.Request) (trees.Start, call.Reply, bool) {
 	if t == nil || r.Depth > 0 {
-		return call.Reply{}, true
+		return trees.Start{}, call.Reply{}, true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.limits.Begin(time.Now(), r.Kind) {
-		return call.Reply{}, true
+	if start, ok := t.limits.Begin(time.Now(), r.Kind); ok {
+		return start, call.Reply{}, true
 	}
-	return call.Refused(call.NotRun, call.ReasonOverload, t.limits.RetryAfter(r.Kind)), false
+	return trees.Start{}, call.Refused(call.NotRun, call.ReasonOverload, t.limits.RetryAfter(r.Kind)), false
 }
 
 // cancel takes back a begin whose request did not start.
-func (t *Trees) cancel(r *call.Request) {
+func (t *Trees) cancel(r *call.Request, start trees.Start) {
 	if t == nil || r.Depth > 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.limits.Cancel(r.Kind)
+	t.limits.Cancel(start)
 }
 
 // end takes in how a request ended.
-func (t *Trees) end(r *call.Request, result backend.Result) {
+func (t *Trees) end(r *call.Request, start trees.Start, result backend.Result) {
 	if t == nil || r.Depth > 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.limits.End(time.Now(), r.Kind, trees.Sample{
+	t.limits.End(time.Now(), start, trees.Sample{
 		Took:    result.Held,
 		Waited:  result.Below.Waited,
 		Calls:   result.Below.Calls,
