--- a/cmd/comfreyhoist/node.go
+++ b/cmd/comfreyhoist/node.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 	"github.com/sourcegraph/conc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
@@ -42,6 +44,10 @@
 	}
 }
 
+// waitingLines is how many log lines may wait to be written. A reader that doesn't keep up loses lines, and holds up no
+// request.
+const waitingLines = 1000
+
 func runNode(ctx context.Context, s *settings.Settings, config string) error {
 	if err := s.Check(); err != nil {
 		return trace.Wrap(err)
@@ -50,7 +56,11 @@
 	if err != nil {
 		return trace.BadParameter("log.level: %v", err)
 	}
-	log := events.NewLog(os.Stdout, level, s.Node.Name)
+	lines := diode.NewWriter(os.Stdout, waitingLines, 0, func(missed int) {
+		fmt.Fprintln(os.Stderr, "comfreyhoist: log lines lost:", missed)
+	})
+	defer func() { _ = lines.Close() }()
+	log := events.NewLog(lines, level, s.Node.Name)
 	var group conc.WaitGroup
 	defer group.Wait()
 	reloading, stop := context.WithCancel(ctx)
--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -57,6 +57,7 @@
 	RequestRefused     Number = 1701
 	RequestFailed      Number = 1702
 	RequestRetried     Number = 1703
+	RequestNotAdmitted Number = 1704
 )
 
 // Entry is the catalogue entry of one event.
@@ -111,6 +112,7 @@
 	RequestRefused:     {Name: "request_refused", Level: zerolog.InfoLevel, Since: "0.3", Text: "A request was given up before a backend server ran it, and its caller was told when to come back."},
 	RequestFailed:      {Name: "request_failed", Level: zerolog.InfoLevel, Since: "0.3", Text: "A request that may have run got no whole answer."},
 	RequestRetried:     {Name: "request_retried", Level: zerolog.InfoLevel, Since: "0.3", Text: "A request is sent to another instance."},
+	RequestNotAdmitted: {Name: "request_not_admitted", Level: zerolog.InfoLevel, Since: "0.3", Text: "The node beside a backend server refused a request; the fields hold what decided it."},
 	HomesChanged:       {Name: "homes_changed", Level: zerolog.InfoLevel, Since: "0.1", Text: "Another set of nodes remembers the keys from a given time on."},
 }
 
--- a/internal/control/events/log.go
+++ b/internal/control/events/log.go
@@ -39,23 +39,32 @@
 	l.logger.WithLevel(entry.Level).Int("event", int(n)).Str("name", entry.Name).Fields(map[string]any(fields)).Msg(entry.Text)
 }
 
-// Limiter writes each event at most once in a while, for events that strangers can cause at any rate.
+// Limiter writes a bounded number of events of each number, for events that strangers or load can cause at any rate.
 type Limiter struct {
 	log   *Log
 	every time.Duration
+	burst float64
 
 	mu   sync.Mutex
 	last map[Number]*limited
 }
 
+// limited is what is left of one number's allowance.
 type limited struct {
 	at      time.Time
+	tokens  float64
 	leftOut int
 }
 
 // NewLimiter returns a limiter that writes one event of each number in the given time.
 func NewLimiter(log *Log, every time.Duration) *Limiter {
-	return &Limiter{log: log, every: every, last: map[Number]*limited{}}
+	return NewBurstLimiter(log, every, 1)
+}
+
+// NewBurstLimiter returns a limiter that writes one event of each number in the given time, and so many at once after a
+// time without any.
+func NewBurstLimiter(log *Log, every time.Duration, burst int) *Limiter {
+	return &Limiter{log: log, every: every, burst: float64(burst), last: map[Number]*limited{}}
 }
 
 // Emit writes the event, or leaves it out and counts it. The next one that is written carries the count.
@@ -74,14 +83,19 @@
 func (l *Limiter) take(now time.Time, n Number) (leftOut int, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before, seen := l.last[n]
-	if seen && now.Sub(before.at) < l.every {
-		before.leftOut++
-		return 0, false
+	s, seen := l.last[n]
+	if !seen {
+		s = &limited{at: now, tokens: l.burst}
+		l.last[n] = s
 	}
-	if seen {
-		leftOut = before.leftOut
+	s.tokens = min(s.tokens+float64(now.Sub(s.at))/float64(l.every), l.burst)
+	s.at = now
+	if s.tokens < 1 {
+		s.leftOut++
+		return 0, false
 	}
-	l.last[n] = &limited{at: now}
+	s.tokens--
+	leftOut = s.leftOut
+	s.leftOut = 0
 	return leftOut, true
 }
--- /dev/null
+++ b/internal/control/members/members_test.go
@@ -0,0 +1,126 @@
+package members_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/members"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/lab/kv"
+)
+
+// start runs a node's controller until the context ends and returns its board.
+func start(ctx context.Context, group *conc.WaitGroup, s *kv.Store, node string, incarnation uint64) *board.Loop {
+	loop := board.NewLoop(board.Board{
+		Self:    board.Self{Node: node, Zone: "zone_1", PeerAddress: node + ":1", Incarnation: incarnation},
+		Backend: board.Backend{Service: "keys", Slots: 12, Address: "10.0.0.1:1"},
+	})
+	log := events.NewLimiter(events.NewLog(io.Discard, zerolog.InfoLevel, node), time.Second)
+	group.Go(func() { loop.Run(ctx) })
+	group.Go(func() { members.NewController(members.Config{Board: loop, Store: s.As(node), Log: log}).Run(ctx) })
+	return loop
+}
+
+func knows(loop *board.Loop, node string) (membership.Member, bool) {
+	m, ok := loop.Snapshot().Members.ByNode[node]
+	return m, ok
+}
+
+func TestMembersThroughTroubleOfTheStore(t *testing.T) {
+	for name, test := range map[string]struct {
+		disturb func(s *kv.Store)
+		// unconfirmed is whether node_2's entry is missing right after.
+		unconfirmed bool
+	}{
+		"calm": {func(*kv.Store) {}, false},
+		"an outage in which leases lapse": {func(s *kv.Store) {
+			s.SetFaults(kv.Faults{Down: true, LapseLeases: true})
+			time.Sleep(10 * time.Second)
+			s.SetFaults(kv.Faults{})
+			time.Sleep(2 * time.Second)
+		}, false},
+		"an outage in which leases pause": {func(s *kv.Store) {
+			s.SetFaults(kv.Faults{Down: true})
+			time.Sleep(10 * time.Second)
+			s.SetFaults(kv.Faults{})
+			time.Sleep(2 * time.Second)
+		}, false},
+		"one node is refused and its entry revoked": {func(s *kv.Store) {
+			s.SetFaults(kv.Faults{RefuseNodes: map[string]bool{"node_2": true}})
+			s.Revoke("members/node_2")
+			time.Sleep(5 * time.Second)
+		}, true},
+		"an entry is revoked while its lease goes on": {func(s *kv.Store) {
+			s.Revoke("members/node_2")
+			time.Sleep(2 * time.Second)
+		}, false},
+		"answers to writes are lost": {func(s *kv.Store) {
+			s.SetFaults(kv.Faults{LoseAnswers: true})
+			s.Revoke("members/node_2")
+			time.Sleep(2 * time.Second)
+			s.SetFaults(kv.Faults{})
+			time.Sleep(2 * time.Second)
+		}, false},
+		"writes are done late": {func(s *kv.Store) {
+			s.SetFaults(kv.Faults{LateWrites: true})
+			s.Revoke("members/node_2")
+			time.Sleep(2 * time.Second)
+			s.SetFaults(kv.Faults{})
+			time.Sleep(time.Second)
+			s.Settle()
+			time.Sleep(time.Second)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := kv.New()
+				ctx, cancel := context.WithCancel(t.Context())
+				var group conc.WaitGroup
+				defer group.Wait()
+				defer cancel()
+				first := start(ctx, &group, s, "node_1", 1)
+				start(ctx, &group, s, "node_2", 2)
+				time.Sleep(2 * time.Second)
+				test.disturb(s)
+				m, ok := knows(first, "node_2")
+				is.True(ok)
+				is.Equal(m.Unconfirmed, test.unconfirmed)
+				is.Equal(len(first.Snapshot().Members.ByService["keys"]), 2) // it gets requests all the while
+			})
+		})
+	}
+}
+
+// A process that starts again under its name takes its entry over, and a node that says that it leaves gets nothing more.
+func TestEntryFollowsTheNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := kv.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		defer group.Wait()
+		defer cancel()
+		first := start(ctx, &group, s, "node_1", 1)
+		earlier, kill := context.WithCancel(ctx)
+		start(earlier, &group, s, "node_2", 2)
+		time.Sleep(time.Second)
+		kill()
+		second := start(ctx, &group, s, "node_2", 3)
+		time.Sleep(time.Second)
+		m, _ := knows(first, "node_2")
+		is.Equal(m.Incarnation, uint64(3))
+		second.Do(ctx, func(b *board.Board) { b.Backend.Leaving = true })
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(len(first.Snapshot().Members.ByService["keys"]), 1)
+	})
+}
--- a/internal/control/settings/settings.go
+++ b/internal/control/settings/settings.go
@@ -37,6 +37,7 @@
 	Backend  Backend
 	Operator Operator
 	Ready    Ready
+	Metrics  Metrics
 	Platform Platform
 	Keys     Keys
 	Log      Log
@@ -96,6 +97,11 @@
 	Address string
 }
 
+// Metrics is the listener for metrics and the dump, where the node goes by routes.
+type Metrics struct {
+	Address string
+}
+
 // The sources of what a node goes by.
 const (
 	// FromDocuments takes the documents that teams give to the administration API.
@@ -180,6 +186,7 @@
 	flags.StringVar(&s.Operator.Address, "operator.address", "", "IP and port of the administration API; empty for none")
 	flags.StringVar(&s.Operator.Tokens, "operator.tokens", "", "team:token or team/editor:token pairs, separated by commas")
 	flags.StringVar(&s.Ready.Address, "ready.address", "", "IP and port that tell whether the node takes new work; only with platform.source = routes")
+	flags.StringVar(&s.Metrics.Address, "metrics.address", "", "IP and port of metrics and the dump; only with platform.source = routes, empty for none")
 	flags.StringVar(&s.Platform.Source, "platform.source", FromDocuments, "what the node goes by: documents of teams, or routes of operators")
 	flags.StringVar(&s.Platform.URL, "platform.url", "", "URL of the platform's key-value service")
 	flags.DurationVar(&s.Platform.Timeout, "platform.timeout", defaultPlatformWait, "time for one answer of the platform")
@@ -209,6 +216,7 @@
 	c.address("backend.address", s.Backend.Address)
 	c.optionalAddress("peer.advertised", s.Peer.Advertised)
 	c.optionalAddress("operator.address", s.Operator.Address)
+	c.optionalAddress("metrics.address", s.Metrics.Address)
 	for _, seed := range s.Peer.SeedList() {
 		c.address("peer.seeds", seed)
 	}
@@ -390,6 +398,7 @@
 		{"backend.address", s.Backend.Address},
 		{"operator.address", s.Operator.Address},
 		{"ready.address", s.Ready.Address},
+		{"metrics.address", s.Metrics.Address},
 	}
 	first := map[string]string{}
 	for _, l := range listeners {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -115,6 +115,7 @@
 		Backend:    n.client,
 		Quarantine: n.quarantine,
 		Events:     n.limiter,
+		Requests:   n.limiter,
 	})
 }
 
@@ -140,6 +141,7 @@
 		Routing:  routing.DefaultConfig(s.Node.Name, s.Node.Zone),
 		Throttle: throttle.DefaultConfig,
 		Events:   n.limiter,
+		Requests: n.limiter,
 	})
 	n.keyed = flow.NewKeyedSender(flow.KeyedConfig{
 		Board:  n.loop,
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -93,12 +93,21 @@
 	// quarantine keeps away requests that crash backend servers.
 	quarantine *flow.Quarantine
 	limiter    *events.Limiter
-	work       work
-	listeners  listeners
+	// requests logs decisions about single requests.
+	requests  *events.Limiter
+	meters    *meters
+	work      work
+	listeners listeners
 	// callerServer serves callers.
 	callerServer *http.Server
 }
 
+// The lines about single requests that are written of each number: one in the time on average, and so many at once.
+const (
+	requestLogEvery = 25 * time.Millisecond
+	requestLogBurst = 100
+)
+
 // maxRefusals is how many nodes may refuse a request before it is given up.
 const maxRefusals = 2
 
@@ -112,7 +121,14 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	n := &Node{config: config, packer: packer, chains: call.NewChains(), limiter: events.NewLimiter(config.Log, parts.LimitedEvery)}
+	n := &Node{
+		config:   config,
+		packer:   packer,
+		chains:   call.NewChains(),
+		limiter:  events.NewLimiter(config.Log, parts.LimitedEvery),
+		requests: events.NewBurstLimiter(config.Log, requestLogEvery, requestLogBurst),
+		meters:   newMeters(),
+	}
 	incarnation := uint64(time.Now().UnixNano())
 	n.loop = board.NewLoop(board.Board{Self: board.Self{
 		Node:          s.Node.Name,
@@ -156,6 +172,7 @@
 		Quarantine: n.quarantine,
 		Trees:      flow.NewTrees(trees.DefaultConfig),
 		Events:     n.limiter,
+		Requests:   n.requests,
 	})
 	n.fenced = flow.NewFenced(n.receiver, incarnation)
 }
@@ -170,6 +187,7 @@
 		Throttle:    throttle.DefaultConfig,
 		MaxRefusals: maxRefusals,
 		Events:      n.limiter,
+		Requests:    n.requests,
 	})
 }
 
@@ -215,6 +233,9 @@
 	group.Go(func() { serveHTTP(ctx, n.callerServer, n.listeners.caller) })
 	group.Go(func() { serveHTTP(ctx, n.newServer(n.backendRouter(ctx)), n.listeners.backend) })
 	group.Go(func() { serveHTTP(ctx, n.newServer(n.readyRouter()), n.listeners.ready) })
+	if n.listeners.metrics != nil {
+		group.Go(func() { serveHTTP(ctx, n.newServer(n.stateRouter()), n.listeners.metrics) })
+	}
 }
 
 func (n *Node) callers() http.Handler {
@@ -225,7 +246,7 @@
 		Headers:  n.config.Adapter.CallerHeaders,
 		Service:  n.config.Settings.Node.Service,
 		MaxBody:  n.config.Settings.Caller.MaxBody,
-		Ended:    n.ended,
+		Answered: n.answered,
 		Rejected: n.rejected,
 	})
 }
@@ -238,7 +259,6 @@
 		Connections: n.connections,
 		Rejected:    n.rejectedAnnouncement,
 	})
-	n.registerState(router)
 	return router
 }
 
@@ -266,6 +286,8 @@
 	peer    net.Listener
 	backend net.Listener
 	ready   net.Listener
+	// metrics is nil where the settings name no address for it.
+	metrics net.Listener
 }
 
 func (l *listeners) close() {
@@ -273,6 +295,9 @@
 	_ = l.peer.Close()
 	_ = l.backend.Close()
 	_ = l.ready.Close()
+	if l.metrics != nil {
+		_ = l.metrics.Close()
+	}
 }
 
 func (n *Node) listen() error {
@@ -285,7 +310,11 @@
 		{&n.listeners.peer, s.Peer.Address},
 		{&n.listeners.backend, s.Backend.Address},
 		{&n.listeners.ready, s.Ready.Address},
+		{&n.listeners.metrics, s.Metrics.Address},
 	} {
+		if open.address == "" {
+			continue
+		}
 		l, err := net.Listen("tcp", open.address)
 		if err != nil {
 			return trace.Wrap(err)
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -162,13 +162,18 @@
 	n.limiter.Emit(time.Now(), events.CallerRejected, events.Fields{"instance": instance, "text": fault})
 }
 
-// ended logs a request that got no answer of a backend server.
-func (n *Node) ended(r *call.Request, reply *call.Reply, took time.Duration) {
+// answered counts a request of a caller, and logs one that got no answer of a backend server.
+func (n *Node) answered(r *call.Request, reply *call.Reply, took time.Duration) {
+	n.meters.note(r.Kind, reply, took)
+	if reply.Outcome == call.Ran {
+		return
+	}
 	number := events.RequestRefused
 	if reply.Outcome == call.Unknown {
 		number = events.RequestFailed
 	}
-	n.limiter.Emit(time.Now(), number, events.Fields{
+	b := n.loop.Snapshot()
+	n.requests.Emit(time.Now(), number, events.Fields{
 		"request":        r.Root.ID,
 		"kind":           r.Kind,
 		"service":        r.Service,
@@ -178,5 +183,7 @@
 		"reason":         string(reply.Reason),
 		"retry_after_ms": reply.RetryAfter.Milliseconds(),
 		"took_ms":        took.Milliseconds(),
+		"routes_version": b.Routes.Version,
+		"instances":      len(b.Members.ByService[r.Service]),
 	})
 }
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -40,8 +40,8 @@
 	Service string
 	// MaxBody is in bytes.
 	MaxBody int64
-	// Ended is told of each request that got no answer of a backend server.
-	Ended func(r *call.Request, reply *call.Reply, took time.Duration)
+	// Answered is told of each request that was matched to a route.
+	Answered func(r *call.Request, reply *call.Reply, took time.Duration)
 	// Rejected is told of each request that was refused as malformed.
 	Rejected func(r *http.Request, reason call.Reason, text string)
 }
@@ -82,9 +82,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
 	defer cancel()
 	reply := h.send(ctx, request)
-	if reply.Outcome != call.Ran {
-		h.config.Ended(request, &reply, time.Since(request.Entered))
-	}
+	h.config.Answered(request, &reply, time.Since(request.Entered))
 	h.write(w, reply)
 }
 
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -21,8 +21,9 @@
 	Quarantine *Quarantine
 	// Trees bounds the requests whose calls have to wait further down; nil for no bound.
 	Trees *Trees
-	// Events takes what operators should know.
-	Events *events.Limiter
+	// Events takes what operators should know, and Requests what was decided about single requests.
+	Events   *events.Limiter
+	Requests *events.Limiter
 }
 
 // Receiver runs requests on the local backend server.
@@ -40,9 +41,32 @@
 func (v *Receiver) Receive(ctx context.Context, r *call.Request) call.Reply {
 	reply := v.receive(ctx, r)
 	reply.Load = v.config.Gate.Load()
+	if reply.Outcome == call.NotRun {
+		v.logRefusal(r, &reply)
+	}
 	return reply
 }
 
+// logRefusal writes what decided that the request doesn't run here.
+func (v *Receiver) logRefusal(r *call.Request, reply *call.Reply) {
+	bound, bounded := v.config.Trees.bound(r.Kind)
+	v.config.Requests.Emit(time.Now(), events.RequestNotAdmitted, events.Fields{
+		"request":   r.Root.ID,
+		"attempt":   r.AttemptID,
+		"from":      r.SourceNode,
+		"kind":      r.Kind,
+		"rank":      r.Root.Rank,
+		"depth":     r.Depth,
+		"reason":    string(reply.Reason),
+		"in_flight": reply.Load.InFlight,
+		"queued":    reply.Load.Queued,
+		"limit":     reply.Load.Limit,
+		"bounded":   bounded,
+		"bound":     bound,
+		"left_ms":   time.Until(r.Deadline).Milliseconds(),
+	})
+}
+
 // Stats returns what the receiver did since the start.
 func (v *Receiver) Stats() ReceiverStats {
 	return v.counters.stats()
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -35,8 +35,9 @@
 	Throttle throttle.Config
 	// MaxRefusals is how many nodes may refuse a request, beside their backend servers, before it is given up.
 	MaxRefusals int
-	// Events takes what operators should know.
-	Events *events.Limiter
+	// Events takes what operators should know, and Requests what was decided about single requests.
+	Events   *events.Limiter
+	Requests *events.Limiter
 }
 
 // Sender sends requests to instances.
@@ -96,7 +97,7 @@
 }
 
 func (s *Sender) logAgain(node string, r *call.Request, reply *call.Reply) {
-	s.config.Events.Emit(time.Now(), events.RequestRetried, events.Fields{
+	s.config.Requests.Emit(time.Now(), events.RequestRetried, events.Fields{
 		"request":    r.Root.ID,
 		"kind":       r.Kind,
 		"service":    r.Service,
--- a/internal/traffic/flow/trees.go
+++ b/internal/traffic/flow/trees.go
@@ -33,6 +33,16 @@
 	return trees.Start{}, call.Refused(call.NotRun, call.ReasonOverload, t.limits.RetryAfter(r.Kind)), false
 }
 
+// bound returns how many root requests of the kind may run, and whether that holds.
+func (t *Trees) bound(kind string) (float64, bool) {
+	if t == nil {
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limits.Value(kind)
+}
+
 // cancel takes back a begin whose request did not start.
 func (t *Trees) cancel(r *call.Request, start trees.Start) {
 	if t == nil || r.Depth > 0 {
