--- a/internal/decide/fence/fence.go
+++ b/internal/decide/fence/fence.go
@@ -75,6 +75,12 @@
 	return state
 }
 
+// Knows reports whether the attempt came here or was asked about.
+func (t *Table) Knows(id string) bool {
+	_, known := t.states[id]
+	return known
+}
+
 // Len returns how many attempts are remembered.
 func (t *Table) Len() int {
 	return len(t.states)
--- a/internal/process/routed/fleet_test.go
+++ b/internal/process/routed/fleet_test.go
@@ -123,7 +123,7 @@
 	m.server = httptest.NewServer(signed(handler))
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
-	registered := make(chan struct{})
+	registered, readied := make(chan struct{}), make(chan struct{})
 	adapter := routed.Adapter{
 		Store:     f.store.As(s.Node.Name),
 		RoutesKey: routesKey,
@@ -138,7 +138,10 @@
 			m.announce, m.left = a.Announced, a.Left
 			close(registered)
 		},
-		RegisterReady:  func(_ *httprouter.Router, ready func() bool) { m.ready = ready },
+		RegisterReady: func(_ *httprouter.Router, ready func() bool) {
+			m.ready = ready
+			close(readied)
+		},
 		CallerHeaders:  callerHeaders,
 		BackendHeaders: backendHeaders,
 	}
@@ -148,6 +151,7 @@
 		_ = routed.Run(ctx, routed.Config{Settings: s, Log: log, Adapter: adapter})
 	})
 	<-registered
+	<-readied
 	m.heartbeat(false)
 	f.nodes = append(f.nodes, m)
 	return m
@@ -173,7 +177,7 @@
 func (f *fleet) settle(tb testing.TB) {
 	deadline := time.Now().Add(10 * time.Second)
 	for _, m := range f.nodes {
-		for !strings.Contains(m.log.String(), "routes_in_force") || m.ready == nil || !m.ready() {
+		for !strings.Contains(m.log.String(), "routes_in_force") || !m.ready() {
 			if time.Now().After(deadline) {
 				tb.Fatal("the nodes don't become ready: " + m.log.String())
 			}
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -99,7 +99,7 @@
 	work      work
 	listeners listeners
 	// callerServer serves callers.
-	callerServer *http.Server
+	callerServer *caller.Server
 }
 
 // The lines about single requests that are written of each number: one in the time on average, and so many at once.
@@ -229,8 +229,8 @@
 	group.Go(func() { n.local.Watch(ctx) })
 	group.Go(func() { n.quarantine.Run(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
-	n.callerServer = n.newServer(n.work.countCalls(n.callers()))
-	group.Go(func() { serveHTTP(ctx, n.callerServer, n.listeners.caller) })
+	n.callerServer = n.newCallerServer()
+	group.Go(func() { n.serveCallers(ctx) })
 	group.Go(func() { serveHTTP(ctx, n.newServer(n.backendRouter(ctx)), n.listeners.backend) })
 	group.Go(func() { serveHTTP(ctx, n.newServer(n.readyRouter()), n.listeners.ready) })
 	if n.listeners.metrics != nil {
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -20,6 +20,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/process/parts"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
 )
@@ -31,15 +32,11 @@
 	closing atomic.Bool
 }
 
-// countCalls counts the requests of callers. While the node leaves, callers are told to make new connections, which
-// then go elsewhere.
+// countCalls counts the requests of callers.
 func (w *work) countCalls(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		w.calls.Add(1)
 		defer w.calls.Add(-1)
-		if w.closing.Load() {
-			rw.Header().Set("Connection", "close")
-		}
 		next.ServeHTTP(rw, r)
 	})
 }
@@ -68,7 +65,7 @@
 	// quietTime is how long nothing may be in flight before the process ends.
 	quietTime = 200 * time.Millisecond
 	// drainTimeout bounds the whole of it, below the time after which a process is killed.
-	drainTimeout = 5700 * time.Millisecond
+	drainTimeout = 5400 * time.Millisecond
 )
 
 // drain takes the backend server out of use and serves callers until they have gone.
@@ -80,7 +77,7 @@
 	n.loop.Do(ctx, func(b *board.Board) { b.Self.Draining = true })
 	pause.For(ctx, leaveTime)
 	_ = n.listeners.caller.Close()
-	n.callerServer.SetKeepAlivesEnabled(false)
+	n.callerServer.CloseIdle()
 	quiet := time.Now()
 	for ctx.Err() == nil && time.Since(quiet) < quietTime {
 		if n.work.calls.Load() > 0 || n.work.rpcs.Load() > 0 {
@@ -119,6 +116,45 @@
 	<-ctx.Done()
 }
 
+const (
+	// writeTimeout is how long a caller may not read its answer.
+	writeTimeout = 5 * time.Second
+	// maxPending is how many requests of one connection of a caller are worked on at once.
+	maxPending = 16
+	// maxHeader is in bytes.
+	maxHeader = 64 << 10
+)
+
+// newCallerServer returns the server of callers.
+func (n *Node) newCallerServer() *caller.Server {
+	s := n.config.Settings.Caller
+	return caller.NewServer(caller.ServerConfig{
+		Handler:       n.work.countCalls(n.callers()),
+		HeaderTimeout: s.HeaderTimeout,
+		BodyTimeout:   s.BodyTimeout,
+		IdleTimeout:   idleTimeout,
+		WriteTimeout:  writeTimeout,
+		MaxHeader:     maxHeader,
+		MaxBody:       s.MaxBody,
+		MaxPending:    maxPending,
+		Closing:       n.work.closing.Load,
+		Failed: func(remote string, err error) {
+			n.limiter.Emit(time.Now(), events.HTTPFailed, events.Fields{"remote": remote, "error": err.Error()})
+		},
+	})
+}
+
+// serveCallers serves until the listener closes and the context ends.
+func (n *Node) serveCallers(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() {
+		_ = n.listeners.caller.Close()
+		n.callerServer.Close()
+	})
+	defer stop()
+	n.callerServer.Serve(ctx, n.listeners.caller)
+	<-ctx.Done()
+}
+
 // newServer returns a server that is not started.
 func (n *Node) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
--- /dev/null
+++ b/internal/traffic/caller/server.go
@@ -0,0 +1,368 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+)
+
+// ServerConfig sets a Server up.
+type ServerConfig struct {
+	Handler http.Handler
+	// HeaderTimeout and BodyTimeout bound the time from a request's first byte to the end of its head, and of its body.
+	HeaderTimeout, BodyTimeout time.Duration
+	// IdleTimeout is how long a connection is kept without a request.
+	IdleTimeout time.Duration
+	// WriteTimeout is how long a caller may not read.
+	WriteTimeout time.Duration
+	// MaxHeader and MaxBody are in bytes.
+	MaxHeader, MaxBody int64
+	// MaxPending is how many requests of one connection are worked on at once.
+	MaxPending int
+	// Closing says that the next request on each connection is the last.
+	Closing func() bool
+	// Failed is told of each connection that ended in the middle of a request, or sent something else.
+	Failed func(remote string, err error)
+}
+
+// Server serves callers that send further requests before the first is answered. Idempotent methods run side by side, all
+// others alone; answers go out in the order of the requests. The library's own server would begin a request only after
+// the one before it was answered, and wouldn't see a caller leave meanwhile.
+type Server struct {
+	config ServerConfig
+	group  conc.WaitGroup
+
+	mu    sync.Mutex
+	conns map[*serverConn]bool
+}
+
+// NewServer returns a server without connections.
+func NewServer(config ServerConfig) *Server {
+	return &Server{config: config, conns: map[*serverConn]bool{}}
+}
+
+// Serve takes connections until the listener closes, and returns when the last of them has ended.
+func (s *Server) Serve(ctx context.Context, l net.Listener) {
+	defer s.group.Wait()
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.config.Failed("", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		c := newServerConn(s, conn)
+		s.track(c, true)
+		s.group.Go(func() {
+			defer s.track(c, false)
+			c.serve(ctx)
+		})
+	}
+}
+
+// acceptPause keeps a lack of descriptors from using up the processor.
+const acceptPause = 10 * time.Millisecond
+
+// CloseIdle closes the connections on which nothing is being worked on.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.isIdle() {
+			_ = c.conn.Close()
+		}
+	}
+}
+
+// Close closes all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.conn.Close()
+	}
+}
+
+func (s *Server) track(c *serverConn, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open {
+		s.conns[c] = true
+		return
+	}
+	delete(s.conns, c)
+}
+
+// serverConn is one connection of a caller.
+type serverConn struct {
+	server *Server
+	conn   net.Conn
+	head   *io.LimitedReader
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// pending holds the requests that are worked on, in the order of their answers.
+	pending chan *exchanged
+
+	mu sync.Mutex
+	// open counts the requests that are read and not answered.
+	open int
+}
+
+// exchanged is a request and its answer.
+type exchanged struct {
+	request *http.Request
+	answer  recorder
+	done    chan struct{}
+	// last says that the connection closes after the answer.
+	last bool
+}
+
+func newServerConn(s *Server, conn net.Conn) *serverConn {
+	head := &io.LimitedReader{R: conn, N: s.config.MaxHeader}
+	return &serverConn{
+		server:  s,
+		conn:    conn,
+		head:    head,
+		reader:  bufio.NewReader(head),
+		writer:  bufio.NewWriter(conn),
+		pending: make(chan *exchanged, s.config.MaxPending),
+	}
+}
+
+func (c *serverConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open == 0
+}
+
+func (c *serverConn) count(change int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open += change
+}
+
+// serve reads requests until the caller leaves, and then ends what is still worked on for it.
+func (c *serverConn) serve(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() { _ = c.conn.Close() }()
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	group.Go(func() { c.write(cancel) })
+	err := c.read(ctx, &group)
+	close(c.pending)
+	if err != nil && !errors.Is(err, io.EOF) && ctx.Err() == nil && !isReset(err) {
+		c.server.config.Failed(c.conn.RemoteAddr().String(), err)
+	}
+	if err == nil {
+		group.Wait() // the last request is read, and is answered before the connection closes
+	}
+}
+
+// isReset reports whether the connection was closed by either end, or was idle for too long.
+func isReset(err error) bool {
+	var failure net.Error
+	return errors.Is(err, net.ErrClosed) || errors.As(err, &failure)
+}
+
+// read hands requests on until the last one, which it reports as no error.
+func (c *serverConn) read(ctx context.Context, group *conc.WaitGroup) error {
+	for {
+		x, err := c.next(ctx)
+		if err != nil {
+			return err
+		}
+		c.count(1)
+		alone := !isRepeatable(x.request.Method)
+		if alone {
+			c.waitAnswered(ctx)
+		}
+		c.pending <- x
+		group.Go(func() {
+			defer close(x.done)
+			c.handle(x)
+		})
+		if x.last {
+			return nil
+		}
+		if alone {
+			select {
+			case <-x.done:
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// handle makes the answer. A fault of the handler costs one request and not the process.
+func (c *serverConn) handle(x *exchanged) {
+	fault := panics.Try(func() { c.server.config.Handler.ServeHTTP(&x.answer, x.request) })
+	if fault == nil {
+		return
+	}
+	c.server.config.Failed(c.conn.RemoteAddr().String(), fault.AsError())
+	x.answer = recorder{header: http.Header{}, status: http.StatusBadGateway}
+}
+
+// waitAnswered returns when all requests before are answered, so that none of them closes the connection ahead of one
+// that must not be sent again.
+func (c *serverConn) waitAnswered(ctx context.Context) {
+	ticker := time.NewTicker(answeredTick)
+	defer ticker.Stop()
+	for ctx.Err() == nil && !c.isOnly() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+const answeredTick = time.Millisecond
+
+// isOnly reports whether no request but the newest is open.
+func (c *serverConn) isOnly() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open <= 1
+}
+
+func isRepeatable(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead
+}
+
+// next reads one whole request.
+func (c *serverConn) next(ctx context.Context) (*exchanged, error) {
+	config := &c.server.config
+	c.head.N = config.MaxHeader
+	_ = c.conn.SetReadDeadline(time.Now().Add(config.IdleTimeout))
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(config.HeaderTimeout))
+	request, err := http.ReadRequest(c.reader)
+	if err != nil {
+		c.refuse(err)
+		return nil, err
+	}
+	c.head.N = config.MaxBody + config.MaxHeader
+	_ = c.conn.SetReadDeadline(time.Now().Add(config.BodyTimeout))
+	whole, err := c.readBody(request)
+	if err != nil {
+		return nil, err
+	}
+	request.RemoteAddr = c.conn.RemoteAddr().String()
+	return &exchanged{
+		request: request.WithContext(ctx),
+		answer:  recorder{header: http.Header{}},
+		done:    make(chan struct{}),
+		last:    request.Close || !whole || config.Closing(),
+	}, nil
+}
+
+// readBody takes the body in, so that the next request can be read. It reports false where the body is longer than the
+// bound; the handler then sees one byte more than that.
+func (c *serverConn) readBody(request *http.Request) (whole bool, err error) {
+	if request.Header.Get("Expect") == "100-continue" {
+		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return false, err
+		}
+	}
+	if request.ContentLength == 0 {
+		return true, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(request.Body, c.server.config.MaxBody+1))
+	if err != nil {
+		return false, err
+	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	return int64(len(body)) <= c.server.config.MaxBody, nil
+}
+
+// refuse answers what is no request, where nothing else is being answered.
+func (c *serverConn) refuse(err error) {
+	if !c.isIdle() || errors.Is(err, io.EOF) || isReset(err) {
+		return
+	}
+	status := http.StatusBadRequest
+	if c.head.N <= 0 {
+		status = http.StatusRequestHeaderFieldsTooLarge
+	}
+	_, _ = io.WriteString(c.conn, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+
+		"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
+
+// write sends answers in the order of the requests. Where that fails, the work for the caller ends.
+func (c *serverConn) write(cancel context.CancelFunc) {
+	failed := false
+	for x := range c.pending {
+		<-x.done
+		if !failed {
+			failed = c.send(x) != nil
+		}
+		if failed {
+			cancel()
+			_ = c.conn.Close()
+		}
+		c.count(-1)
+	}
+}
+
+func (c *serverConn) send(x *exchanged) error {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(c.server.config.WriteTimeout))
+	if x.request.Context().Err() != nil {
+		return x.request.Context().Err()
+	}
+	response := http.Response{
+		StatusCode:    x.answer.status,
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Request:       x.request,
+		Header:        x.answer.header,
+		Body:          io.NopCloser(bytes.NewReader(x.answer.body)),
+		ContentLength: int64(len(x.answer.body)),
+		Close:         x.last,
+	}
+	if err := response.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// recorder keeps an answer until it is its turn.
+type recorder struct {
+	header http.Header
+	status int
+	body   []byte
+}
+
+// Header returns the headers of the answer.
+func (r *recorder) Header() http.Header {
+	return r.header
+}
+
+// WriteHeader sets the status.
+func (r *recorder) WriteHeader(status int) {
+	r.status = status
+}
+
+// Write adds to the body.
+func (r *recorder) Write(p []byte) (int, error) {
+	if r.status == 0 {
+		r.status = http.StatusOK
+	}
+	r.body = append(r.body, p...)
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/traffic/caller/server_test.go
@@ -0,0 +1,196 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/caller"
+)
+
+// serving starts a server and returns a connection to it.
+func serving(t *testing.T, closing *atomic.Bool, handler http.HandlerFunc) (net.Conn, *bufio.Reader, *caller.Server) {
+	t.Helper()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := caller.NewServer(caller.ServerConfig{
+		Handler: handler, HeaderTimeout: time.Second, BodyTimeout: time.Second, IdleTimeout: 5 * time.Second, WriteTimeout: time.Second,
+		MaxHeader: 4096, MaxBody: 1 << 16, MaxPending: 8, Closing: closing.Load, Failed: func(string, error) {},
+	})
+	var group conc.WaitGroup
+	group.Go(func() { s.Serve(context.Background(), l) })
+	conn, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() {
+		_ = conn.Close()
+		_ = l.Close()
+		s.Close()
+		group.Wait()
+	})
+	return conn, bufio.NewReader(conn), s
+}
+
+func send(t *testing.T, conn net.Conn, requests ...string) {
+	t.Helper()
+	_, err := io.WriteString(conn, strings.Join(requests, ""))
+	is.New(t).NoErr(err)
+}
+
+func get(path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\n\r\n"
+}
+
+func receive(t *testing.T, r *bufio.Reader) (string, *http.Response) {
+	t.Helper()
+	response, err := http.ReadResponse(r, nil)
+	is.New(t).NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.New(t).NoErr(err)
+	return string(body), response
+}
+
+// Requests that come before the first is answered run side by side, and are answered in order.
+func TestRequestsOnOneConnectionRunSideBySide(t *testing.T) {
+	is := is.New(t)
+	conn, r, _ := serving(t, &atomic.Bool{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			time.Sleep(200 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	begin := time.Now()
+	send(t, conn, get("/slow"), get("/b"), get("/slow"))
+	for _, want := range []string{"/slow", "/b", "/slow"} {
+		body, _ := receive(t, r)
+		is.Equal(body, want)
+	}
+	is.True(time.Since(begin) < 390*time.Millisecond) // less than the two slow ones one after the other
+}
+
+// A request that must not run twice waits until all before it are answered: one of those could close the connection.
+func TestOtherMethodsRunAlone(t *testing.T) {
+	is := is.New(t)
+	var running, most atomic.Int32
+	conn, r, _ := serving(t, &atomic.Bool{}, func(w http.ResponseWriter, r *http.Request) {
+		most.Store(max(most.Load(), running.Add(1)))
+		time.Sleep(30 * time.Millisecond)
+		running.Add(-1)
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	})
+	post := "POST /p HTTP/1.1\r\nHost: a.example\r\nContent-Length: 3\r\n\r\nabc"
+	send(t, conn, post, get("/a"), post)
+	for _, want := range []string{"abc", "", "abc"} {
+		body, _ := receive(t, r)
+		is.Equal(body, want)
+	}
+	is.Equal(most.Load(), int32(1))
+}
+
+// The work for a caller that leaves ends, also where it has sent further requests.
+func TestCallerThatLeavesIsSeen(t *testing.T) {
+	var ended atomic.Int32
+	conn, _, _ := serving(t, &atomic.Bool{}, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		ended.Add(1)
+	})
+	send(t, conn, get("/a"), get("/b"), get("/c"))
+	time.Sleep(50 * time.Millisecond)
+	is.New(t).NoErr(conn.Close())
+	for deadline := time.Now().Add(5 * time.Second); ended.Load() < 3; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the work goes on")
+		}
+	}
+}
+
+// While the node leaves, what was read is answered, and the last answer says that the connection closes.
+func TestLastAnswerSaysThatItCloses(t *testing.T) {
+	is := is.New(t)
+	var closing atomic.Bool
+	conn, r, _ := serving(t, &closing, func(w http.ResponseWriter, r *http.Request) {
+		closing.Store(true)
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	send(t, conn, get("/a"))
+	time.Sleep(20 * time.Millisecond)
+	send(t, conn, get("/b"), get("/never_read"))
+	body, response := receive(t, r)
+	is.Equal(body, "/a")
+	is.True(!response.Close)
+	body, response = receive(t, r)
+	is.Equal(body, "/b")
+	is.True(response.Close)
+	_, err := r.ReadByte()
+	is.True(err != nil)
+}
+
+func TestWhatIsNoRequestIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent string
+		want int
+	}{
+		"bytes":           {"\x00\x01\x02\r\n\r\n", http.StatusBadRequest},
+		"too long a head": {"GET / HTTP/1.1\r\nHost: a\r\nA: " + strings.Repeat("a", 9000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn, r, _ := serving(t, &atomic.Bool{}, func(http.ResponseWriter, *http.Request) {})
+			send(t, conn, test.sent)
+			_, response := receive(t, r)
+			is.Equal(response.StatusCode, test.want)
+		})
+	}
+}
+
+// What stands behind a body that is too long must not be taken for a request.
+func TestTooLongBodyEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	conn, r, _ := serving(t, &atomic.Bool{}, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if len(body) > 1<<16 {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		}
+	})
+	send(t, conn, "POST /p HTTP/1.1\r\nHost: a.example\r\nContent-Length: 70000\r\n\r\n", strings.Repeat("a", 1<<16), get("/smuggled"))
+	_, response := receive(t, r)
+	is.Equal(response.StatusCode, http.StatusRequestEntityTooLarge)
+	is.True(response.Close)
+}
+
+func TestFaultOfTheHandlerCostsOneRequest(t *testing.T) {
+	is := is.New(t)
+	conn, r, _ := serving(t, &atomic.Bool{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/fault" {
+			panic("fault")
+		}
+		_, _ = io.WriteString(w, "well")
+	})
+	send(t, conn, get("/fault"), get("/a"))
+	_, response := receive(t, r)
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+	body, _ := receive(t, r)
+	is.Equal(body, "well")
+}
+
+func TestIdleConnectionsClose(t *testing.T) {
+	is := is.New(t)
+	conn, r, s := serving(t, &atomic.Bool{}, func(http.ResponseWriter, *http.Request) {})
+	send(t, conn, get("/a"))
+	_, _ = receive(t, r)
+	time.Sleep(20 * time.Millisecond)
+	s.CloseIdle()
+	_, err := r.ReadByte()
+	is.True(err != nil)
+}
--- a/internal/traffic/flow/fenced.go
+++ b/internal/traffic/flow/fenced.go
@@ -55,13 +55,14 @@
 	fence.Ran:     outcome.Absent,
 }
 
-// Resolve tells what became of an attempt that was sent to this process.
+// Resolve tells what became of an attempt. One that did not come here is fenced only where it was sent to this process: an
+// earlier one may have run it. The asking node may know an earlier start of this one, and have sent the attempt here.
 func (f *Fenced) Resolve(q peer.Question) peer.Resolution {
-	if q.Incarnation != f.incarnation || q.Key != "" {
-		return peer.Resolution{}
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if q.Key != "" || q.Incarnation != f.incarnation && !f.table.Knows(q.AttemptID) {
+		return peer.Resolution{}
+	}
 	return peer.Resolution{Known: true, State: fenceStates[f.table.Resolve(time.Now(), q.AttemptID)]}
 }
 
--- /dev/null
+++ b/internal/traffic/flow/fenced_test.go
@@ -0,0 +1,39 @@
+package flow
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
+)
+
+// asking is a backend server during whose work the sender asks.
+type asking struct {
+	during func()
+}
+
+func (a asking) Receive(context.Context, *call.Request) call.Reply {
+	a.during()
+	return call.Reply{Outcome: call.Ran, Status: 200}
+}
+
+// A sender that still knows an earlier start of the node must not be told that the attempt isn't here while it runs.
+func TestResolveKnowsWhatRunsHere(t *testing.T) {
+	is := is.New(t)
+	var f *Fenced
+	ask := func(id string, incarnation uint64) peer.Resolution {
+		return f.Resolve(peer.Question{AttemptID: id, Incarnation: incarnation})
+	}
+	f = NewFenced(asking{func() {
+		is.Equal(ask("a", 1), peer.Resolution{Known: true, State: outcome.Running})
+		is.Equal(ask("a", 2), peer.Resolution{Known: true, State: outcome.Running})
+	}}, 2)
+	is.Equal(f.Receive(t.Context(), &call.Request{AttemptID: "a"}).Outcome, call.Ran)
+	is.Equal(ask("b", 1), peer.Resolution{})                                   // an earlier process may have run it
+	is.Equal(ask("c", 2), peer.Resolution{Known: true, State: outcome.NotRun}) // it never will
+	is.Equal(f.Receive(t.Context(), &call.Request{AttemptID: "c"}).Outcome, call.NotRun)
+}
