--- a/internal/decide/trees/trees.go
+++ b/internal/decide/trees/trees.go
@@ -21,10 +21,13 @@
 
 // Config sets Limits up.
 type Config struct {
-	// Initial is the bound of a kind of which nothing is known, Min the least and Max the highest.
-	Initial, Min, Max float64
+	// Initial is the bound of a kind of which nothing is known, or InitialPart of the slots where that is more. Min is the
+	// least and Max the highest bound.
+	Initial, InitialPart, Min, Max float64
 	// Wait is the part of its time that the calls of a request should stand in queues.
 	Wait float64
+	// IdleGrowth is how much further the bound goes while calls don't wait at all, as a part of it.
+	IdleGrowth float64
 	// Headroom is how many requests more than a request tells the bound goes for.
 	Headroom float64
 	// Gain is the part of the way that the bound goes while as many requests end as it holds.
@@ -35,13 +38,17 @@
 
 // DefaultConfig holds where nothing else is set.
 var DefaultConfig = Config{
-	Initial:  16,
-	Min:      2,
-	Max:      1000,
-	Wait:     0.15,
-	Headroom: 1,
-	Gain:     1,
-	UsedTime: 150 * time.Millisecond,
+	Initial: 16,
+
+	InitialPart: 0.25,
+
+	Min:        2,
+	Max:        1000,
+	Wait:       0.15,
+	IdleGrowth: 0.6,
+	Headroom:   1,
+	Gain:       1,
+	UsedTime:   150 * time.Millisecond,
 }
 
 // Sample is what a finished request showed.
@@ -58,7 +65,9 @@
 // Limits holds the bounds of all kinds.
 type Limits struct {
 	config Config
-	kinds  map[string]*limit
+	// slots are those of the backend server.
+	slots float64
+	kinds map[string]*limit
 }
 
 // NewLimits returns limits that know no kind.
@@ -66,6 +75,11 @@
 	return &Limits{config: config, kinds: map[string]*limit{}}
 }
 
+// Announce sets the slots of the backend server.
+func (l *Limits) Announce(slots int) {
+	l.slots = float64(slots)
+}
+
 // limit is the bound of one kind.
 type limit struct {
 	value    float64
@@ -74,8 +88,9 @@
 	// may come first.
 	seen  bool
 	calls bool
-	// took is the recent time of a request.
-	took time.Duration
+	// took is the recent time of a request, and share the recent part of it that calls stood in queues.
+	took  time.Duration
+	share float64
 	// usedAt is when the bound was last reached.
 	usedAt time.Time
 }
@@ -83,6 +98,8 @@
 const (
 	// sampleWeight is the weight of one request in the recent values.
 	sampleWeight = 0.2
+	// idleShare is the part of the time below which calls don't wait at all.
+	idleShare = 0.01
 	// refusedShare is the part of its time that a request with a call that was turned away counts as having waited.
 	refusedShare = 0.5
 )
@@ -127,7 +144,17 @@
 	if s.Refused {
 		share = max(share, refusedShare)
 	}
-	l.move(now, k, beside*(1-share)/(1-l.config.Wait)+l.config.Headroom)
+	k.share += sampleWeight * (share - k.share)
+	l.move(now, k, beside*l.factor(k, share)+l.config.Headroom)
+}
+
+// factor returns how many times as many requests may run for calls to wait as they should, where they waited for the share.
+// While there is no waiting at all it can't be told how far that is, and the answer is a good way up.
+func (l *Limits) factor(k *limit, share float64) float64 {
+	if k.share < idleShare {
+		return 1 + l.config.IdleGrowth
+	}
+	return (1 - share) / (1 - l.config.Wait)
 }
 
 // move takes the bound a part of the way to what a request told.
@@ -156,7 +183,7 @@
 func (l *Limits) kind(name string) *limit {
 	k, known := l.kinds[name]
 	if !known {
-		k = &limit{value: l.config.Initial}
+		k = &limit{value: max(l.config.Initial, l.config.InitialPart*l.slots)}
 		l.kinds[name] = k
 	}
 	return k
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -88,7 +88,7 @@
 
 // run admits the request and runs it on the backend server.
 func (v *Receiver) run(ctx context.Context, b *board.Board, r *call.Request) call.Reply {
-	start, refusal, admitted := v.config.Trees.begin(r)
+	start, refusal, admitted := v.config.Trees.begin(r, b.Backend.Slots)
 	if !admitted {
 		v.counters.notStarted.Add(1)
 		return refusal
--- a/internal/traffic/flow/trees.go
+++ b/internal/traffic/flow/trees.go
@@ -21,12 +21,13 @@
 }
 
 // begin counts a root request, or returns the reply that refuses it. Calls are part of what was admitted before.
-func (t *Trees) begin(r *call.Request) (trees.Start, call.Reply, bool) {
+func (t *Trees) begin(r *call.Request, slots int) (trees.Start, call.Reply, bool) {
 	if t == nil || r.Depth > 0 {
 		return trees.Start{}, call.Reply{}, true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.limits.Announce(slots)
 	if start, ok := t.limits.Begin(time.Now(), r.Kind); ok {
 		return start, call.Reply{}, true
 	}
