--- a/internal/decide/lineage/lineage.go
+++ b/internal/decide/lineage/lineage.go
@@ -80,8 +80,11 @@
 	return &Matcher{kinds: map[string]*kind{}}
 }
 
-// Match returns the index of the request that the call was most likely made for, or false where the kind is not known
-// to be made up of calls, or nothing runs.
+// Unknown is the index where no request is likely to have made a call.
+const Unknown = -1
+
+// Match returns the index of the request that the call was most likely made for, or Unknown. It reports false where the
+// kind is not known to be made up of calls.
 func (m *Matcher) Match(now time.Time, c Call, running []Running) (int, bool) {
 	index, fits := fitting(now, c, running)
 	k := m.kind(c)
@@ -91,11 +94,11 @@
 	}
 	switch {
 	case !k.isCall():
-		return 0, false
+		return Unknown, false
 	case fits && k.isMadeBy(running[index].Kind):
 		return index, true
 	}
-	return k.likeliest(now, c, running)
+	return k.likeliest(now, c, running), true
 }
 
 // fitting returns the request that expires with the call.
@@ -112,8 +115,8 @@
 
 // likeliest returns the request whose last call was answered last, of those that have no call open and outlast the call;
 // else the one that has run longest.
-func (k *kind) likeliest(now time.Time, c Call, running []Running) (int, bool) {
-	best := -1
+func (k *kind) likeliest(now time.Time, c Call, running []Running) int {
+	best := Unknown
 	for i, r := range running {
 		if r.Calling || now.Sub(r.Started) < leastAge || r.Deadline.Before(c.Expires.Add(-tolerance)) {
 			continue
@@ -122,7 +125,7 @@
 			best = i
 		}
 	}
-	return best, best >= 0
+	return best
 }
 
 func isLikelier(a, b Running) bool {
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -96,10 +96,10 @@
 	r.entries[e.Key] = &known{Entry: e}
 }
 
-// dropOthersAt forgets the members whose peer address now belongs to another node.
+// dropOthersAt forgets the members whose peer address now belongs to another node, also before their own entries go.
 func (r *Roster) dropOthersAt(e Entry) {
 	for key, k := range r.entries {
-		if key != e.Key && k.Member.PeerAddress == e.Member.PeerAddress && !k.lapsedAt.IsZero() {
+		if key != e.Key && k.Member.PeerAddress == e.Member.PeerAddress && k.Revision < e.Revision {
 			delete(r.entries, key)
 		}
 	}
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -30,13 +30,14 @@
 		want        bool
 		unconfirmed bool
 	}{
-		"entry stands":                   {[]roster.Change{{Entry: up}}, 0, true, false},
-		"entry went without a word":      {[]roster.Change{{Entry: up}, gone("a", 6)}, time.Second, true, true},
-		"kept long enough":               {[]roster.Change{{Entry: up}, gone("a", 6)}, time.Minute, false, false},
-		"said that it leaves":            {[]roster.Change{{Entry: leaving}, gone("a", 6)}, 0, false, false},
-		"back under its name":            {[]roster.Change{{Entry: up}, gone("a", 6), {Entry: entry("a", 7, membership.Up)}}, 0, true, false},
-		"an older change comes late":     {[]roster.Change{{Entry: up}, gone("a", 4)}, 0, true, false},
-		"address taken by another later": {[]roster.Change{{Entry: up}, gone("a", 6), {Entry: roster.Entry{Key: "b", Revision: 8, Member: membership.Member{Node: "b", PeerAddress: up.Member.PeerAddress}}}}, 0, false, false},
+		"entry stands":                    {[]roster.Change{{Entry: up}}, 0, true, false},
+		"entry went without a word":       {[]roster.Change{{Entry: up}, gone("a", 6)}, time.Second, true, true},
+		"kept long enough":                {[]roster.Change{{Entry: up}, gone("a", 6)}, time.Minute, false, false},
+		"said that it leaves":             {[]roster.Change{{Entry: leaving}, gone("a", 6)}, 0, false, false},
+		"back under its name":             {[]roster.Change{{Entry: up}, gone("a", 6), {Entry: entry("a", 7, membership.Up)}}, 0, true, false},
+		"an older change comes late":      {[]roster.Change{{Entry: up}, gone("a", 4)}, 0, true, false},
+		"address taken by another later":  {[]roster.Change{{Entry: up}, gone("a", 6), {Entry: roster.Entry{Key: "b", Revision: 8, Member: membership.Member{Node: "b", PeerAddress: up.Member.PeerAddress}}}}, 0, false, false},
+		"address taken by another before": {[]roster.Change{{Entry: up}, {Entry: roster.Entry{Key: "b", Revision: 8, Member: membership.Member{Node: "b", PeerAddress: up.Member.PeerAddress}}}, gone("a", 9)}, 0, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/traffic/call/chain.go
+++ b/internal/traffic/call/chain.go
@@ -180,8 +180,9 @@
 	return t.byToken[token]
 }
 
-// Parent returns the running request that a call without a token was most likely made for, or nil. It proves nothing.
-func (t *Chains) Parent(now time.Time, c lineage.Call) *Chain {
+// Parent returns the running request that a call without a token was most likely made for, or nil, and reports whether it is
+// a call at all. Both are guesses.
+func (t *Chains) Parent(now time.Time, c lineage.Call) (*Chain, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.candidates, t.running = t.candidates[:0], t.running[:0]
@@ -189,11 +190,11 @@
 		t.candidates = append(t.candidates, chain)
 		t.running = append(t.running, chain.asRunning())
 	}
-	index, ok := t.matcher.Match(now, c, t.running)
-	if !ok {
-		return nil
+	index, isCall := t.matcher.Match(now, c, t.running)
+	if index == lineage.Unknown {
+		return nil, isCall
 	}
-	return t.candidates[index]
+	return t.candidates[index], isCall
 }
 
 // IsCanceled reports whether the token belongs to a request that was canceled while it ran.
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -95,7 +95,10 @@
 
 // send sends the request on. A call of the local backend server waits on behalf of the request that it is made for.
 func (h *Routed) send(ctx context.Context, request *call.Request) call.Reply {
-	parent := h.config.Chains.Parent(request.Entered, lineage.Call{Kind: request.Kind, Expires: request.CallerWaits})
+	parent, isCall := h.config.Chains.Parent(request.Entered, lineage.Call{Kind: request.Kind, Expires: request.CallerWaits})
+	if isCall {
+		request.Depth = 1
+	}
 	if parent == nil {
 		request.Attempts = call.NewAttempts(request.AttemptsLeft)
 		return h.config.Sender.Send(ctx, request)
--- a/internal/traffic/flow/views.go
+++ b/internal/traffic/flow/views.go
@@ -107,7 +107,7 @@
 
 // takesNothing reports whether the instance has no backend server that takes work.
 func takesNothing(reply *call.Reply) bool {
-	return reply.Reason == call.ReasonDraining
+	return reply.Reason == call.ReasonDraining || reply.Reason == call.ReasonNoInstance
 }
 
 func (v *views) set(service string, members []membership.Member, now time.Time) *routing.Set {
