--- a/internal/traffic/call/chain.go
+++ b/internal/traffic/call/chain.go
@@ -28,6 +28,9 @@
 	childStart time.Time
 	childEnd   time.Time
 	childTime  time.Duration
+	// guessed says that it is a guess which calls are those of the request. A failure after some of them is then taken
+	// for one of a call.
+	guessed bool
 	// calls counts the calls down the chain, and waited is how long they stood in queues.
 	calls  int
 	waited time.Duration
@@ -70,6 +73,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply.Deeper = c.failure
+	if c.failure == ReasonNone && c.calls > 0 && c.guessed {
+		reply.Deeper = ReasonBackendFailed
+	}
+}
+
+func (c *Chain) markGuessed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.guessed = true
 }
 
 func (c *Chain) asRunning() lineage.Running {
@@ -194,6 +206,7 @@
 	if index == lineage.Unknown {
 		return nil, isCall
 	}
+	t.candidates[index].markGuessed()
 	return t.candidates[index], isCall
 }
 
--- a/internal/traffic/call/chain_test.go
+++ b/internal/traffic/call/chain_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/lineage"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
@@ -23,3 +24,35 @@
 	chain.BeginChild(at(60))
 	is.Equal(chain.ChildTime(at(100)), 70*time.Millisecond)
 }
+
+// Where it is a guess which calls are whose, a request that fails after calls isn't held against its backend server: the
+// failed call may have been taken for another request's.
+func TestFailureAfterGuessedCallsIsDeeper(t *testing.T) {
+	for name, test := range map[string]struct {
+		calls int
+		want  call.Reason
+	}{
+		"made no calls": {0, call.ReasonNone},
+		"made calls":    {2, call.ReasonBackendFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			chains := call.NewChains()
+			chain := chains.Begin(t.Context(), "a", &call.Request{Kind: "sheets", Deadline: now.Add(time.Second)})
+			for n := range test.calls * 20 { // the first ones show that the kind is made up of calls
+				later := now.Add(time.Duration(10+n) * time.Millisecond)
+				_, _ = chains.Parent(later, lineage.Call{Kind: "keys", Expires: now.Add(time.Second)})
+			}
+			for range test.calls {
+				found, isCall := chains.Parent(now.Add(100*time.Millisecond), lineage.Call{Kind: "keys", Expires: now.Add(time.Second)})
+				is.True(isCall)
+				is.Equal(found, chain)
+				chain.NoteReply(&call.Reply{Outcome: call.Ran, Status: 200})
+			}
+			reply := call.Reply{Outcome: call.Ran, Status: 500}
+			chain.Settle(&reply)
+			is.Equal(reply.Deeper, test.want)
+		})
+	}
+}
