The answer of another node is waited for a moment after the deadline

Cause: a request that waited in a queue until its deadline was answered 504, though the node beside the backend server said a moment later that it had not run; its caller may then not send an order again.

--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -59,6 +59,10 @@
 	return &Routed{config: config, numbers: map[string]*atomic.Uint64{}}
 }
 
+// answerGrace is how long the answer of another node is waited for after the deadline. That node gives up the request at the
+// deadline, and only its answer tells whether the request ran.
+const answerGrace = 30 * time.Millisecond
+
 // startRetry is when to come back to a node that knows no routes yet.
 const startRetry = 300 * time.Millisecond
 
@@ -79,7 +83,7 @@
 		h.reject(w, r, refused)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline.Add(answerGrace))
 	defer cancel()
 	reply := h.send(ctx, request)
 	h.config.Answered(request, &reply, time.Since(request.Entered))
