Retries at once are shared by the nodes of a fleet

Cause: each node kept up to 3 retries a service, which on 13 nodes comes to 39 at once, on 60 to 180, beyond what a fleet may make together. Test: TestFleetRetriesTogether.

--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -89,6 +89,17 @@
 	return true
 }
 
+// Cap lowers what is kept to the most.
+func (b *Budget) Cap(most float64) {
+	b.tokens = min(b.tokens, most)
+}
+
+// Part returns how many retries one of so many nodes may keep, where the fleet as a whole may make so many at once. A
+// node keeps one at least, or it could never retry.
+func Part(fleet float64, nodes int) float64 {
+	return max(fleet/float64(max(nodes, 1)), 1)
+}
+
 // Tokens returns what is left.
 func (b *Budget) Tokens() float64 {
 	return b.tokens
--- /dev/null
+++ b/internal/decide/retry/retry_test.go
@@ -0,0 +1,37 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
+)
+
+// Pattern: everything fails on every node at once. Nodes that don't talk keep to what the fleet may do together.
+func TestFleetRetriesTogether(t *testing.T) {
+	for name, test := range map[string]struct{ nodes, atMost int }{
+		"13 nodes":  {13, 36},
+		"60 nodes":  {60, 60}, // one each, or a node could never retry
+		"a few":     {3, 36},
+		"one alone": {1, 36},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			retried := 0
+			for range test.nodes {
+				budget := retry.NewBudget(retry.BudgetConfig{PerSuccess: 0.05, Max: 20})
+				for range 100 {
+					budget.Cap(retry.Part(36, test.nodes))
+					failed := retry.Attempt{Idempotent: true, Started: true, AttemptsLeft: 1, TimeLeft: time.Second, Candidates: 2}
+					if retry.Decide(failed, budget) == retry.TryAgain {
+						retried++
+					}
+				}
+			}
+			is.True(retried <= test.atMost)
+			is.True(retried >= min(test.nodes, test.atMost)) // and none goes without
+		})
+	}
+}
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -111,6 +111,9 @@
 // maxRefusals is how many nodes may refuse a request before it is given up.
 const maxRefusals = 2
 
+// fleetRetries is how many retries for one service all nodes together may make at once.
+const fleetRetries = 36
+
 // retryBudget is that of one node for one service.
 var retryBudget = retry.BudgetConfig{PerSuccess: 0.05, Max: 3}
 
@@ -186,8 +189,11 @@
 		Routing:     routing.DefaultConfig(s.Node.Name, s.Node.Zone),
 		Throttle:    throttle.DefaultConfig,
 		MaxRefusals: maxRefusals,
-		Events:      n.limiter,
-		Requests:    n.requests,
+
+		FleetRetries: fleetRetries,
+
+		Events:   n.limiter,
+		Requests: n.requests,
 	})
 }
 
--- a/internal/traffic/flow/budgets.go
+++ b/internal/traffic/flow/budgets.go
@@ -34,6 +34,13 @@
 	return retry.Decide(a, b.of(service))
 }
 
+// share lowers what is kept for the service to this node's part of what the fleet may make at once.
+func (b *Budgets) share(service string, fleet float64, nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(service).Cap(retry.Part(fleet, nodes))
+}
+
 // tokens returns what is left of each.
 func (b *Budgets) tokens() map[string]float64 {
 	b.mu.Lock()
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -35,6 +35,8 @@
 	Throttle throttle.Config
 	// MaxRefusals is how many nodes may refuse a request, beside their backend servers, before it is given up.
 	MaxRefusals int
+	// FleetRetries is how many retries for one service all nodes together may make at once; 0 for no bound but each node's.
+	FleetRetries float64
 	// Events takes what operators should know, and Requests what was decided about single requests.
 	Events   *events.Limiter
 	Requests *events.Limiter
@@ -228,6 +230,9 @@
 	if isFree(&reply) && t.free <= s.config.MaxRefusals {
 		return candidates > 0 && ctx.Err() == nil
 	}
+	if s.config.FleetRetries > 0 {
+		s.config.Budgets.share(r.Service, s.config.FleetRetries, len(s.config.Board.Snapshot().Members.ByNode))
+	}
 	verdict := s.config.Budgets.decide(r.Service, retry.Attempt{
 		Idempotent:   r.Idempotent,
 		Started:      reply.Outcome == call.Ran || reply.Outcome == call.Unknown,
