--- a/internal/process/node/drain.go
+++ b/internal/process/node/drain.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"storj.io/drpc"
-
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/parts"
@@ -37,23 +35,6 @@
 	})
 }
 
-// countRPCs counts the requests of other nodes.
-func (w *work) countRPCs(next drpc.Handler) drpc.Handler {
-	return &countingHandler{work: w, next: next}
-}
-
-type countingHandler struct {
-	work *work
-	next drpc.Handler
-}
-
-// HandleRPC passes an RPC on and returns when its answer is written.
-func (h *countingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
-	h.work.inFlight.Add(1)
-	defer h.work.inFlight.Add(-1)
-	return h.next.HandleRPC(stream, rpc)
-}
-
 const (
 	// leavePoll is the time between looks at whether the node is to leave.
 	leavePoll = 50 * time.Millisecond
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -302,9 +302,9 @@
 		n.config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return
 	}
-	server := drpcserver.NewWithOptions(peer.SealHandler(n.work.countRPCs(mux), nil), drpcserver.Options{
+	server := drpcserver.NewWithOptions(peer.SealHandler(parts.CountRPCs(&n.work.inFlight, mux), nil), drpcserver.Options{
 		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
-		Log:     n.peerFailed,
+		Log:     parts.PeerFailed(n.limiter),
 	})
 	_ = server.Serve(ctx, n.listeners.peer)
 }
@@ -315,7 +315,7 @@
 		Handler:           router,
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
 		ReadTimeout:       n.config.Settings.Caller.BodyTimeout,
-		ErrorLog:          n.httpLog(),
+		ErrorLog:          parts.HTTPLog(n.limiter),
 	}
 	caller.WatchConns(server, n.endedEarly)
 	ended := make(chan struct{})
--- /dev/null
+++ b/internal/process/parts/serve.go
@@ -0,0 +1,60 @@
+package parts
+
+import (
+	"context"
+	"errors"
+	"log"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+)
+
+// HTTPLog returns a log that turns the lines of an HTTP server into events.
+func HTTPLog(limiter *events.Limiter) *log.Logger {
+	return log.New(httpErrors{limiter}, "", 0)
+}
+
+type httpErrors struct {
+	limiter *events.Limiter
+}
+
+// Write logs one line.
+func (e httpErrors) Write(line []byte) (int, error) {
+	e.limiter.Emit(time.Now(), events.HTTPFailed, events.Fields{"error": strings.TrimSpace(string(line))})
+	return len(line), nil
+}
+
+// PeerFailed returns a function that logs how a connection of another node ended. That the other end closed it, or gave up a
+// call, is no fault.
+func PeerFailed(limiter *events.Limiter) func(error) {
+	return func(err error) {
+		switch {
+		case drpc.ClosedError.Has(err), errors.Is(err, context.Canceled):
+		case errors.Is(err, context.DeadlineExceeded):
+			limiter.Emit(time.Now(), events.PeerIdle, nil)
+		default:
+			limiter.Emit(time.Now(), events.PeerGarbage, events.Fields{"error": err.Error()})
+		}
+	}
+}
+
+// CountRPCs returns a handler that counts the requests of other nodes in flight, until each answer is written.
+func CountRPCs(inFlight *atomic.Int64, next drpc.Handler) drpc.Handler {
+	return countingHandler{inFlight: inFlight, next: next}
+}
+
+type countingHandler struct {
+	inFlight *atomic.Int64
+	next     drpc.Handler
+}
+
+// HandleRPC passes an RPC on and returns when its answer is written.
+func (h countingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	return h.next.HandleRPC(stream, rpc)
+}
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"log"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
-	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -41,23 +37,6 @@
 	})
 }
 
-// countRPCs counts the requests of other nodes.
-func (w *work) countRPCs(next drpc.Handler) drpc.Handler {
-	return countingHandler{work: w, next: next}
-}
-
-type countingHandler struct {
-	work *work
-	next drpc.Handler
-}
-
-// HandleRPC passes an RPC on and returns when its answer is written.
-func (h countingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
-	h.work.rpcs.Add(1)
-	defer h.work.rpcs.Add(-1)
-	return h.next.HandleRPC(stream, rpc)
-}
-
 const (
 	// leaveTime is how long callers may still come after the node began to leave: those who look whether it is ready
 	// look each second, and go away after two misses. What comes last has to end before the process is killed.
@@ -98,9 +77,9 @@
 		n.config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return
 	}
-	server := drpcserver.NewWithOptions(peer.SealHandler(n.work.countRPCs(mux), n.packer), drpcserver.Options{
+	server := drpcserver.NewWithOptions(peer.SealHandler(parts.CountRPCs(&n.work.rpcs, mux), n.packer), drpcserver.Options{
 		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
-		Log:     n.peerFailed,
+		Log:     parts.PeerFailed(n.limiter),
 	})
 	_ = server.Serve(ctx, n.listeners.peer)
 }
@@ -161,29 +140,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		ErrorLog:          log.New(httpErrors{n.limiter}, "", 0),
-	}
-}
-
-// httpErrors turns the lines that an HTTP server logs into events.
-type httpErrors struct {
-	limiter *events.Limiter
-}
-
-// Write logs one line.
-func (e httpErrors) Write(line []byte) (int, error) {
-	e.limiter.Emit(time.Now(), events.HTTPFailed, events.Fields{"error": strings.TrimSpace(string(line))})
-	return len(line), nil
-}
-
-// peerFailed logs how a connection of another node ended. That the other end closed it, or gave up a call, is no fault.
-func (n *Node) peerFailed(err error) {
-	switch {
-	case drpc.ClosedError.Has(err), errors.Is(err, context.Canceled):
-	case errors.Is(err, context.DeadlineExceeded):
-		n.limiter.Emit(time.Now(), events.PeerIdle, nil)
-	default:
-		n.limiter.Emit(time.Now(), events.PeerGarbage, events.Fields{"error": err.Error()})
+		ErrorLog:          parts.HTTPLog(n.limiter),
 	}
 }
 
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -176,7 +176,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	body, refused := h.body(r)
+	body, refused := readBody(r, h.config.MaxBody)
 	if refused != nil {
 		return nil, refused
 	}
@@ -207,8 +207,9 @@
 	}
 }
 
-func (h *handler) body(r *http.Request) ([]byte, *rejection) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, h.config.MaxBody))
+// readBody returns the whole body, which must not be longer than most, in bytes.
+func readBody(r *http.Request, most int64) ([]byte, *rejection) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, most))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, &rejection{call.ReasonBodyTooLarge, "body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -127,7 +125,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	body, refused := h.body(r)
+	body, refused := readBody(r, h.config.MaxBody)
 	if refused != nil {
 		return nil, refused
 	}
@@ -179,21 +177,6 @@
 	return time.Duration(milliseconds) * time.Millisecond, nil
 }
 
-func (h *Routed) body(r *http.Request) ([]byte, *rejection) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, h.config.MaxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &rejection{call.ReasonBodyTooLarge, "body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
-	}
-	if err != nil {
-		return nil, &rejection{call.ReasonBadRequest, "body could not be read: " + err.Error()}
-	}
-	return body, nil
-}
-
 // forwarded returns the headers for the backend server, with the host that the caller asked for.
 func (h *Routed) forwarded(r *http.Request) http.Header {
 	header := forwarded(r.Header)
