--- a/internal/traffic/backend/gate.go
+++ b/internal/traffic/backend/gate.go
@@ -200,19 +200,19 @@
 }
 
 func refused(r admission.Refusal) call.Reply {
-	return call.Refused(call.NotRun, refusalReasons[r.Cause], jittered(r.RetryAfter))
+	return call.Refused(call.NotRun, refusalReasons[r.Cause], Jittered(r.RetryAfter))
 }
 
-// jittered puts a time off by up to half. Requests refused in one moment would else come back in one moment too, and
+// Jittered puts a time off by up to half. Requests refused in one moment would else come back in one moment too, and
 // most of them be refused again.
-func jittered(d time.Duration) time.Duration {
+func Jittered(d time.Duration) time.Duration {
 	return d + time.Duration(rand.Float64()*float64(d)/2)
 }
 
 // gone is the reply to a request whose caller went away or whose deadline passed while it waited.
 func (g *Gate) gone(ctx context.Context, rank int) call.Reply {
 	if ctx.Err() == context.DeadlineExceeded {
-		return call.Refused(call.NotRun, call.ReasonDeadline, jittered(g.retryAfter(rank)))
+		return call.Refused(call.NotRun, call.ReasonDeadline, Jittered(g.retryAfter(rank)))
 	}
 	return call.Refused(call.NotRun, call.ReasonCanceled, 0)
 }
--- a/internal/traffic/flow/trees.go
+++ b/internal/traffic/flow/trees.go
@@ -31,7 +31,7 @@
 	if start, ok := t.limits.Begin(time.Now(), r.Kind); ok {
 		return start, call.Reply{}, true
 	}
-	return trees.Start{}, call.Refused(call.NotRun, call.ReasonOverload, t.limits.RetryAfter(r.Kind)), false
+	return trees.Start{}, call.Refused(call.NotRun, call.ReasonOverload, backend.Jittered(t.limits.RetryAfter(r.Kind))), false
 }
 
 // bound returns how many root requests of the kind may run, and whether that holds.
