--- a/internal/decide/routing/instance.go
+++ b/internal/decide/routing/instance.go
@@ -181,6 +181,11 @@
 	return whole * max(leastWarm, float64(age)/float64(i.config.SlowStart))
 }
 
+// mean returns how long requests of the kind and rank took on average; 0 where none was answered.
+func (i *Instance) mean(r Request) time.Duration {
+	return i.latencies.byWork[work{rank: r.Rank, kind: r.Kind}].mean
+}
+
 // minLatency keeps the cost of very quick instances apart.
 const minLatency = 100 * time.Microsecond
 
--- a/internal/decide/routing/latency.go
+++ b/internal/decide/routing/latency.go
@@ -10,16 +10,25 @@
 // latency is the peak-weighted mean latency of some of an instance's requests; zero where none is known.
 type latency struct {
 	value time.Duration
-	at    time.Time
+	// mean gives no more weight to peaks.
+	mean time.Duration
+	at   time.Time
 }
 
+// meanWeight is the weight of one answer in the mean.
+const meanWeight = 0.05
+
 // learn takes a peak at once and forgets it with time.
 func (l latency) learn(now time.Time, took, fade time.Duration) latency {
+	mean := l.mean + time.Duration(meanWeight*float64(took-l.mean))
+	if l.mean == 0 {
+		mean = took
+	}
 	if took < l.value {
 		kept := math.Exp(-float64(now.Sub(l.at)) / float64(fade))
 		took = time.Duration(kept*float64(l.value) + (1-kept)*float64(took))
 	}
-	return latency{value: took, at: now}
+	return latency{value: took, mean: mean, at: now}
 }
 
 // latencyMemory is for how many times the time constant of fading a latency is known.
--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -46,6 +46,9 @@
 	// FarFactor is how many times the expected time at another zone's instance is taken before it counts as less than
 	// that at one of the own zone: bytes between zones cost more than bytes within.
 	FarFactor float64
+	// TargetPart is the part of a request's target that the latency at an instance of the own zone may take, on average,
+	// before others are worth a look.
+	TargetPart float64
 	// CallFarFactor is the same for calls down a chain. A request that goes to another zone takes all of its calls there,
 	// at the price of one.
 	CallFarFactor float64
@@ -76,6 +79,7 @@
 		SpillFrom:  0.7,
 		FarFactor:  1.3,
 
+		TargetPart:    0.5,
 		CallFarFactor: 4,
 
 		SlowStart:    5 * time.Second,
@@ -106,6 +110,8 @@
 	Kind string
 	// IsCall says that the request is a call down a chain.
 	IsCall bool
+	// Target is the time within which an answer is worth most; 0 for none.
+	Target time.Duration
 	// Tried are nodes that already refused the request.
 	Tried []string
 }
--- a/internal/decide/routing/set.go
+++ b/internal/decide/routing/set.go
@@ -78,8 +78,12 @@
 			continue
 		}
 		chosen := s.pick(now, random, r, t, c.counts[t])
-		if t == near && c.isFull(s.config.SpillFrom) {
+		switch {
+		case t != near:
+		case c.isFull(s.config.SpillFrom):
 			return s.spill(now, random, r, chosen, &c), true
+		case s.isSlow(r, chosen):
+			return s.quicker(now, random, r, chosen, &c), true
 		}
 		return chosen, true
 	}
@@ -105,6 +109,34 @@
 	return own
 }
 
+// isSlow reports whether the instance takes so long on average that many answers miss the request's target.
+func (s *Set) isSlow(r Request, i *Instance) bool {
+	return !r.IsCall && float64(i.mean(r)) > s.config.TargetPart*float64(r.Target) && r.Target > 0
+}
+
+// quicker returns an instance of another availability zone that takes clearly less on average, and the one of the own
+// zone else. Now and then one is tried of which nothing is known.
+func (s *Set) quicker(now time.Time, random Source, r Request, own *Instance, c *survey) *Instance {
+	if c.counts[healthy] == c.counts[near] {
+		return own
+	}
+	for range spillTries {
+		other := s.pick(now, random, r, healthy, c.counts[healthy])
+		mean := other.mean(r)
+		switch {
+		case other.Member.Zone == s.config.Zone:
+		case mean == 0 && random.Float64() < exploredPart:
+			return other
+		case mean > 0 && s.config.FarFactor*float64(mean) < float64(own.mean(r)):
+			return other
+		}
+	}
+	return own
+}
+
+// exploredPart is the part of such requests that goes to an instance of which nothing is known.
+const exploredPart = 0.05
+
 // spillTries is how often another availability zone is looked for.
 const spillTries = 3
 
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -73,6 +73,8 @@
 	Deadline  time.Time
 	// CallerWaits is until when the caller waits, which may be longer; it is not passed on.
 	CallerWaits time.Time
+	// Target is the time within which an answer is worth most, 0 for none; it is not passed on.
+	Target time.Duration
 	// AttemptsLeft is how many further attempts the whole chain below may spend.
 	AttemptsLeft int
 	// Attempts is the pool that AttemptsLeft comes from on the node that sends the request; it is not passed on.
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -145,6 +145,7 @@
 		Deadline:     now.Add(min(asked, route.Timeout)),
 		CallerWaits:  now.Add(asked),
 		AttemptsLeft: route.Attempts - 1,
+		Target:       route.Target,
 		Entered:      now,
 	}, nil
 }
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -160,7 +160,7 @@
 func (s *Sender) choose(r *call.Request, tried []string) (membership.Member, bool) {
 	b := s.config.Board.Snapshot()
 	members := b.Members.ByService[r.Service]
-	node, ok := s.views.choose(r.Service, members, time.Now(), routing.Request{Rank: r.Root.Rank, Kind: r.Kind, IsCall: r.Depth > 0, Tried: tried})
+	node, ok := s.views.choose(r.Service, members, time.Now(), routing.Request{Rank: r.Root.Rank, Kind: r.Kind, IsCall: r.Depth > 0, Target: r.Target, Tried: tried})
 	if !ok {
 		return membership.Member{}, false
 	}
