A request that has begun to come in is answered while idle connections close

Ruled out: a cut at the end of the drain (2.6 s after SIGTERM, not 5.4). Test: TestRequestThatHasBegunIsAnswered, red before. The drain ends 5.1 s after SIGTERM: twice a process was still there when it was killed.

--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -44,7 +44,7 @@
 	// quietTime is how long nothing may be in flight before the process ends.
 	quietTime = 200 * time.Millisecond
 	// drainTimeout bounds the whole of it, below the time after which a process is killed.
-	drainTimeout = 5400 * time.Millisecond
+	drainTimeout = 5100 * time.Millisecond
 )
 
 // drain takes the backend server out of use and serves callers until they have gone.
--- a/internal/traffic/caller/server.go
+++ b/internal/traffic/caller/server.go
@@ -81,9 +81,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.isIdle() {
-			_ = c.conn.Close()
-		}
+		c.closeIdle()
 	}
 }
 
@@ -117,8 +115,10 @@
 	pending chan *exchanged
 
 	mu sync.Mutex
-	// open counts the requests that are read and not answered.
+	// open counts the requests of which the first byte was read and that are not answered.
 	open int
+	// closed says that no further request is begun.
+	closed bool
 }
 
 // exchanged is a request and its answer.
@@ -142,16 +142,32 @@
 	}
 }
 
-func (c *serverConn) isIdle() bool {
+// closeIdle closes the connection unless a request has begun.
+func (c *serverConn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open == 0
+	if c.open == 0 {
+		c.closed = true
+		_ = c.conn.Close()
+	}
 }
 
-func (c *serverConn) count(change int) {
+// begin counts a request of which the first byte was read, and reports false where the connection was closed before.
+func (c *serverConn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open += change
+	if c.closed {
+		return false
+	}
+	c.open++
+	return true
+}
+
+// end counts a request that was answered, or that broke off.
+func (c *serverConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
 }
 
 // serve reads requests until the caller leaves, and then ends what is still worked on for it.
@@ -185,7 +201,6 @@
 		if err != nil {
 			return err
 		}
-		c.count(1)
 		alone := !isRepeatable(x.request.Method)
 		if alone {
 			c.waitAnswered(ctx)
@@ -251,6 +266,19 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
+	if !c.begin() {
+		return nil, net.ErrClosed
+	}
+	x, err := c.readRequest(ctx)
+	if err != nil {
+		c.end()
+	}
+	return x, err
+}
+
+// readRequest reads a request that has begun.
+func (c *serverConn) readRequest(ctx context.Context) (*exchanged, error) {
+	config := &c.server.config
 	_ = c.conn.SetReadDeadline(time.Now().Add(config.HeaderTimeout))
 	request, err := http.ReadRequest(c.reader)
 	if err != nil {
@@ -293,7 +321,7 @@
 
 // refuse answers what is no request, where nothing else is being answered.
 func (c *serverConn) refuse(err error) {
-	if !c.isIdle() || errors.Is(err, io.EOF) || isReset(err) {
+	if !c.isOnly() || errors.Is(err, io.EOF) || isReset(err) {
 		return
 	}
 	status := http.StatusBadRequest
@@ -316,7 +344,7 @@
 			cancel()
 			_ = c.conn.Close()
 		}
-		c.count(-1)
+		c.end()
 	}
 }
 
--- a/internal/traffic/caller/server_test.go
+++ b/internal/traffic/caller/server_test.go
@@ -194,3 +194,16 @@
 	_, err := r.ReadByte()
 	is.True(err != nil)
 }
+
+// A request that has begun to come in is answered, also where idle connections are closed meanwhile.
+func TestRequestThatHasBegunIsAnswered(t *testing.T) {
+	is := is.New(t)
+	conn, r, s := serving(t, &atomic.Bool{}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "well") })
+	whole := get("/a")
+	send(t, conn, whole[:10])
+	time.Sleep(50 * time.Millisecond)
+	s.CloseIdle()
+	send(t, conn, whole[10:])
+	body, _ := receive(t, r)
+	is.Equal(body, "well")
+}
