--- a/internal/control/settings/settings_test.go
+++ b/internal/control/settings/settings_test.go
@@ -140,3 +140,29 @@
 		}
 	})
 }
+
+// What only nodes that go by routes need is a fault elsewhere, and missing there.
+func TestSourceOfWhatANodeGoesBy(t *testing.T) {
+	const routes = "source = routes\n[ready]\naddress = 127.0.0.1:7004\n"
+	for name, test := range map[string]struct {
+		text string
+		want string
+	}{
+		"documents":                {sound, ""},
+		"routes":                   {strings.Replace(sound, "name = file", "name = file\nservice = crew", 1) + routes, ""},
+		"routes without a service": {sound + routes, "node.service"},
+		"documents with a service": {strings.Replace(sound, "name = file", "name = file\nservice = crew", 1), "node.service"},
+		"routes without readiness": {strings.Replace(sound, "name = file", "name = file\nservice = crew", 1) + "source = routes\n", "ready.address"},
+		"another source":           {sound + "source = files\n", "platform.source"},
+		"an address used twice":    {strings.Replace(sound, "name = file", "name = file\nservice = crew", 1) + strings.Replace(routes, "7004", "7002", 1), "ready.address"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var faults []string
+			for _, f := range settings.CheckFile("node.ini", []byte(test.text)) {
+				faults = append(faults, f.Section+"."+f.Key)
+			}
+			is.Equal(strings.Join(faults, " "), test.want)
+		})
+	}
+}
