A node that is stopped lets its backend server work on until its callers have gone

Cause: on SIGTERM a node refused the requests of other nodes at once, and lived for 2.8 s more for its callers. Now the backend server leaves at the end, or 1.1 s after the signal where its requests make calls, which need this node. Ruled out: time to learn of the backend server after a restart (0.02 to 0.5 s). Tests that failed first: TestBackendServerOfALeavingNodeWorksOn (503 at once); TestCallsOfALeavingNodeGoThrough (500 with the first half of the change alone).

--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -47,7 +47,10 @@
 	CallerAddress string `json:"caller_address"`
 	// Incarnation is the start of the node's process.
 	Incarnation uint64 `json:"incarnation"`
-	Draining    bool   `json:"draining"`
+	// Draining says that callers are to go elsewhere.
+	Draining bool `json:"draining"`
+	// Leaving says that other nodes are to go elsewhere too: the backend server gets no more work from here.
+	Leaving bool `json:"leaving"`
 	// Successor is the node that gets the remembered keys of this one when it leaves.
 	Successor string `json:"successor"`
 	// AnswersFor lists the earlier nodes, with their incarnations, whose keys were handed over to this one.
--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -357,7 +357,7 @@
 // Own returns the entry of this node, or false while no backend server has announced itself.
 func Own(b *board.Board) (membership.Member, bool) {
 	state := membership.Up
-	if b.Self.Draining || b.Backend.Leaving {
+	if b.Self.Leaving || b.Backend.Leaving {
 		state = membership.Leaving
 	}
 	return membership.Member{
--- a/internal/decide/trees/trees.go
+++ b/internal/decide/trees/trees.go
@@ -180,6 +180,16 @@
 	return k.value, k.calls
 }
 
+// MakesCalls reports whether requests of some kind were seen to make calls.
+func (l *Limits) MakesCalls() bool {
+	for _, k := range l.kinds {
+		if k.calls {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Limits) kind(name string) *limit {
 	k, known := l.kinds[name]
 	if !known {
--- a/internal/process/node/drain.go
+++ b/internal/process/node/drain.go
@@ -69,7 +69,7 @@
 	defer cancel()
 	n.work.closing.Store(true)
 	n.loop.Do(ctx, func(b *board.Board) {
-		b.Self.Draining = true
+		b.Self.Draining, b.Self.Leaving = true, true
 		if successor, ok := flow.Successor(b); ok {
 			b.Self.Successor = successor.Node
 		}
--- a/internal/process/parts/serve.go
+++ b/internal/process/parts/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log"
 	"strings"
 	"sync/atomic"
@@ -33,7 +34,7 @@
 func PeerFailed(limiter *events.Limiter) func(error) {
 	return func(err error) {
 		switch {
-		case drpc.ClosedError.Has(err), errors.Is(err, context.Canceled):
+		case drpc.ClosedError.Has(err), errors.Is(err, io.EOF), errors.Is(err, context.Canceled):
 		case errors.Is(err, context.DeadlineExceeded):
 			limiter.Emit(time.Now(), events.PeerIdle, nil)
 		default:
--- a/internal/process/routed/fleet_test.go
+++ b/internal/process/routed/fleet_test.go
@@ -196,11 +196,16 @@
 
 // call sends one request to the node as a caller.
 func (m *member) call(tb testing.TB, client *http.Client, method, host, path string) answer {
+	return m.callWithin(tb, client, method, host, path, "5000")
+}
+
+// callWithin is call for a caller that waits so many milliseconds.
+func (m *member) callWithin(tb testing.TB, client *http.Client, method, host, path, left string) answer {
 	r, err := http.NewRequestWithContext(tb.Context(), method, "http://"+m.settings.Caller.Address+path, http.NoBody)
 	is.New(tb).NoErr(err)
 	r.Host = host
 	r.Header.Set("Request-Name", fmt.Sprintf("r%d", requestNumber.Add(1)))
-	r.Header.Set("Time-Left", "5000")
+	r.Header.Set("Time-Left", left)
 	response, err := client.Do(r)
 	if err != nil {
 		return answer{}
--- a/internal/process/routed/routed_test.go
+++ b/internal/process/routed/routed_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,6 +87,70 @@
 	}
 }
 
+// Pattern: the nodes of a fleet are stopped one after the other, and their backend servers run on. A node passes requests on
+// to its backend server until it has no callers any more, and cuts none at its end.
+func TestBackendServerOfALeavingNodeWorksOn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, twoServices(1))
+	crew := f.add(t, "zone_1", "crew", hello)
+	only := f.add(t, "zone_1", "bookings", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(30 * time.Millisecond)
+		hello(w, r)
+	})
+	f.settle(t)
+	only.stop()
+	begin := time.Now()
+	client := &http.Client{}
+	for ended := false; !ended; {
+		got := crew.call(t, client, "POST", "deposits.example", "/b").status
+		if time.Since(begin) < 2*time.Second {
+			is.Equal(got, http.StatusOK)
+		}
+		is.True(got == http.StatusOK || got == http.StatusServiceUnavailable) // never cut
+		select {
+		case <-only.ended:
+			ended = true
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	is.True(time.Since(begin) < 5*time.Second)
+}
+
+// Pattern: the same beside a backend server whose requests make calls. The calls go through the node that leaves, so the
+// backend server gets no more work while there is still time for them.
+func TestCallsOfALeavingNodeGoThrough(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, twoServices(1))
+	var leaving *member
+	var ran atomic.Int64
+	client := &http.Client{}
+	leaving = f.add(t, "zone_1", "crew", func(w http.ResponseWriter, r *http.Request) {
+		work := 200*time.Millisecond + time.Duration(ran.Add(1))*2*time.Millisecond // no two have the same time left
+		time.Sleep(work)
+		left, err := strconv.Atoi(r.Header.Get("Time-Left"))
+		is.NoErr(err)
+		left -= int(work.Milliseconds()) // the call expires with the request
+		if leaving.callWithin(t, client, "POST", "deposits.example", "/b", strconv.Itoa(left)).status != http.StatusOK {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	entry := f.add(t, "zone_1", "bookings", hello)
+	f.settle(t)
+	for range 10 { // until the calls are known as such
+		is.Equal(entry.call(t, client, "GET", "sheets.example", "/a").status, http.StatusOK)
+	}
+	leaving.stop()
+	for ended := false; !ended; {
+		got := entry.call(t, client, "GET", "sheets.example", "/a").status
+		is.True(got == http.StatusOK || got == http.StatusServiceUnavailable)
+		select {
+		case <-leaving.ended:
+			ended = true
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
 // What can't run is refused at once, with a status that says so and when to come back.
 func TestRefusalSaysNotRun(t *testing.T) {
 	is := is.New(t)
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -41,30 +41,59 @@
 	// leaveTime is how long callers may still come after the node began to leave: those who look whether it is ready
 	// look each second, and go away after two misses. What comes last has to end before the process is killed.
 	leaveTime = 2600 * time.Millisecond
-	// quietTime is how long nothing may be in flight before the process ends.
+	// callsTime is how long a backend server whose requests make calls gets work after the node began to leave. Their
+	// calls need this node, and have the rest of leaveTime.
+	callsTime = 1100 * time.Millisecond
+	// quietTime is how long nothing may be in flight before the next step.
 	quietTime = 200 * time.Millisecond
+	// lastAnswersTimeout bounds the time for the last answers to callers.
+	lastAnswersTimeout = 1900 * time.Millisecond
 	// drainTimeout bounds the whole of it, below the time after which a process is killed.
 	drainTimeout = 5100 * time.Millisecond
 )
 
-// drain takes the backend server out of use and serves callers until they have gone.
+// drain serves callers until they have gone, and only then takes the backend server out of use: it runs on beside this
+// node, and the next process takes work for it again.
 func (n *Node) drain(ctx context.Context) {
 	n.config.Log.Emit(events.DrainStarted, nil)
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
 	n.work.closing.Store(true)
 	n.loop.Do(ctx, func(b *board.Board) { b.Self.Draining = true })
-	pause.For(ctx, leaveTime)
+	pause.For(ctx, callsTime)
+	if n.receiver.MakesCalls() {
+		n.leave(ctx)
+	}
+	pause.For(ctx, leaveTime-callsTime)
+	n.waitCallersGone(ctx)
+	n.leave(ctx)
+	waitQuiet(ctx, func() bool { return n.work.calls.Load() == 0 && n.work.rpcs.Load() == 0 })
+	n.config.Log.Emit(events.DrainFinished, events.Fields{"calls": n.work.calls.Load(), "rpcs": n.work.rpcs.Load()})
+}
+
+// leave takes the backend server out of use.
+func (n *Node) leave(ctx context.Context) {
+	n.loop.Do(ctx, func(b *board.Board) { b.Self.Leaving = true })
+}
+
+// waitCallersGone takes no more callers in, and waits for the last answers.
+func (n *Node) waitCallersGone(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lastAnswersTimeout)
+	defer cancel()
 	_ = n.listeners.caller.Close()
 	n.callerServer.CloseIdle()
+	waitQuiet(ctx, func() bool { return n.work.calls.Load() == 0 })
+}
+
+// waitQuiet returns when nothing was in flight for quietTime, or when the context ends.
+func waitQuiet(ctx context.Context, isIdle func() bool) {
 	quiet := time.Now()
 	for ctx.Err() == nil && time.Since(quiet) < quietTime {
-		if n.work.calls.Load() > 0 || n.work.rpcs.Load() > 0 {
+		if !isIdle() {
 			quiet = time.Now()
 		}
 		pause.For(ctx, parts.GateTick)
 	}
-	n.config.Log.Emit(events.DrainFinished, events.Fields{"calls": n.work.calls.Load(), "rpcs": n.work.rpcs.Load()})
 }
 
 func (n *Node) servePeers(ctx context.Context) {
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -72,12 +72,17 @@
 	return v.counters.stats()
 }
 
+// MakesCalls reports whether requests were seen to make calls while they ran on the backend server.
+func (v *Receiver) MakesCalls() bool {
+	return v.config.Trees.makesCalls()
+}
+
 func (v *Receiver) receive(ctx context.Context, r *call.Request) call.Reply {
 	b := v.config.Board.Snapshot()
 	if b.Backend.Service != r.Service || b.Backend.Address == "" || b.Backend.IsLost() {
 		return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
 	}
-	if b.Self.Draining || b.Backend.Leaving {
+	if b.Self.Leaving || b.Backend.Leaving {
 		return call.Refused(call.NotRun, call.ReasonDraining, 0)
 	}
 	if !time.Now().Before(r.Deadline) {
--- a/internal/traffic/flow/trees.go
+++ b/internal/traffic/flow/trees.go
@@ -69,6 +69,16 @@
 	})
 }
 
+// makesCalls reports whether requests of some kind were seen to make calls.
+func (t *Trees) makesCalls() bool {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limits.MakesCalls()
+}
+
 // isShort reports whether a call failed for want of room. One that ran out of time may just have worked for long.
 func isShort(reason call.Reason) bool {
 	switch reason {
