All that calls wait counts, and requests cross zones where that takes fewer bytes

Cause 1: the bounds of requests went by what answered calls had waited. What a call waited before it was turned away at a gate, what it waited when its request ran out of time, and what the request itself waited at its own gate counted for nothing. Cause 2: calls to the deepest service went to another zone one by one (a third of all bytes), also where the zone lacks that service, and requests with answers of 6 kB crossed for small gains in time. Each reply now says how many bytes the calls below sent between zones; where that is more than the request itself comes to, the request crosses instead, and a kilobyte counts as 50 ms.

--- /dev/null
+++ b/internal/decide/routing/crossing_test.go
@@ -0,0 +1,83 @@
+package routing_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
+)
+
+// farPart sends requests to a node in each of three zones, which answer in the times and with the bytes below, and returns
+// the part that left the own zone z0. Of the slots of the own node so many are taken.
+func farPart(sample func(node string) routing.Sample, taken int, r routing.Request) float64 {
+	random := rand.New(rand.NewPCG(1, 1))
+	s := newSet(3)
+	now := start
+	far := 0
+	const count = 2000
+	for range taken {
+		s.Find("node_0").Begin(r.Rank)
+	}
+	for range count {
+		now = now.Add(5 * time.Millisecond)
+		i, _ := s.Choose(now, random, r)
+		if i.Member.Zone != "z0" {
+			far++
+		}
+		i.Begin(r.Rank)
+		answer := sample(i.Member.Node)
+		answer.Kind, answer.Rank, answer.Result = r.Kind, r.Rank, routing.Good
+		i.End(now, answer)
+	}
+	return float64(far) / count
+}
+
+// Pattern: a zone lacks the service at the end of a chain, so that each of the many calls there crosses to another zone. The
+// request further up crosses instead, once, and takes all of its calls along; where no zone has it, nothing moves.
+func TestRequestsCrossWhereTheirCallsWould(t *testing.T) {
+	for name, test := range map[string]struct {
+		below       map[string]int64
+		least, most float64
+	}{
+		"own zone lacks it":         {map[string]int64{"node_0": 4000}, 0.5, 1},
+		"a few calls cross":         {map[string]int64{"node_0": 500}, 0, 0},
+		"no zone has it":            {map[string]int64{"node_0": 4000, "node_1": 4000, "node_2": 4000}, 0, 0.1},
+		"one of the others has it":  {map[string]int64{"node_0": 4000, "node_1": 4000}, 0.3, 1},
+		"only the other zones lack": {map[string]int64{"node_1": 4000, "node_2": 4000}, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			part := farPart(func(node string) routing.Sample {
+				return routing.Sample{Took: 20 * time.Millisecond, Bytes: 800, FarBytesBelow: test.below[node]}
+			}, 0, routing.Request{Kind: "ledger", IsCall: true})
+			t.Logf("%.2f crossed", part)
+			is.New(t).True(part >= test.least && part <= test.most)
+		})
+	}
+}
+
+// Pattern: the own zone is nearly full and another is quicker. What is small goes there, and what is large stays: its bytes
+// cost more than the time is worth.
+func TestLargeAnswersStayInTheirZone(t *testing.T) {
+	for name, test := range map[string]struct {
+		bytes       int64
+		least, most float64
+	}{
+		"small": {500, 0.3, 1},
+		"large": {6000, 0, 0.05},
+	} {
+		t.Run(name, func(t *testing.T) {
+			part := farPart(func(node string) routing.Sample {
+				took := 100 * time.Millisecond
+				if node == "node_0" {
+					took = 250 * time.Millisecond
+				}
+				return routing.Sample{Took: took, Bytes: test.bytes}
+			}, slots-1, routing.Request{Kind: "browse"})
+			t.Logf("%.2f crossed", part)
+			is.New(t).True(part >= test.least && part <= test.most)
+		})
+	}
+}
--- a/internal/decide/routing/instance.go
+++ b/internal/decide/routing/instance.go
@@ -42,6 +42,9 @@
 	AllShed bool
 	// Reason names what failed, for the dump.
 	Reason string
+	// Bytes is how many the request and its reply came to, and FarBytesBelow how many the calls down its chain sent between
+	// availability zones.
+	Bytes, FarBytesBelow int64
 	// Load is as reported; a Limit of 0 says that there was no report.
 	Load Load
 }
@@ -57,8 +60,12 @@
 	joined time.Time
 
 	latencies latencies
-	errors    float64
-	errorsAt  time.Time
+	// sizes are those of requests with their answers, whichever instance answers, and farBelow is what the calls of those
+	// that this one runs send between availability zones.
+	sizes    *meanBytes
+	farBelow meanBytes
+	errors   float64
+	errorsAt time.Time
 
 	failures     int
 	ejectedUntil time.Time
@@ -79,6 +86,10 @@
 	if s.Load.Limit > 0 {
 		i.load = s.Load
 	}
+	if s.Result != Shed {
+		i.sizes.learn(now, s.Kind, s.Bytes)
+		i.farBelow.learn(now, s.Kind, s.FarBytesBelow)
+	}
 	switch s.Result {
 	case Good:
 		i.failures = 0
@@ -200,15 +211,29 @@
 	return i.errorRate(now) * float64(i.config.FailureCost)
 }
 
-// isCheaper compares the time in which the request is expected to be answered, the own one taken times the factor. While no latencies of both can be
-// compared, they count as equal, and only errors and the requests ahead make the difference.
-func (i *Instance) isCheaper(now time.Time, r Request, other *Instance, factor float64) bool {
-	own := factor * (i.ahead(r.Rank) + 1) / i.capacity(now)
+// markup is what makes the time at an instance of another availability zone count for more: a factor, and a fixed time.
+type markup struct {
+	factor float64
+	extra  time.Duration
+}
+
+// noMarkup takes the time as it is.
+var noMarkup = markup{factor: 1}
+
+// of returns the time with the markup.
+func (m markup) of(time float64) float64 {
+	return m.factor*time + float64(m.extra)
+}
+
+// isCheaper compares the time in which the request is expected to be answered, the own one with the markup. While no
+// latencies of both can be compared, they count as equal, and only errors and the requests ahead make the difference.
+func (i *Instance) isCheaper(now time.Time, r Request, other *Instance, m markup) bool {
+	own := (i.ahead(r.Rank) + 1) / i.capacity(now)
 	others := (other.ahead(r.Rank) + 1) / other.capacity(now)
 	w := work{rank: r.Rank, kind: r.Kind}
 	if a, b, ok := i.latencies.common(now, w, i.config.Fade, &other.latencies); ok {
-		return own*i.delay(now, a) < others*other.delay(now, b)
+		return m.of(own*i.delay(now, a)) < others*other.delay(now, b)
 	}
 	same := float64(max(i.latencies.last(), other.latencies.last(), minLatency))
-	return own*(same+i.failing(now)) < others*(same+other.failing(now))
+	return m.of(own*(same+i.failing(now))) < others*(same+other.failing(now))
 }
--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -46,6 +46,8 @@
 	// FarFactor is how many times the expected time at another zone's instance is taken before it counts as less than
 	// that at one of the own zone: bytes between zones cost more than bytes within.
 	FarFactor float64
+	// FarKilobyte is what each kilobyte of a request and its answer adds to the time at another zone's instance.
+	FarKilobyte time.Duration
 	// TargetPart is the part of a request's target that the latency at an instance of the own zone may take, on average,
 	// before others are worth a look.
 	TargetPart float64
@@ -79,6 +81,8 @@
 		SpillFrom:  0.7,
 		FarFactor:  1.3,
 
+		FarKilobyte: 50 * time.Millisecond,
+
 		TargetPart:    0.5,
 		CallFarFactor: 4,
 
--- a/internal/decide/routing/set.go
+++ b/internal/decide/routing/set.go
@@ -8,6 +8,8 @@
 	instances []*Instance
 	byNode    map[string]*Instance
 	started   bool
+	// sizes are those of requests with their answers.
+	sizes meanBytes
 	// tiers holds the tier of each instance while one choice is made.
 	tiers []tier
 }
@@ -38,7 +40,7 @@
 
 // join returns a new instance, which starts slowly unless all others are new too.
 func (s *Set) join(now time.Time, m Member) *Instance {
-	i := &Instance{Member: m, config: &s.config}
+	i := &Instance{Member: m, config: &s.config, sizes: &s.sizes}
 	if s.started {
 		i.joined = now
 	}
@@ -78,8 +80,13 @@
 			continue
 		}
 		chosen := s.pick(now, random, r, t, c.counts[t])
+		if t != near {
+			return chosen, true
+		}
+		if other := s.crossesLess(now, random, r, chosen, &c); other != nil {
+			return other, true
+		}
 		switch {
-		case t != near:
 		case c.isFull(s.config.SpillFrom):
 			return s.spill(now, random, r, chosen, &c), true
 		case s.isSlow(r, chosen):
@@ -96,19 +103,27 @@
 	if c.counts[healthy] == c.counts[near] {
 		return own
 	}
-	factor := s.config.FarFactor
-	if r.IsCall {
-		factor = s.config.CallFarFactor
-	}
+	far := s.farMarkup(now, r)
 	for range spillTries {
 		other := s.pick(now, random, r, healthy, c.counts[healthy])
-		if other.Member.Zone != s.config.Zone && other.isCheaper(now, r, own, factor) {
+		if other.Member.Zone != s.config.Zone && other.isCheaper(now, r, own, far) {
 			return other
 		}
 	}
 	return own
 }
 
+// farMarkup returns what makes the time at another zone's instance count for more.
+func (s *Set) farMarkup(now time.Time, r Request) markup {
+	factor := s.config.FarFactor
+	if r.IsCall {
+		factor = s.config.CallFarFactor
+	}
+	const kilobyte = 1000 // bytes
+	size := s.sizes.of(now, r.Kind) / kilobyte
+	return markup{factor: factor, extra: time.Duration(size * float64(s.config.FarKilobyte))}
+}
+
 // isSlow reports whether the instance takes so long on average that many answers miss the request's target.
 func (s *Set) isSlow(r Request, i *Instance) bool {
 	return !r.IsCall && float64(i.mean(r)) > s.config.TargetPart*float64(r.Target) && r.Target > 0
@@ -123,11 +138,12 @@
 	for range spillTries {
 		other := s.pick(now, random, r, healthy, c.counts[healthy])
 		mean := other.mean(r)
+		far := s.farMarkup(now, r)
 		switch {
 		case other.Member.Zone == s.config.Zone:
 		case mean == 0 && random.Float64() < exploredPart:
 			return other
-		case mean > 0 && s.config.FarFactor*float64(mean) < float64(own.mean(r)):
+		case mean > 0 && far.of(float64(mean)) < float64(own.mean(r)):
 			return other
 		}
 	}
@@ -195,7 +211,7 @@
 		second++
 	}
 	a, b := s.nth(t, first), s.nth(t, second)
-	if b.isCheaper(now, r, a, 1) {
+	if b.isCheaper(now, r, a, noMarkup) {
 		return b
 	}
 	return a
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -141,14 +141,14 @@
 	reply, err := c.exchange(ctx, target, r, token)
 	end := time.Now()
 	below := chain.ChildTime(end)
-	result := Result{Reply: reply, Took: end.Sub(start) - below, Held: end.Sub(start), Below: chain.Below()}
+	result := Result{Reply: reply, Took: end.Sub(start) - below, Held: end.Sub(start), Below: chain.Below(end)}
 	if err != nil {
 		result.Reply = failedReply(ctx, err)
 		result.Broken = ctx.Err() == nil && err.sent && !errors.Is(err.cause, errAnswerTooLarge)
 	}
 	result.Overloaded = err == nil && isOverloaded(&result.Reply) && below == 0
 	chain.Settle(&result.Reply)
-	result.Reply.Waited = result.Below.Waited
+	result.Reply.Waited, result.Reply.FarBytes = result.Below.Waited, result.Below.FarBytes
 	return result
 }
 
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -129,6 +129,9 @@
 	Load   Load
 	// Waited is how long the request, and the calls down its chain, stood in queues.
 	Waited time.Duration
+	// FarBytes is how many bytes the request, where it came from another availability zone, and the calls down its chain sent
+	// between zones. A node reports those of the calls; its sender adds the request's own.
+	FarBytes int64
 	// Confirm is the token of a challenge: the request runs only if it is sent again with it.
 	Confirm string
 }
--- a/internal/traffic/call/chain.go
+++ b/internal/traffic/call/chain.go
@@ -22,9 +22,10 @@
 	// Attempts are what the calls down the chain may spend together.
 	Attempts *Attempts
 
-	mu         sync.Mutex
-	failure    Reason
-	children   int
+	mu      sync.Mutex
+	failure Reason
+	// open are the calls down the chain that have not ended.
+	open       map[*Child]bool
 	childStart time.Time
 	childEnd   time.Time
 	childTime  time.Duration
@@ -34,6 +35,8 @@
 	// calls counts the calls down the chain, and waited is how long they stood in queues.
 	calls  int
 	waited time.Duration
+	// farBytes is how many bytes they sent between availability zones.
+	farBytes int64
 }
 
 // Below is what the calls of a request came to.
@@ -41,15 +44,21 @@
 	Calls int
 	// Waited is how long they, and those below them, stood in queues.
 	Waited time.Duration
+	// FarBytes is how many bytes they sent between availability zones.
+	FarBytes int64
 	// Failure is why one of them failed, or ReasonNone.
 	Failure Reason
 }
 
-// Below returns what the calls have come to.
-func (c *Chain) Below() Below {
+// Below returns what the calls have come to. What one that hasn't ended takes longer than is usual counts as waiting.
+func (c *Chain) Below(now time.Time) Below {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Below{Calls: c.calls, Waited: c.waited, Failure: c.failure}
+	below := Below{Calls: c.calls + len(c.open), Waited: c.waited, FarBytes: c.farBytes, Failure: c.failure}
+	for child := range c.open {
+		below.Waited += max(now.Sub(child.start)-child.usual, 0)
+	}
+	return below
 }
 
 // NoteReply takes in the reply to a call down the chain.
@@ -58,6 +67,7 @@
 	defer c.mu.Unlock()
 	c.calls++
 	c.waited += reply.Waited
+	c.farBytes += reply.FarBytes
 	if cause := reply.Cause(); cause != ReasonNone {
 		c.failure = cause
 	}
@@ -87,26 +97,36 @@
 func (c *Chain) asRunning() lineage.Running {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return lineage.Running{Kind: c.Kind, Started: c.Started, Deadline: c.Deadline, Calling: c.children > 0, LastCall: c.childEnd}
+	return lineage.Running{Kind: c.Kind, Started: c.Started, Deadline: c.Deadline, Calling: len(c.open) > 0, LastCall: c.childEnd}
+}
+
+// Child is a call down the chain that has not ended.
+type Child struct {
+	start time.Time
+	// usual is how long calls of its kind take without what they wait.
+	usual time.Duration
 }
 
-// BeginChild marks the start of a call down the chain.
-func (c *Chain) BeginChild(now time.Time) {
+// BeginChild marks the start of a call down the chain, of a kind that usually takes so long without what it waits.
+func (c *Chain) BeginChild(now time.Time, usual time.Duration) *Child {
+	child := &Child{start: now, usual: usual}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.children == 0 {
+	if len(c.open) == 0 {
+		c.open = map[*Child]bool{}
 		c.childStart = now
 	}
-	c.children++
+	c.open[child] = true
+	return child
 }
 
 // EndChild marks the end of a call down the chain.
-func (c *Chain) EndChild(now time.Time) {
+func (c *Chain) EndChild(now time.Time, child *Child) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.children--
+	delete(c.open, child)
 	c.childEnd = now
-	if c.children == 0 {
+	if len(c.open) == 0 {
 		c.childTime += now.Sub(c.childStart)
 	}
 }
@@ -116,7 +136,7 @@
 func (c *Chain) ChildTime(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.children > 0 {
+	if len(c.open) > 0 {
 		return c.childTime + now.Sub(c.childStart)
 	}
 	return c.childTime
--- a/internal/traffic/call/chain_test.go
+++ b/internal/traffic/call/chain_test.go
@@ -16,15 +16,29 @@
 	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
 	chain := &call.Chain{}
 	is.Equal(chain.ChildTime(at(0)), time.Duration(0))
-	chain.BeginChild(at(10))
-	chain.BeginChild(at(20)) // beside the first
-	chain.EndChild(at(30))
-	chain.EndChild(at(40))
+	first := chain.BeginChild(at(10), 0)
+	second := chain.BeginChild(at(20), 0) // beside the first
+	chain.EndChild(at(30), first)
+	chain.EndChild(at(40), second)
 	is.Equal(chain.ChildTime(at(50)), 30*time.Millisecond)
-	chain.BeginChild(at(60))
+	chain.BeginChild(at(60), 0)
 	is.Equal(chain.ChildTime(at(100)), 70*time.Millisecond)
 }
 
+// Pattern: a flood of requests that run out of time while their calls wait. What such a call takes longer than usual has
+// been waiting, though no reply says so.
+func TestCallsThatWaitAtTheEndCount(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	chain := &call.Chain{}
+	ended := chain.BeginChild(start, 50*time.Millisecond)
+	chain.EndChild(start.Add(80*time.Millisecond), ended)
+	chain.NoteReply(&call.Reply{Outcome: call.Ran, Status: 200, Waited: 30 * time.Millisecond})
+	chain.BeginChild(start.Add(80*time.Millisecond), 50*time.Millisecond)
+	is.Equal(chain.Below(start.Add(100*time.Millisecond)), call.Below{Calls: 2, Waited: 30 * time.Millisecond})
+	is.Equal(chain.Below(start.Add(480*time.Millisecond)), call.Below{Calls: 2, Waited: 380 * time.Millisecond})
+}
+
 // Where it is a guess which calls are whose, a request that fails after calls isn't held against its backend server: the
 // failed call may have been taken for another request's.
 func TestFailureAfterGuessedCallsIsDeeper(t *testing.T) {
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -118,9 +118,9 @@
 		return h.config.Sender.Send(ctx, request)
 	}
 	request.Attempts = chain.Attempts
-	chain.BeginChild(time.Now())
+	child := chain.BeginChild(time.Now(), 0)
 	reply := h.config.Sender.Send(ctx, request)
-	chain.EndChild(time.Now())
+	chain.EndChild(time.Now(), child)
 	chain.NoteReply(&reply)
 	return reply
 }
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -48,13 +48,16 @@
 type Routed struct {
 	config RoutedConfig
 
+	// usual are the times that calls of each kind take without what they wait.
+	usual *usualTimes
+
 	mu      sync.Mutex
 	numbers map[string]*atomic.Uint64
 }
 
 // NewRouted returns a handler.
 func NewRouted(config RoutedConfig) *Routed {
-	return &Routed{config: config, numbers: map[string]*atomic.Uint64{}}
+	return &Routed{config: config, usual: newUsualTimes(), numbers: map[string]*atomic.Uint64{}}
 }
 
 // answerGrace is how long the answer of another node is waited for after the deadline. That node gives up the request at the
@@ -107,10 +110,13 @@
 	}
 	inheritFrom(request, parent)
 	request.Attempts = call.NewAttempts(request.AttemptsLeft)
-	parent.BeginChild(time.Now())
+	child := parent.BeginChild(time.Now(), h.usual.of(request.Kind))
 	reply := h.config.Sender.Send(ctx, request)
-	parent.EndChild(time.Now())
+	parent.EndChild(time.Now(), child)
 	parent.NoteReply(&reply)
+	if reply.Failure() == call.ReasonNone {
+		h.usual.learn(request.Kind, time.Since(request.Entered)-reply.Waited)
+	}
 	return reply
 }
 
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -103,12 +103,13 @@
 	if !admitted {
 		v.config.Trees.cancel(r, start)
 		v.counters.notStarted.Add(1)
+		refusal.Waited = time.Since(offered)
 		return refusal
 	}
 	waited := time.Since(offered)
 	result := v.config.Backend.Run(ctx, backend.Target{Address: b.Backend.Address, Instance: b.Backend.Instance}, r)
 	v.config.Gate.Leave(sample(r, result))
-	v.config.Trees.end(r, start, result)
+	v.config.Trees.end(r, start, waited, result)
 	result.Reply.Waited += waited
 	v.counters.ended(result)
 	if result.Broken {
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -130,6 +130,9 @@
 	// free counts the refusals that reached no backend server.
 	free int
 	used int
+	// waited is how long they stood in queues, and farBytes how many bytes went between availability zones for them.
+	waited   time.Duration
+	farBytes int64
 	// mayHaveRun says that an attempt ran, or may have.
 	mayHaveRun bool
 }
@@ -137,6 +140,8 @@
 func (t *trial) note(node string, reply call.Reply) {
 	t.tried = append(t.tried, node)
 	t.used += reply.AttemptsUsed
+	t.waited += reply.Waited
+	t.farBytes += reply.FarBytes
 	if isFree(&reply) {
 		t.free++
 	}
@@ -147,7 +152,7 @@
 
 // end returns the reply for all attempts: one that was refused does not undo an earlier one that may have run.
 func (t *trial) end(reply call.Reply) call.Reply {
-	reply.AttemptsUsed = t.used
+	reply.AttemptsUsed, reply.Waited, reply.FarBytes = t.used, t.waited, t.farBytes
 	if t.mayHaveRun && reply.Outcome != call.Ran {
 		reply.Outcome = call.Unknown
 	}
@@ -181,9 +186,20 @@
 	s.views.begin(target.Node, r.Root.Rank)
 	reply := s.transmit(ctx, target, &attempt)
 	s.views.end(target.Node, start, time.Now(), r, reply)
+	if attempt.IsFar {
+		reply.FarBytes += exchangedBytes(r, &reply)
+	}
 	return reply
 }
 
+// messageBytes is about how much the ids, times and headers of a request and its reply come to.
+const messageBytes = 250
+
+// exchangedBytes returns about how many bytes go between two nodes for a request.
+func exchangedBytes(r *call.Request, reply *call.Reply) int64 {
+	return int64(messageBytes + len(r.Body) + len(reply.Body))
+}
+
 func (s *Sender) transmit(ctx context.Context, target membership.Member, attempt *call.Request) call.Reply {
 	if target.Node == s.config.Board.Snapshot().Self.Node {
 		return s.config.Receiver.Receive(ctx, attempt)
--- a/internal/traffic/flow/sender_test.go
+++ b/internal/traffic/flow/sender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -31,3 +32,18 @@
 		})
 	}
 }
+
+// Pattern: calls are turned away after they waited, and go elsewhere. All of their waiting counts for the request that made
+// them.
+func TestTrialEndSumsWhatAttemptsWaited(t *testing.T) {
+	is := is.New(t)
+	refused := call.Refused(call.NotRun, call.ReasonQueueTimeout, 0)
+	refused.Waited = 300 * time.Millisecond
+	ran := call.Reply{Outcome: call.Ran, Status: 200, Waited: 20 * time.Millisecond, FarBytes: 800}
+	var tr trial
+	tr.note("near", refused)
+	tr.note("far", ran)
+	end := tr.end(ran)
+	is.Equal(end.Waited, 320*time.Millisecond)
+	is.Equal(end.FarBytes, int64(800))
+}
--- a/internal/traffic/flow/trees.go
+++ b/internal/traffic/flow/trees.go
@@ -54,16 +54,16 @@
 	t.limits.Cancel(start)
 }
 
-// end takes in how a request ended.
-func (t *Trees) end(r *call.Request, start trees.Start, result backend.Result) {
+// end takes in how a request ended that had waited for a slot.
+func (t *Trees) end(r *call.Request, start trees.Start, waited time.Duration, result backend.Result) {
 	if t == nil || r.Depth > 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.limits.End(time.Now(), start, trees.Sample{
-		Took:    result.Held,
-		Waited:  result.Below.Waited,
+		Took:    waited + result.Held,
+		Waited:  waited + result.Below.Waited,
 		Calls:   result.Below.Calls,
 		Refused: isShort(result.Below.Failure),
 	})
--- a/internal/traffic/flow/views.go
+++ b/internal/traffic/flow/views.go
@@ -77,6 +77,9 @@
 		Load:   routing.Load(reply.Load),
 
 		AllShed: takesNothing(&reply),
+
+		Bytes:         exchangedBytes(r, &reply),
+		FarBytesBelow: reply.FarBytes,
 	})
 }
 
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -116,6 +116,7 @@
 		},
 		Confirm:      r.Confirm,
 		WaitedMicros: r.Waited.Microseconds(),
+		FarBytes:     r.FarBytes,
 	}
 }
 
@@ -138,6 +139,8 @@
 		},
 		Confirm: m.GetConfirm(),
 		Waited:  time.Duration(m.GetWaitedMicros()) * time.Microsecond,
+
+		FarBytes: max(m.GetFarBytes(), 0),
 	}
 }
 
