Requests keep away from nodes that give no answer; calls at a gate go by the age of their roots

Cause 1: that a node is cut off was found out by requests alone: three in a row for each sender and instance, again after each 2 s, and each lost half a second of the 1.2 s that it had. A node that gives no answer is now asked by questions, 150 to 600 ms apart, and gets requests again when it answers one. Lines peer_lost and peer_back. Cause 2: at the deepest service calls took turns between the callers of their roots, so that all requests in flight got slower together and ran out of time after most of their calls. Now they go by the age of their roots.

--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -35,6 +35,8 @@
 	CallerRejected     Number = 1204
 	HTTPFailed         Number = 1205
 	PeerIdle           Number = 1206
+	PeerLost           Number = 1207
+	PeerBack           Number = 1208
 	PlatformLost       Number = 1301
 	PlatformBack       Number = 1302
 	LeaderElected      Number = 1303
@@ -91,6 +93,8 @@
 	CallerRejected:     {Name: "caller_rejected", Level: zerolog.InfoLevel, Since: "0.1", Text: "A caller's request was malformed; at most one a second is logged, with the number left out."},
 	HTTPFailed:         {Name: "http_failed", Level: zerolog.WarnLevel, Since: "0.1", Text: "The HTTP server reported an error of its own; at most one a second is logged, with the number left out.", Action: "A panic is a fault of this program: report it with the text. Other texts name a connection that broke."},
 	PeerIdle:           {Name: "peer_idle", Level: zerolog.DebugLevel, Since: "0.1", Text: "A connection to the peer address made no whole call in time and was closed; at most one a second is logged, with the number left out."},
+	PeerLost:           {Name: "peer_lost", Level: zerolog.WarnLevel, Since: "0.3", Text: "Another node gave no answer. Requests keep away from it until it answers a question.", Action: "If it lasts, check the network between the two nodes and whether the other one runs."},
+	PeerBack:           {Name: "peer_back", Level: zerolog.InfoLevel, Since: "0.3", Text: "A node that gave no answer answers again, or is no member any more.", Action: "None."},
 	PlatformLost:       {Name: "platform_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "The platform's store does not answer; the node goes on with what it has.", Action: "See the page on platform outages in docs/OPERATORS.md."},
 	PlatformBack:       {Name: "platform_back", Level: zerolog.InfoLevel, Since: "0.1", Text: "The platform's store answers again."},
 	LeaderElected:      {Name: "leader_elected", Level: zerolog.InfoLevel, Since: "0.1", Text: "This node leads its availability zone."},
--- /dev/null
+++ b/internal/decide/reach/reach_test.go
@@ -0,0 +1,50 @@
+package reach_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/reach"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Pattern: a zone is cut off for six seconds. Its nodes are asked by few questions and not by requests, and each is found
+// soon after the cut has healed.
+func TestCutNodesAreAskedSeldomAndFoundSoon(t *testing.T) {
+	is := is.New(t)
+	tracker := reach.NewTracker()
+	const cut = 6 * time.Second
+	is.True(tracker.Lost(start, "node_1"))
+	is.True(!tracker.Lost(start, "node_1")) // many requests notice at once
+	asked, found := 0, time.Duration(0)
+	for at := time.Duration(0); found == 0; at += 10 * time.Millisecond {
+		for range tracker.Due(start.Add(at)) {
+			asked++
+			if at >= cut {
+				found = at
+			}
+		}
+	}
+	is.True(asked <= 15)
+	is.True(found-cut <= 600*time.Millisecond)
+	since, lost := tracker.Found("node_1")
+	is.True(lost)
+	is.Equal(since, start)
+	is.Equal(tracker.Len(), 0)
+	is.Equal(len(tracker.Due(start.Add(time.Minute))), 0)
+}
+
+// Pattern: only the open connection to a node went silent. A question on a new one finds it at once.
+func TestLostNodeIsDueAtOnce(t *testing.T) {
+	is := is.New(t)
+	tracker := reach.NewTracker()
+	tracker.Lost(start, "node_2")
+	tracker.Lost(start, "node_1")
+	is.Equal(tracker.Due(start), []string{"node_1", "node_2"})
+	is.Equal(len(tracker.Due(start)), 0)
+	_, lost := tracker.Found("node_3")
+	is.True(!lost)
+}
--- a/internal/decide/routing/instance.go
+++ b/internal/decide/routing/instance.go
@@ -52,6 +52,8 @@
 // Instance is what the sender knows of one instance.
 type Instance struct {
 	Member Member
+	// Lost says that the instance gives no answer. It gets requests only where all others are ejected.
+	Lost bool
 
 	config   *Config
 	inFlight [admission.Ranks]int
--- a/internal/decide/routing/routing_test.go
+++ b/internal/decide/routing/routing_test.go
@@ -148,6 +148,21 @@
 	is.Equal(got["node_2"], 100)
 }
 
+// Pattern: a zone is cut off. Its instances get nothing until they answer a question, also where they answered well before.
+func TestLostAreAvoided(t *testing.T) {
+	is := is.New(t)
+	s := newSet(3)
+	nodes := same(3, behaviour{took: time.Millisecond, result: routing.Good})
+	drive(s, start, 100, 10*time.Millisecond, nodes)
+	s.Find("node_0").Lost = true
+	is.Equal(drive(s, start.Add(time.Second), 100, 10*time.Millisecond, nodes)["node_0"], 0)
+	s.Find("node_1").Lost, s.Find("node_2").Lost = true, true
+	got := drive(s, start.Add(2*time.Second), 100, 10*time.Millisecond, nodes)
+	is.Equal(got["node_0"]+got["node_1"]+got["node_2"], 100) // somebody is tried
+	s.Find("node_0").Lost = false
+	is.Equal(drive(s, start.Add(3*time.Second), 100, 10*time.Millisecond, nodes)["node_0"], 100)
+}
+
 func TestStatsShowTheEvidence(t *testing.T) {
 	is := is.New(t)
 	s := newSet(1)
--- a/internal/decide/routing/set.go
+++ b/internal/decide/routing/set.go
@@ -185,7 +185,7 @@
 	switch {
 	case r.hasTried(i.Member.Node):
 		return tiers
-	case i.isEjected(now):
+	case i.Lost || i.isEjected(now):
 		return untried
 	case i.sheds(now, r.Rank):
 		return alive
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -88,6 +88,7 @@
 	fenced   *flow.Fenced
 	sender   *flow.Sender
 	chains   *call.Chains
+	reach    *flow.Reach
 	members  *members.Controller
 	routes   *routesFollower
 	// quarantine keeps away requests that crash backend servers.
@@ -181,6 +182,7 @@
 }
 
 func (n *Node) buildSender(s *settings.Settings) {
+	n.reach = flow.NewReach(flow.ReachConfig{Board: n.loop, Peers: peer.NewClient(n.pool, s.Node.Name), Log: n.limiter})
 	n.sender = flow.NewSender(flow.SenderConfig{
 		Board:       n.loop,
 		Peers:       peer.NewClient(n.pool, s.Node.Name),
@@ -189,6 +191,7 @@
 		Routing:     routing.DefaultConfig(s.Node.Name, s.Node.Zone),
 		Throttle:    throttle.DefaultConfig,
 		MaxRefusals: maxRefusals,
+		Reach:       n.reach,
 
 		FleetRetries: fleetRetries,
 
@@ -234,6 +237,7 @@
 	group.Go(func() { n.gate.Run(ctx, parts.GateTick) })
 	group.Go(func() { n.local.Watch(ctx) })
 	group.Go(func() { n.quarantine.Run(ctx) })
+	group.Go(func() { n.reach.Run(ctx) })
 	group.Go(func() { n.servePeers(ctx) })
 	n.callerServer = n.newCallerServer()
 	group.Go(func() { n.serveCallers(ctx) })
--- a/internal/traffic/backend/gate.go
+++ b/internal/traffic/backend/gate.go
@@ -115,12 +115,18 @@
 	return g.gate.Stats(time.Now())
 }
 
+// newTicket stands for the request at the gate. Turns are shared between the callers of root requests; calls of what was
+// admitted go by the age of their roots alone, so that what has begun first ends first.
 func newTicket(r *call.Request, share int) *admission.Ticket {
+	caller := r.Root.Caller
+	if r.Depth > 0 {
+		caller = ""
+	}
 	return &admission.Ticket{
 		Rank:      r.Root.Rank,
 		Kind:      r.Kind,
 		Share:     share,
-		Caller:    r.Root.Caller,
+		Caller:    caller,
 		RootStart: r.Root.Start,
 		Deadline:  r.Deadline,
 	}
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -37,6 +37,8 @@
 	MaxRefusals int
 	// FleetRetries is how many retries for one service all nodes together may make at once; 0 for no bound but each node's.
 	FleetRetries float64
+	// Reach keeps requests away from nodes that give no answer; nil where nothing does.
+	Reach *Reach
 	// Events takes what operators should know, and Requests what was decided about single requests.
 	Events   *events.Limiter
 	Requests *events.Limiter
@@ -52,12 +54,16 @@
 
 // NewSender returns a sender.
 func NewSender(config SenderConfig) *Sender {
-	return &Sender{
+	s := &Sender{
 		config: config,
 		views:  newViews(config.Routing),
 		entry:  newEntry(config.Throttle),
 		paces:  newPaces(),
 	}
+	if config.Reach != nil {
+		config.Reach.changed = s.views.setLost
+	}
+	return s
 }
 
 // Send sends the request to an instance of its service, again where that is allowed, and returns the last reply.
@@ -186,6 +192,7 @@
 	s.views.begin(target.Node, r.Root.Rank)
 	reply := s.transmit(ctx, target, &attempt)
 	s.views.end(target.Node, start, time.Now(), r, reply)
+	s.config.Reach.note(target.Node, &reply, time.Since(start))
 	if attempt.IsFar {
 		reply.FarBytes += exchangedBytes(r, &reply)
 	}
--- a/internal/traffic/flow/views.go
+++ b/internal/traffic/flow/views.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// setLost says whether the node gives no answer.
+func (v *views) setLost(node string, lost bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if i, ok := v.byNode[node]; ok {
+		i.Lost = lost
+	}
+}
+
 // end takes in the reply to an attempt that began at the start.
 func (v *views) end(node string, start, now time.Time, r *call.Request, reply call.Reply) {
 	v.mu.Lock()
