Calls to the store for members grow with the fleet, not with its square

The pause grows by 15 ms a member up to 1.5 s; tries that fail in a row come up to 600 and 800 ms apart. Ruled out: renewals of leases (a tenth of a call each, 280 in all) and the watches' own end each 30 s (264). Test: TestSettleBoundsTheCallsOfAFleet.

--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -39,12 +39,12 @@
 	lookEvery = 300 * time.Millisecond
 	// writeTimeout bounds one call for the own entry.
 	writeTimeout = 700 * time.Millisecond
-	// writeRetry is the pause after a call that failed.
-	writeRetry = 150 * time.Millisecond
+	// writeRetry is the pause after a call that failed; each further one in a row doubles it, up to maxWriteRetry. An entry
+	// that lapsed in an outage of the store is back within two seconds of its end.
+	writeRetry    = 150 * time.Millisecond
+	maxWriteRetry = 600 * time.Millisecond
 	// watchWait is how long one watch waits.
 	watchWait = 30 * time.Second
-	// watchSettle lets the entries of a fleet that starts come together.
-	watchSettle = 150 * time.Millisecond
 	// refreshEvery is the time between looks for members that were kept long enough.
 	refreshEvery = time.Second
 )
@@ -99,7 +99,7 @@
 		Store:  c.config.Store,
 		Prefix: Prefix,
 		Wait:   watchWait,
-		Settle: watchSettle,
+		Settle: func() time.Duration { return roster.Settle(len(c.config.Board.Snapshot().Members.ByNode)) },
 		Listed: func(ctx context.Context, s store.Snapshot) {
 			send(ctx, change{whole: true, listed: c.entries(s.Items)})
 		},
@@ -253,16 +253,20 @@
 
 // announce keeps the own entry in the store.
 func (c *Controller) announce(ctx context.Context) {
+	retry := writeRetry
 	for ctx.Err() == nil {
 		changed := c.config.Board.Changed()
 		done, err := c.tend(ctx)
 		switch {
 		case err != nil && ctx.Err() == nil:
 			c.config.Log.Emit(time.Now(), events.EntryUnwritten, events.Fields{"error": err.Error()})
-			pause.For(ctx, writeRetry)
+			pause.For(ctx, retry)
+			retry = min(2*retry, maxWriteRetry)
+			continue
 		case done:
 			waitFor(ctx, changed, lookEvery)
 		}
+		retry = writeRetry
 	}
 }
 
--- a/internal/control/settings/settings.go
+++ b/internal/control/settings/settings.go
@@ -41,6 +41,7 @@
 	Platform Platform
 	Keys     Keys
 	Log      Log
+	Process  Process
 
 	// origins are the places of the values that came from a file, by the name of the flag.
 	origins map[string]origin
@@ -132,6 +133,12 @@
 	Level string
 }
 
+// Process sets the bounds of the process.
+type Process struct {
+	// Memory is how many megabytes it may use; 0 for no bound.
+	Memory int64
+}
+
 // Default values.
 const (
 	defaultMaxBody        = 1 << 20
@@ -156,6 +163,7 @@
 	leastMaxKeys          = 1000
 	maxKeysCeiling        = 10_000_000
 	maxKeyBytesCeiling    = 4 << 30
+	maxMemory             = 1 << 20
 	zoneListSeparator     = ","
 	tokenTeamSeparator    = ":"
 	tokenEditorSeparator  = "/"
@@ -194,6 +202,7 @@
 	flags.IntVar(&s.Keys.MaxKeys, "keys.max_keys", defaultMaxKeys, "most keys that are remembered")
 	flags.IntVar(&s.Keys.MaxBytes, "keys.max_bytes", defaultMaxKeyBytes, "most memory for keys and their answers, in bytes")
 	flags.StringVar(&s.Log.Level, "log.level", "info", "debug, info, warn or error")
+	flags.Int64Var(&s.Process.Memory, "process.memory", 0, "most memory in megabytes, which the node stays below; 0 for no bound")
 	return s
 }
 
@@ -234,6 +243,7 @@
 	c.distinct(s)
 	c.url("platform.url", s.Platform.URL)
 	c.source(s)
+	c.within("process.memory", s.Process.Memory, 0, maxMemory)
 	c.tokens(s.Operator)
 	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil || s.Log.Level == "" {
 		c.fault("log.level", "must be debug, info, warn or error")
--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -14,8 +14,9 @@
 	Prefix string
 	// Wait is how long one watch waits.
 	Wait time.Duration
-	// Settle is the pause after a change before the next watch, so that changes close together cost one call.
-	Settle time.Duration
+	// Settle returns the pause after a change before the next watch, so that changes close together cost one call; nil for
+	// none.
+	Settle func() time.Duration
 	// Listed gets all items after a list, Changed the events of a watch. Both run on the follower's goroutine.
 	Listed  func(ctx context.Context, s Snapshot)
 	Changed func(ctx context.Context, c Changes)
@@ -27,8 +28,9 @@
 const (
 	// firstRetry is the pause after the first call that fails; each further one in a row doubles it.
 	firstRetry = 50 * time.Millisecond
-	// maxRetry bounds that pause.
-	maxRetry = 400 * time.Millisecond
+	// maxRetry bounds that pause. The store counts calls that it refuses, too, and after an outage all is to be known within
+	// two seconds.
+	maxRetry = 800 * time.Millisecond
 )
 
 // Follower keeps up with all keys under a prefix.
@@ -91,7 +93,9 @@
 		return nil
 	}
 	f.config.Changed(ctx, changes)
-	pause.For(ctx, f.config.Settle)
+	if f.config.Settle != nil {
+		pause.For(ctx, f.config.Settle())
+	}
 	return nil
 }
 
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -30,6 +30,20 @@
 // DefaultConfig holds where nothing else is set.
 var DefaultConfig = Config{Keep: 30 * time.Second}
 
+const (
+	// settleEach is what each member adds to the pause between two looks at what has changed. All members look at each
+	// change, so that without it the calls to the store would grow with the square of the fleet.
+	settleEach = 15 * time.Millisecond
+	// leastSettle lets the entries of a fleet that starts come together, and mostSettle bounds how late a change is known.
+	leastSettle = 150 * time.Millisecond
+	mostSettle  = 1500 * time.Millisecond
+)
+
+// Settle returns the pause between two looks at what has changed, in a fleet of so many members.
+func Settle(members int) time.Duration {
+	return min(max(time.Duration(members)*settleEach, leastSettle), mostSettle)
+}
+
 // Entry is what the store holds of one node.
 type Entry struct {
 	Key      string
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -71,3 +71,24 @@
 	is.True(members[0].Unconfirmed)
 	is.True(!members[1].Unconfirmed)
 }
+
+// Pattern: a fleet is restarted node by node. The calls to the store for it don't grow with the square of the fleet, and a
+// change is known soon.
+func TestSettleBoundsTheCallsOfAFleet(t *testing.T) {
+	for name, test := range map[string]struct {
+		members int
+		// most is how many calls a second the whole fleet may come to.
+		most float64
+	}{
+		"13":  {13, 90},
+		"60":  {60, 90},
+		"300": {300, 200}, // a tenth of what the store of 13 members takes
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			settle := roster.Settle(test.members)
+			is.True(float64(test.members)/settle.Seconds() <= test.most)
+			is.True(settle <= 1500*time.Millisecond)
+		})
+	}
+}
