--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -16,7 +16,6 @@
 	"github.com/gravitational/trace"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -302,10 +301,8 @@
 		n.config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return
 	}
-	server := drpcserver.NewWithOptions(peer.SealHandler(parts.CountRPCs(&n.work.inFlight, mux), nil), drpcserver.Options{
-		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
-		Log:     parts.PeerFailed(n.limiter),
-	})
+	handler := peer.SealHandler(parts.CountRPCs(&n.work.inFlight, mux), nil)
+	server := drpcserver.NewWithOptions(handler, parts.PeerServerOptions(n.config.Settings, n.limiter))
 	_ = server.Serve(ctx, n.listeners.peer)
 }
 
--- a/internal/process/parts/parts.go
+++ b/internal/process/parts/parts.go
@@ -21,7 +21,7 @@
 	// LimitedEvery is the time between two events of one number that strangers can cause.
 	LimitedEvery = time.Second
 	// peerMaxIdle is how long an unused connection between nodes is trusted.
-	peerMaxIdle = 30 * time.Second
+	peerMaxIdle = 5 * time.Second
 	// peerDialTimeout bounds the making of a connection to another node.
 	peerDialTimeout = 500 * time.Millisecond
 	// firstLimit is the concurrency limit of a backend server of which nothing is known yet.
--- a/internal/process/parts/serve.go
+++ b/internal/process/parts/serve.go
@@ -10,8 +10,12 @@
 	"time"
 
 	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 )
 
 // HTTPLog returns a log that turns the lines of an HTTP server into events.
@@ -29,6 +33,17 @@
 	return len(line), nil
 }
 
+// PeerServerOptions returns how a node serves other nodes. Each answer is sent together with the end of its RPC.
+func PeerServerOptions(s *settings.Settings, limiter *events.Limiter) drpcserver.Options {
+	return drpcserver.Options{
+		Manager: drpcmanager.Options{
+			InactivityTimeout: s.Peer.IdleTimeout,
+			Stream:            drpcstream.Options{ManualFlush: true},
+		},
+		Log: PeerFailed(limiter),
+	}
+}
+
 // PeerFailed returns a function that logs how a connection of another node ended. That the other end closed it, or gave up a
 // call, is no fault.
 func PeerFailed(limiter *events.Limiter) func(error) {
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -204,6 +204,22 @@
 // scarcer than memory beside a backend server.
 const garbagePercent = 300
 
+const (
+	// megabyte is in bytes.
+	megabyte = 1 << 20
+	// heapPercent is the part of the process's memory that the runtime may use before it collects more often. The rest is for
+	// the program itself, and for what arrives meanwhile.
+	heapPercent = 60
+)
+
+// boundMemory keeps the process below the memory that it may use.
+func boundMemory(megabytes int64) {
+	debug.SetGCPercent(garbagePercent)
+	if megabytes > 0 {
+		debug.SetMemoryLimit(megabytes * megabyte * heapPercent / 100)
+	}
+}
+
 // Run listens and works until the context ends and the node has drained.
 func Run(ctx context.Context, config Config) error {
 	n, err := New(config)
@@ -214,7 +230,7 @@
 		config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return trace.Wrap(err)
 	}
-	debug.SetGCPercent(garbagePercent)
+	boundMemory(config.Settings.Process.Memory)
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group conc.WaitGroup
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -106,10 +105,8 @@
 		n.config.Log.Emit(events.NodeFailed, events.Fields{"error": err.Error()})
 		return
 	}
-	server := drpcserver.NewWithOptions(peer.SealHandler(parts.CountRPCs(&n.work.rpcs, mux), n.packer), drpcserver.Options{
-		Manager: drpcmanager.Options{InactivityTimeout: n.config.Settings.Peer.IdleTimeout},
-		Log:     parts.PeerFailed(n.limiter),
-	})
+	handler := peer.SealHandler(parts.CountRPCs(&n.work.rpcs, mux), n.packer)
+	server := drpcserver.NewWithOptions(handler, parts.PeerServerOptions(n.config.Settings, n.limiter))
 	_ = server.Serve(ctx, n.listeners.peer)
 }
 
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -18,6 +18,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -68,6 +69,7 @@
 	chains *call.Chains
 
 	dialer dialer
+	tokens atomic.Uint64
 
 	mu          sync.Mutex
 	connections int
@@ -134,7 +136,7 @@
 
 // Run sends the request to the backend server and waits for the whole answer.
 func (c *Client) Run(ctx context.Context, target Target, r *call.Request) Result {
-	token := uuid.NewString()
+	token := c.newToken()
 	chain := c.chains.Begin(ctx, token, r)
 	defer c.chains.End(token)
 	start := time.Now()
@@ -152,6 +154,15 @@
 	return result
 }
 
+// newToken returns the token of one request. Only one that the backend server gets must be hard to guess.
+func (c *Client) newToken() string {
+	if c.config.Headers.Chain != "" {
+		return uuid.NewString()
+	}
+	const base = 36
+	return strconv.FormatUint(c.tokens.Add(1), base)
+}
+
 func isOverloaded(reply *call.Reply) bool {
 	return reply.Status == http.StatusServiceUnavailable && (reply.Outcome == call.Ran || reply.Reason == call.ReasonBackendShed)
 }
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,18 @@
 	open int
 }
 
+// prune closes the connections that have been idle for longer than the time. Those used last are used first, so the others
+// would stay for good.
+func (c *peerConns) prune(now time.Time, maxIdle time.Duration) {
+	kept := 0
+	for kept < len(c.idle) && now.Sub(c.idle[kept].since) >= maxIdle {
+		_ = c.idle[kept].conn.Close()
+		kept++
+	}
+	c.open -= kept
+	c.idle = slices.Delete(c.idle, 0, kept)
+}
+
 func (c *peerConns) closeIdle() {
 	for _, i := range c.idle {
 		_ = i.conn.Close()
@@ -177,7 +190,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	peer := p.peer(address)
-	peer.idle = append(peer.idle, idleConn{conn: conn, since: time.Now()})
+	now := time.Now()
+	peer.prune(now, p.config.MaxIdle)
+	peer.idle = append(peer.idle, idleConn{conn: conn, since: now})
 }
 
 func (p *Pool) drop(address string) {
@@ -201,7 +216,7 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "dial %s: %v", address, err)
 	}
-	return drpcconn.New(conn), nil
+	return drpcconn.New(&endHolder{Conn: conn}), nil
 }
 
 func isClosed(conn *drpcconn.Conn) bool {
--- a/internal/traffic/peer/reuse_test.go
+++ b/internal/traffic/peer/reuse_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,49 +18,127 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
 )
 
-// acceptCounter counts the connections that were made.
+// acceptCounter counts the connections that were made, and how often something came in on them.
 type acceptCounter struct {
 	net.Listener
 
 	accepted atomic.Int64
+	reads    atomic.Int64
 }
 
 func (l *acceptCounter) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err == nil {
-		l.accepted.Add(1)
+	if err != nil {
+		return nil, err
 	}
-	return conn, err
+	l.accepted.Add(1)
+	return &readCounter{Conn: conn, reads: &l.reads}, nil
 }
 
-// refusing refuses every request at once.
-type refusing struct{}
+// readCounter counts the reads that brought something.
+type readCounter struct {
+	net.Conn
 
-func (refusing) Receive(context.Context, *call.Request) call.Reply {
-	return call.Refused(call.NotRun, call.ReasonOverload, time.Second)
+	reads *atomic.Int64
 }
 
-// Pattern: a flood of requests that are refused at once. The context of each ends as soon as its answer is there.
-func TestAnsweredCallsKeepTheirConnection(t *testing.T) {
+func (c *readCounter) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.reads.Add(1)
+	}
+	return n, err
+}
+
+// receiverFunc answers requests at once.
+type receiverFunc func(r *call.Request) call.Reply
+
+func (f receiverFunc) Receive(_ context.Context, r *call.Request) call.Reply {
+	return f(r)
+}
+
+// serve starts a node that answers with the receiver, and returns a client of it, the client's pool and the address. The
+// counter, where there is one, counts its connections.
+func serve(t *testing.T, receiver peer.Receiver, maxIdle time.Duration, counter *acceptCounter) (*peer.Client, *peer.Pool, string) {
 	is := is.New(t)
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l := &acceptCounter{Listener: inner}
+	address := l.Addr().String()
+	if counter != nil {
+		counter.Listener, l = l, counter
+	}
 	mux := drpcmux.New()
-	is.NoErr(peerpb.DRPCRegisterPeer(mux, peer.NewServer(refusing{}, nil, nil)))
-	ctx, cancel := context.WithCancel(t.Context())
+	is.NoErr(peerpb.DRPCRegisterPeer(mux, peer.NewServer(receiver, nil, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
 	var group conc.WaitGroup
-	defer group.Wait()
-	defer cancel()
 	group.Go(func() { _ = drpcserver.New(peer.SealHandler(mux, nil)).Serve(ctx, l) })
-	pool := peer.NewPool(peer.PoolConfig{MaxPerPeer: 10, MaxIdle: time.Minute, DialTimeout: time.Second, LocalIP: net.IPv4(127, 0, 0, 1)})
-	defer pool.Close()
-	client := peer.NewClient(pool, "node_1")
+	pool := peer.NewPool(peer.PoolConfig{MaxPerPeer: 30, MaxIdle: maxIdle, DialTimeout: time.Second, LocalIP: net.IPv4(127, 0, 0, 1)})
+	t.Cleanup(func() {
+		pool.Close()
+		cancel()
+		group.Wait()
+	})
+	return peer.NewClient(pool, "node_1"), pool, address
+}
+
+// send sends one request, whose context ends as soon as its answer is there.
+func send(t *testing.T, client *peer.Client, address string, depth int) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	_, err := client.Call(ctx, address, &call.Request{
+		AttemptID: "a", Service: "keys", Kind: "keys", Method: "GET", Path: "/", Depth: depth, Deadline: time.Now().Add(time.Second),
+	})
+	is.New(t).NoErr(err)
+}
+
+// Pattern: a flood of requests that are refused at once. The context of each ends as soon as its answer is there.
+func TestAnsweredCallsKeepTheirConnection(t *testing.T) {
+	is := is.New(t)
+	l := &acceptCounter{}
+	refuse := receiverFunc(func(*call.Request) call.Reply { return call.Refused(call.NotRun, call.ReasonOverload, time.Second) })
+	client, _, address := serve(t, refuse, time.Minute, l)
 	for range 300 {
-		one, ended := context.WithCancel(ctx)
-		_, err := client.Call(one, inner.Addr().String(), &call.Request{AttemptID: "a", Method: "GET", Path: "/", Deadline: time.Now().Add(time.Second)})
-		ended()
-		is.NoErr(err)
+		send(t, client, address, 0)
 	}
 	is.Equal(l.accepted.Load(), int64(1))
 }
+
+// Pattern: thousands of short calls a second at the deepest service. Each wakes its node up once for the request, and not once
+// more for the end of the call.
+func TestNodeIsWokenUpOnceForEachCall(t *testing.T) {
+	is := is.New(t)
+	l := &acceptCounter{}
+	refuse := receiverFunc(func(*call.Request) call.Reply { return call.Refused(call.NotRun, call.ReasonOverload, time.Second) })
+	client, _, address := serve(t, refuse, time.Minute, l)
+	const calls = 100
+	for range calls {
+		send(t, client, address, 0)
+	}
+	is.True(l.reads.Load() <= calls+1)
+}
+
+// Pattern: a burst needs many connections at once, and the load after it few. Those that are left over are closed, though
+// others to the same node stay in use.
+func TestConnectionsOfABurstAreClosed(t *testing.T) {
+	is := is.New(t)
+	const burst, maxIdle = 20, 100 * time.Millisecond
+	var together sync.WaitGroup
+	together.Add(burst)
+	client, pool, address := serve(t, receiverFunc(func(r *call.Request) call.Reply {
+		if r.Depth == 0 { // one of the burst
+			together.Done()
+			together.Wait()
+		}
+		return call.Refused(call.NotRun, call.ReasonOverload, time.Second)
+	}), maxIdle, nil)
+	var group conc.WaitGroup
+	for range burst {
+		group.Go(func() { send(t, client, address, 0) })
+	}
+	group.Wait()
+	is.Equal(pool.Open()[address], burst)
+	for begin := time.Now(); time.Since(begin) < 2*maxIdle; time.Sleep(maxIdle / 10) {
+		send(t, client, address, 1)
+	}
+	is.Equal(pool.Open()[address], 1)
+}
