Questions about answers that take long go out on connections that have just worked

Cause: each attempt whose answer takes twice the usual time is asked about, so that a silent connection is noticed; each question made a connection of its own. Now a question goes out on a kept connection on which an RPC succeeded within the last second, and after 120 ms without an answer on a new one. Ruled out: asking later (a silent connection would use up the time of a request). Tests that failed first: TestQuestionsUseConnectionsThatWork/after_calls.

--- a/internal/traffic/peer/client.go
+++ b/internal/traffic/peer/client.go
@@ -115,6 +115,29 @@
 	return answer, nil
 }
 
+const (
+	// recentUse is how long ago a connection was used at most to be trusted with a question.
+	recentUse = time.Second
+	// recentTimeout bounds the wait for an answer there, before the question goes out on a connection of its own.
+	recentTimeout = 120 * time.Millisecond
+)
+
+// askSoon is ask for a question that may be put twice. Most such questions are about answers that only take long, so that a
+// connection that worked a moment ago will do, and only where that gives no answer a new one is made.
+func askSoon[A any](ctx context.Context, c *Client, address string, timeout time.Duration, f func(context.Context, peerpb.DRPCPeerClient) (A, error)) (A, error) {
+	var answer A
+	err := c.pool.UseRecent(address, recentUse, func(conn drpc.Conn) (err error) {
+		ctx, cancel := context.WithTimeout(ctx, min(timeout, recentTimeout))
+		defer cancel()
+		answer, err = f(ctx, peerpb.NewDRPCPeerClient(conn))
+		return err
+	})
+	if err == nil {
+		return answer, nil
+	}
+	return ask(ctx, c, address, timeout, f)
+}
+
 func reasonOf(ctx context.Context) call.Reason {
 	switch ctx.Err() {
 	case context.DeadlineExceeded:
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -113,6 +113,31 @@
 	return f(sealedConn{Conn: conn, packer: p.config.Packer})
 }
 
+// errNoRecent says that no idle connection was used lately.
+var errNoRecent = trace.NotFound("no connection to the node was used lately")
+
+// UseRecent runs f on an idle connection on which an RPC succeeded within the time, or returns errNoRecent.
+func (p *Pool) UseRecent(address string, within time.Duration, f func(drpc.Conn) error) error {
+	conn := p.takeRecent(address, within)
+	if conn == nil {
+		return errNoRecent
+	}
+	return p.run(Use{Address: address}, conn, f)
+}
+
+func (p *Pool) takeRecent(address string, within time.Duration) *drpcconn.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer := p.peer(address)
+	last := len(peer.idle) - 1
+	if last < 0 || time.Since(peer.idle[last].since) > within || isClosed(peer.idle[last].conn) {
+		return nil
+	}
+	conn := peer.idle[last].conn
+	peer.idle = peer.idle[:last]
+	return conn
+}
+
 // Drop closes the idle connections to a node that was found silent, so that none of them is trusted again.
 func (p *Pool) Drop(address string) {
 	p.mu.Lock()
--- a/internal/traffic/peer/resolve.go
+++ b/internal/traffic/peer/resolve.go
@@ -50,7 +50,8 @@
 	Fingerprint uint64
 }
 
-// Resolve asks the node at the address on a connection of its own, because an older one may be silent.
+// Resolve asks the node at the address. It trusts no connection that may have gone silent: for a key it makes a new one, and
+// for an attempt without a key it takes one that has just worked, or a new one where that gives no answer.
 func (c *Client) Resolve(ctx context.Context, address string, q Question, timeout time.Duration) (Resolution, error) {
 	request := &peerpb.ResolveRequest{
 		AttemptId:   q.AttemptID,
@@ -61,7 +62,11 @@
 		Move:        q.Move,
 		MoveTo:      homeMessage(q.MoveTo),
 	}
-	answer, err := ask(ctx, c, address, timeout, func(ctx context.Context, client peerpb.DRPCPeerClient) (*peerpb.ResolveReply, error) {
+	put := askSoon[*peerpb.ResolveReply]
+	if q.Key != "" {
+		put = ask[*peerpb.ResolveReply]
+	}
+	answer, err := put(ctx, c, address, timeout, func(ctx context.Context, client peerpb.DRPCPeerClient) (*peerpb.ResolveReply, error) {
 		return client.Resolve(ctx, request)
 	})
 	if err != nil {
--- a/internal/traffic/peer/reuse_test.go
+++ b/internal/traffic/peer/reuse_test.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
@@ -24,6 +25,8 @@
 
 	accepted atomic.Int64
 	reads    atomic.Int64
+	// mute drops what comes in on the connections that were made before.
+	mute atomic.Bool
 }
 
 func (l *acceptCounter) Accept() (net.Conn, error) {
@@ -32,22 +35,27 @@
 		return nil, err
 	}
 	l.accepted.Add(1)
-	return &readCounter{Conn: conn, reads: &l.reads}, nil
+	return &readCounter{Conn: conn, listener: l, afterMute: l.mute.Load()}, nil
 }
 
 // readCounter counts the reads that brought something.
 type readCounter struct {
 	net.Conn
 
-	reads *atomic.Int64
+	listener  *acceptCounter
+	afterMute bool
 }
 
 func (c *readCounter) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.reads.Add(1)
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			c.listener.reads.Add(1)
+		}
+		if err != nil || c.afterMute || !c.listener.mute.Load() {
+			return n, err
+		}
 	}
-	return n, err
 }
 
 // receiverFunc answers requests at once.
@@ -57,6 +65,61 @@
 	return f(r)
 }
 
+// running says of every attempt that it runs.
+type running struct{}
+
+func (running) Resolve(peer.Question) peer.Resolution {
+	return peer.Resolution{Known: true, State: outcome.Running}
+}
+
+func (running) TakeOver(context.Context, peer.HandoverPart) (bool, error) {
+	return false, nil
+}
+
+// Pattern: one answer of ten takes so long that it is asked about. The questions go out on connections that have just
+// worked, and on a new one where there is none.
+func TestQuestionsUseConnectionsThatWork(t *testing.T) {
+	for name, test := range map[string]struct {
+		calls int
+		// made is how many connections there are after ten questions.
+		made int64
+	}{
+		"after calls": {3, 1},
+		"before any":  {0, 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := &acceptCounter{}
+			refuse := receiverFunc(func(*call.Request) call.Reply { return call.Refused(call.NotRun, call.ReasonOverload, time.Second) })
+			client, _, address := serve(t, refuse, time.Minute, l)
+			for range test.calls {
+				send(t, client, address, 0)
+			}
+			for range 10 {
+				resolution, err := client.Resolve(t.Context(), address, peer.Question{AttemptID: "a"}, time.Second)
+				is.NoErr(err)
+				is.Equal(resolution.State, outcome.Running)
+			}
+			is.Equal(l.accepted.Load(), test.made)
+		})
+	}
+}
+
+// Pattern: the open connections went silent. A question goes out again on a new one and is answered.
+func TestQuestionPassesASilentConnection(t *testing.T) {
+	is := is.New(t)
+	l := &acceptCounter{}
+	refuse := receiverFunc(func(*call.Request) call.Reply { return call.Refused(call.NotRun, call.ReasonOverload, time.Second) })
+	client, _, address := serve(t, refuse, time.Minute, l)
+	send(t, client, address, 0)
+	l.mute.Store(true)
+	begin := time.Now()
+	resolution, err := client.Resolve(t.Context(), address, peer.Question{AttemptID: "a"}, time.Second)
+	is.NoErr(err)
+	is.Equal(resolution.State, outcome.Running)
+	is.True(time.Since(begin) < 500*time.Millisecond)
+}
+
 // serve starts a node that answers with the receiver, and returns a client of it, the client's pool and the address. The
 // counter, where there is one, counts its connections.
 func serve(t *testing.T, receiver peer.Receiver, maxIdle time.Duration, counter *acceptCounter) (*peer.Client, *peer.Pool, string) {
@@ -68,7 +131,7 @@
 		counter.Listener, l = l, counter
 	}
 	mux := drpcmux.New()
-	is.NoErr(peerpb.DRPCRegisterPeer(mux, peer.NewServer(receiver, nil, nil)))
+	is.NoErr(peerpb.DRPCRegisterPeer(mux, peer.NewServer(receiver, running{}, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	group.Go(func() { _ = drpcserver.New(peer.SealHandler(mux, nil)).Serve(ctx, l) })
