--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -226,25 +226,12 @@
 
 func (n *Node) listen() error {
 	s := n.config.Settings
-	for _, open := range []struct {
-		listener *net.Listener
-		address  string
-	}{
-		{&n.listeners.caller, s.Caller.Address},
-		{&n.listeners.peer, s.Peer.Address},
-		{&n.listeners.backend, s.Backend.Address},
-		{&n.listeners.operator, s.Operator.Address},
-	} {
-		if open.address == "" {
-			continue
-		}
-		l, err := net.Listen("tcp", open.address)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		*open.listener = l
-	}
-	return nil
+	return parts.Listen(
+		parts.Socket{Listener: &n.listeners.caller, Address: s.Caller.Address},
+		parts.Socket{Listener: &n.listeners.peer, Address: s.Peer.Address},
+		parts.Socket{Listener: &n.listeners.backend, Address: s.Backend.Address},
+		parts.Socket{Listener: &n.listeners.operator, Address: s.Operator.Address},
+	)
 }
 
 func (n *Node) start(ctx context.Context, group *conc.WaitGroup) {
--- a/internal/process/parts/serve.go
+++ b/internal/process/parts/serve.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"log"
+	"net"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcserver"
@@ -18,6 +20,27 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 )
 
+// Socket is a listener of a node and its address; an empty address stands for none.
+type Socket struct {
+	Listener *net.Listener
+	Address  string
+}
+
+// Listen opens the sockets.
+func Listen(sockets ...Socket) error {
+	for _, s := range sockets {
+		if s.Address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", s.Address)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		*s.Listener = l
+	}
+	return nil
+}
+
 // HTTPLog returns a log that turns the lines of an HTTP server into events.
 func HTTPLog(limiter *events.Limiter) *log.Logger {
 	return log.New(httpErrors{limiter}, "", 0)
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -328,24 +328,11 @@
 
 func (n *Node) listen() error {
 	s := n.config.Settings
-	for _, open := range []struct {
-		listener *net.Listener
-		address  string
-	}{
-		{&n.listeners.caller, s.Caller.Address},
-		{&n.listeners.peer, s.Peer.Address},
-		{&n.listeners.backend, s.Backend.Address},
-		{&n.listeners.ready, s.Ready.Address},
-		{&n.listeners.metrics, s.Metrics.Address},
-	} {
-		if open.address == "" {
-			continue
-		}
-		l, err := net.Listen("tcp", open.address)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		*open.listener = l
-	}
-	return nil
+	return parts.Listen(
+		parts.Socket{Listener: &n.listeners.caller, Address: s.Caller.Address},
+		parts.Socket{Listener: &n.listeners.peer, Address: s.Peer.Address},
+		parts.Socket{Listener: &n.listeners.backend, Address: s.Backend.Address},
+		parts.Socket{Listener: &n.listeners.ready, Address: s.Ready.Address},
+		parts.Socket{Listener: &n.listeners.metrics, Address: s.Metrics.Address},
+	)
 }
