--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -5,7 +5,8 @@
 // chains, it admits about as many as were accepted, and a little more, so that it notices at once when more would be
 // accepted. Since it measures the accepted rate, the time that replies take can't make it refuse ever more. Callers
 // that send no more than their equal part are admitted before the others, those just above it are refused seldom, and
-// requests that are sent again get a bounded part and what new ones leave.
+// requests that are sent again get a bounded part and what new ones leave. A throttle that sees few requests can't tell that
+// rate; it learns which part of its own are accepted, and admits that part.
 //
 // # Usage
 //
@@ -61,6 +62,9 @@
 	// ResentShare is the part of the accepted rate that requests sent again get while some are refused, even where new
 	// ones would take it all.
 	ResentShare float64
+	// FewRequests is how many in a window tell too little about the rate that is accepted. A node that sees fewer learns which
+	// part of them is accepted instead; 0 for none.
+	FewRequests float64
 	// MaxCallers bounds the callers that are told apart; the others count as one.
 	MaxCallers int
 	// MinRetryAfter and MaxRetryAfter bound what refused callers are told.
@@ -79,6 +83,7 @@
 	ProbeShare:    0.01,
 	ProbeEvery:    500 * time.Millisecond,
 	ResentShare:   0.2,
+	FewRequests:   8,
 	MaxCallers:    256,
 	MinRetryAfter: 100 * time.Millisecond,
 	MaxRetryAfter: 5 * time.Second,
@@ -115,6 +120,8 @@
 	fresh   float64
 	resent  float64
 	callers map[string]float64
+	// few decides while there are few requests.
+	few sparse
 
 	// calm counts the accepted requests since the last refused one, at refusedAt.
 	calm       float64
@@ -141,6 +148,9 @@
 	} else {
 		t.fresh++
 	}
+	if t.fresh+t.resent < t.config.FewRequests {
+		return t.offerFew(now, random)
+	}
 	part := t.accepted / float64(len(t.callers))
 	refusal := t.refusal(now)
 	switch {
@@ -161,9 +171,21 @@
 	return Verdict{Admitted: true}
 }
 
+// offerFew decides on one of few requests.
+func (t *Throttle) offerFew(now time.Time, random Source) Verdict {
+	if random.Float64() < t.few.part(now) {
+		t.admittedAt = now
+		return Verdict{Admitted: true}
+	}
+	t.local++
+	t.lastRefusal = Refusal{Reason: RefusedRate, At: now}
+	return Verdict{RetryAfter: t.retryAfter(random)}
+}
+
 // Learn takes in what became of an admitted request.
 func (t *Throttle) Learn(now time.Time, r Result) {
 	t.fade(now)
+	t.few.learn(now, r)
 	switch r {
 	case Accepted:
 		t.accepted++
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -181,6 +181,14 @@
 	n.fenced = flow.NewFenced(n.receiver, incarnation)
 }
 
+// throttleConfig returns how root requests are refused at the entry. The nodes beside the backend servers bound them by what
+// their calls wait, and see more of them than one entry does.
+func throttleConfig() throttle.Config {
+	config := throttle.DefaultConfig
+	config.FewRequests = 0
+	return config
+}
+
 func (n *Node) buildSender(s *settings.Settings) {
 	n.reach = flow.NewReach(flow.ReachConfig{Board: n.loop, Peers: peer.NewClient(n.pool, s.Node.Name), Log: n.limiter})
 	n.sender = flow.NewSender(flow.SenderConfig{
@@ -189,7 +197,7 @@
 		Receiver:    n.fenced,
 		Budgets:     flow.NewBudgets(retryBudget),
 		Routing:     routing.DefaultConfig(s.Node.Name, s.Node.Zone),
-		Throttle:    throttle.DefaultConfig,
+		Throttle:    throttleConfig(),
 		MaxRefusals: maxRefusals,
 		Reach:       n.reach,
 
