--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -27,6 +27,7 @@
 		Subcommands: []*ffcli.Command{
 			demoCommand(),
 			onceCommand(),
+			soakCommand(),
 			overloadCommand(),
 			latencyCommand(),
 			capacityCommand(),
