What a rush showed doesn't hold back the few requests after it

The part of few requests is now learnt among few alone, and begins anew after many; fewer than 6 in 250 ms count as few (8 before). The new test of the package fails on the code before.

--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -83,7 +83,7 @@
 	ProbeShare:    0.01,
 	ProbeEvery:    500 * time.Millisecond,
 	ResentShare:   0.2,
-	FewRequests:   8,
+	FewRequests:   6,
 	MaxCallers:    256,
 	MinRetryAfter: 100 * time.Millisecond,
 	MaxRetryAfter: 5 * time.Second,
@@ -148,9 +148,10 @@
 	} else {
 		t.fresh++
 	}
-	if t.fresh+t.resent < t.config.FewRequests {
+	if t.isFew() {
 		return t.offerFew(now, random)
 	}
+	t.few = sparse{} // what a rush showed says nothing about the few requests after it
 	part := t.accepted / float64(len(t.callers))
 	refusal := t.refusal(now)
 	switch {
@@ -171,6 +172,9 @@
 	return Verdict{Admitted: true}
 }
 
+// isFew reports whether so few requests came lately that they tell little about the rate that is accepted.
+func (t *Throttle) isFew() bool { return t.fresh+t.resent < t.config.FewRequests }
+
 // offerFew decides on one of few requests.
 func (t *Throttle) offerFew(now time.Time, random Source) Verdict {
 	if random.Float64() < t.few.part(now) {
@@ -185,7 +189,9 @@
 // Learn takes in what became of an admitted request.
 func (t *Throttle) Learn(now time.Time, r Result) {
 	t.fade(now)
-	t.few.learn(now, r)
+	if t.isFew() {
+		t.few.learn(now, r)
+	}
 	switch r {
 	case Accepted:
 		t.accepted++
--- a/internal/decide/throttle/throttle_test.go
+++ b/internal/decide/throttle/throttle_test.go
@@ -177,6 +177,27 @@
 	is.Equal(sum.admitted, sum.offered) // within 2 s of the end of a collapse to a hundredth
 }
 
+// What was refused in a rush says nothing about the few requests that come after it.
+func TestFewRequestsAfterARushAreAdmitted(t *testing.T) {
+	for name, test := range map[string]struct {
+		perSecond float64
+		// rest is how long after the rush the requests are counted.
+		rest time.Duration
+	}{
+		"at half of what can be done": {20, time.Second},
+		"at a tenth of it":            {4, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			th, c := throttle.New(throttle.DefaultConfig), &capacity{perSecond: 40}
+			drive(th, c, start, 3*time.Second, map[string]source{"crowd": {perSecond: 200}})
+			after := start.Add(3*time.Second + test.rest)
+			sum := drive(th, c, after, 2*time.Second, map[string]source{"later": {perSecond: test.perSecond}})["later"]
+			is.Equal(sum.admitted, sum.offered)
+		})
+	}
+}
+
 func TestSparesCallersThatSendLittle(t *testing.T) {
 	is := is.New(t)
 	th, c := throttle.New(throttle.DefaultConfig), &capacity{perSecond: 100}
