A node that drains is not ended by SIGHUP

Its log had drain_started, then node_started 1.7 s later. It takes SIGHUP until it has ended. TestSignalsWhileDraining failed first ('signal: hangup').

--- a/cmd/comfreyhoist/node.go
+++ b/cmd/comfreyhoist/node.go
@@ -63,7 +63,8 @@
 	log := events.NewLog(lines, level, s.Node.Name)
 	var group conc.WaitGroup
 	defer group.Wait()
-	reloading, stop := context.WithCancel(ctx)
+	// A process that doesn't take SIGHUP is ended by it, also while it drains.
+	reloading, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	reload.New(reload.Config{Arguments: []string{"-config", config}, Log: log}).Run(reloading, &group)
 	if s.Platform.Source == settings.FromRoutes {
