--- a/internal/control/members/members_test.go
+++ b/internal/control/members/members_test.go
@@ -84,10 +84,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := kv.New()
-				ctx, cancel := context.WithCancel(t.Context())
+				ctx := t.Context()
 				var group conc.WaitGroup
-				defer group.Wait()
-				defer cancel()
+				t.Cleanup(group.Wait)
 				first := start(ctx, &group, s, "node_1", 1)
 				start(ctx, &group, s, "node_2", 2)
 				time.Sleep(2 * time.Second)
@@ -106,10 +105,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := kv.New()
-		ctx, cancel := context.WithCancel(t.Context())
+		ctx := t.Context()
 		var group conc.WaitGroup
-		defer group.Wait()
-		defer cancel()
+		t.Cleanup(group.Wait)
 		first := start(ctx, &group, s, "node_1", 1)
 		earlier, kill := context.WithCancel(ctx)
 		start(earlier, &group, s, "node_2", 2)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -216,12 +216,7 @@
 }
 
 func (l *listeners) close() {
-	_ = l.caller.Close()
-	_ = l.peer.Close()
-	_ = l.backend.Close()
-	if l.operator != nil {
-		_ = l.operator.Close()
-	}
+	parts.Close(l.caller, l.peer, l.backend, l.operator)
 }
 
 func (n *Node) listen() error {
--- a/internal/process/node/operator.go
+++ b/internal/process/node/operator.go
@@ -8,6 +8,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/operator"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/parts"
 )
 
 // operatorRouter serves the administration API.
@@ -27,7 +28,7 @@
 		}),
 		Tokens: operator.NewTokens(byHolder(tokens)),
 		Drain:  n.stop,
-		Dump:   func(w http.ResponseWriter, r *http.Request) { n.writeDump(r.Context(), w) },
+		Dump:   func(w http.ResponseWriter, r *http.Request) { parts.WriteJSON(w, n.dump(r.Context()), n.limiter) },
 	})
 	return router
 }
--- a/internal/process/parts/serve.go
+++ b/internal/process/parts/serve.go
@@ -41,6 +41,15 @@
 	return nil
 }
 
+// Close closes those of the listeners that are open.
+func Close(listeners ...net.Listener) {
+	for _, l := range listeners {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
 // HTTPLog returns a log that turns the lines of an HTTP server into events.
 func HTTPLog(limiter *events.Limiter) *log.Logger {
 	return log.New(httpErrors{limiter}, "", 0)
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -325,13 +325,7 @@
 }
 
 func (l *listeners) close() {
-	_ = l.caller.Close()
-	_ = l.peer.Close()
-	_ = l.backend.Close()
-	_ = l.ready.Close()
-	if l.metrics != nil {
-		_ = l.metrics.Close()
-	}
+	parts.Close(l.caller, l.peer, l.backend, l.ready, l.metrics)
 }
 
 func (n *Node) listen() error {
--- a/internal/traffic/flow/exchange.go
+++ b/internal/traffic/flow/exchange.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
@@ -49,7 +48,7 @@
 
 // call returns the reply, or a *peer.Error that says whether a copy was sent.
 func (x *exchange) call(ctx context.Context, target membership.Member, attempt *call.Request) (call.Reply, error) {
-	attempt.AttemptID = uuid.NewString()
+	attempt.AttemptID = newAttemptID()
 	attempt.TargetIncarnation = target.Incarnation
 	attempt.Confirm = ""
 	for range maxChallenges {
--- a/internal/traffic/flow/move.go
+++ b/internal/traffic/flow/move.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -76,7 +74,7 @@
 		return peer.Resolution{}, nil
 	}
 	return h.config.Ask(ctx, m.PeerAddress, peer.Question{
-		AttemptID:   uuid.NewString(),
+		AttemptID:   newAttemptID(),
 		Key:         r.Key,
 		Service:     r.Service,
 		Incarnation: m.Incarnation,
--- a/internal/traffic/flow/silence.go
+++ b/internal/traffic/flow/silence.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/peer"
 )
@@ -57,7 +55,7 @@
 	if !ask {
 		return !silent
 	}
-	_, err := s.peers.Resolve(ctx, address, peer.Question{AttemptID: uuid.NewString()}, silentTimeout)
+	_, err := s.peers.Resolve(ctx, address, peer.Question{AttemptID: newAttemptID()}, silentTimeout)
 	if isSilence(err) {
 		return false
 	}
