--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -160,6 +160,11 @@
 	return g.limit.Value()
 }
 
+// HoldTime returns how long requests lately held their slots; 0 where that isn't known.
+func (g *Gate) HoldTime() time.Duration {
+	return g.limit.HoldTime()
+}
+
 // SheddingRank returns the most urgent rank of which all is being shed, with every less urgent one; 0 for none.
 func (g *Gate) SheddingRank(now time.Time) int {
 	return g.demand.sheddingRank(now)
--- a/internal/decide/admission/simulation_test.go
+++ b/internal/decide/admission/simulation_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
 )
 
 // simulation drives one gate in front of one model of a backend server, in simulated time. The backend server has
@@ -21,6 +22,10 @@
 	slots   int
 	queue   int
 
+	// turns is how many further turns a request gets that the backend server shed, and used how many it had.
+	turns int
+	used  map[*admission.Ticket]int
+
 	streams []*stream
 	events  events
 	busy    int
@@ -45,6 +50,8 @@
 type event struct {
 	at     time.Time
 	ticket *admission.Ticket
+	// offer says that the ticket comes to the gate, else its request ends.
+	offer bool
 }
 
 type events []event
@@ -63,7 +70,7 @@
 	s := &simulation{
 		gate: admission.NewGate(testConfig()), random: rand.New(rand.NewPCG(1, 2)), now: epoch, service: service, slots: slots, queue: 1000,
 		started: map[*admission.Ticket]time.Time{}, offered: map[*admission.Ticket]time.Time{},
-		sent: map[string]int{}, good: map[string]int{}, longestWait: map[string]time.Duration{},
+		used: map[*admission.Ticket]int{}, sent: map[string]int{}, good: map[string]int{}, longestWait: map[string]time.Duration{},
 	}
 	s.gate.Announce(announced, 300)
 	return s
@@ -82,7 +89,7 @@
 	s.peak, s.ended, s.refused, s.arrived = 0, 0, 0, 0
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(time.Millisecond) {
 		for len(s.events) > 0 && !s.events[0].at.After(s.now) {
-			s.finish(heap.Pop(&s.events).(event).ticket)
+			s.happen(heap.Pop(&s.events).(event))
 		}
 		for _, stream := range s.streams {
 			for ; !stream.next.After(s.now); stream.next = stream.next.Add(time.Duration(s.random.ExpFloat64() * float64(stream.every))) {
@@ -104,9 +111,22 @@
 	t.RootStart, t.Deadline = s.now, s.now.Add(time.Second)
 	s.sent[label(&t)]++
 	s.arrived++
-	s.offered[&t] = s.now
-	if s.gate.Offer(s.now, &t).Action == admission.Run {
-		s.send(&t)
+	s.enter(&t)
+}
+
+func (s *simulation) happen(e event) {
+	if e.offer {
+		s.enter(e.ticket)
+		return
+	}
+	s.finish(e.ticket)
+}
+
+// enter lets a ticket come to the gate.
+func (s *simulation) enter(t *admission.Ticket) {
+	s.offered[t] = s.now
+	if s.gate.Offer(s.now, t).Action == admission.Run {
+		s.send(t)
 	}
 }
 
@@ -131,13 +151,27 @@
 	default:
 		s.refused++
 		s.apply(s.gate.Finish(s.now, admission.Sample{Kind: t.Kind, Overloaded: true}))
+		s.turnAgain(t)
+	}
+}
+
+// turnAgain lets a request that the backend server shed come to the gate again.
+func (s *simulation) turnAgain(t *admission.Ticket) {
+	wait, again := retry.TurnAgain(retry.Turn{
+		Shed: true, Safe: true, AttemptsLeft: s.turns - s.used[t], TimeLeft: t.Deadline.Sub(s.now), HoldTime: s.gate.HoldTime(),
+	})
+	if !again {
+		return
 	}
+	next := *t
+	s.used[&next] = s.used[t] + 1
+	heap.Push(&s.events, event{at: s.now.Add(wait), ticket: &next, offer: true})
 }
 
 func (s *simulation) begin(t *admission.Ticket) {
 	s.busy++
 	took := time.Duration(float64(s.service) * (0.7 + 0.6*s.random.Float64()))
-	heap.Push(&s.events, event{s.now.Add(took), t})
+	heap.Push(&s.events, event{at: s.now.Add(took), ticket: t})
 }
 
 func (s *simulation) finish(t *admission.Ticket) {
@@ -247,3 +281,34 @@
 	s.run(time.Second)
 	is.True(s.ended >= 900) // nine tenths of 1000 a second
 }
+
+// Pattern: a backend server announces more slots than it has and sheds by itself, each rank alike. Requests that it shed get
+// another turn at the gate, where the urgent go first.
+func TestUrgentWorkWhereTheBackendServerSheds(t *testing.T) {
+	const service, slots = 100 * time.Millisecond, 10
+	for name, test := range map[string]struct {
+		turns int
+		// enough is whether 99% of the urgent work is served.
+		enough bool
+	}{
+		"no other turn": {0, false},
+		"one":           {1, true},
+		"two":           {2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(3*slots, slots, service)
+			s.queue, s.turns = 0, test.turns
+			possible := slots / service.Seconds()
+			urgent := newTicket(s.now, 0, "sheets", "a")
+			s.stream(possible/4, urgent)
+			s.stream(1.5*possible, newTicket(s.now, 5, "lookups", "b"))
+			s.run(10 * time.Second)
+			is.True(s.refused > 0)
+			s.finishAll()
+			served := float64(s.good[label(urgent)]) / float64(s.sent[label(urgent)])
+			t.Logf("%.3f of the urgent work served", served)
+			is.Equal(served >= 0.99, test.enough)
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/retry/turn.go
@@ -0,0 +1,33 @@
+package retry
+
+import "time"
+
+// Turn is a request after its turn at the gate of a backend server.
+type Turn struct {
+	// Shed says that the backend server turned it away for want of room.
+	Shed bool
+	// Safe says that running it can't run it twice: it is idempotent, or certainly hasn't run.
+	Safe bool
+	// AttemptsLeft is how many further attempts it may spend.
+	AttemptsLeft int
+	TimeLeft     time.Duration
+	// HoldTime is how long requests lately held their slots; 0 where that isn't known.
+	HoldTime time.Duration
+}
+
+const (
+	// leastTurnPause and longestTurnPause bound the time before another turn.
+	leastTurnPause   = 20 * time.Millisecond
+	longestTurnPause = 250 * time.Millisecond
+)
+
+// TurnAgain reports whether the request gets another turn at the same gate, and after which time. Other instances shed
+// whoever comes while their limits are too high as well; here the urgent go first, under a limit that has just come down. It
+// waits for as long as a request holds its slot: by then all those have ended that ran beside it under the old limit.
+func TurnAgain(t Turn) (time.Duration, bool) {
+	wait := min(max(t.HoldTime, leastTurnPause), longestTurnPause)
+	if !t.Shed || !t.Safe || t.AttemptsLeft <= 0 || t.TimeLeft <= wait+t.HoldTime {
+		return 0, false
+	}
+	return wait, true
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -113,6 +113,7 @@
 		Gate:       n.gate,
 		Backend:    n.client,
 		Quarantine: n.quarantine,
+		TurnsAgain: true,
 		Events:     n.limiter,
 		Requests:   n.limiter,
 	})
--- a/internal/traffic/backend/gate.go
+++ b/internal/traffic/backend/gate.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// HoldTime returns how long requests lately held their slots; 0 where that isn't known.
+func (g *Gate) HoldTime() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.HoldTime()
+}
+
 // QueuedByRank returns how many requests of each rank wait.
 func (g *Gate) QueuedByRank() [admission.Ranks]int {
 	g.mu.Lock()
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -8,6 +8,9 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/trees"
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
@@ -21,6 +24,9 @@
 	Quarantine *Quarantine
 	// Trees bounds the requests whose calls have to wait further down; nil for no bound.
 	Trees *Trees
+	// TurnsAgain lets a request that the backend server shed wait for another turn at the gate, which has learnt from it,
+	// as long as the request has attempts left.
+	TurnsAgain bool
 	// Events takes what operators should know, and Requests what was decided about single requests.
 	Events   *events.Limiter
 	Requests *events.Limiter
@@ -79,16 +85,24 @@
 
 func (v *Receiver) receive(ctx context.Context, r *call.Request) call.Reply {
 	b := v.config.Board.Snapshot()
+	if refusal, refused := refuses(b, r); refused {
+		return refusal
+	}
+	return v.config.Quarantine.guard(r, func() call.Reply { return v.run(ctx, b, r) })
+}
+
+// refuses returns the reply to a request that the backend server can't take, or isn't to take any more.
+func refuses(b *board.Board, r *call.Request) (call.Reply, bool) {
 	if b.Backend.Service != r.Service || b.Backend.Address == "" || b.Backend.IsLost() {
-		return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)
+		return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry), true
 	}
 	if b.Self.Leaving || b.Backend.Leaving {
-		return call.Refused(call.NotRun, call.ReasonDraining, 0)
+		return call.Refused(call.NotRun, call.ReasonDraining, 0), true
 	}
 	if !time.Now().Before(r.Deadline) {
-		return call.Refused(call.NotRun, call.ReasonDeadline, 0)
+		return call.Refused(call.NotRun, call.ReasonDeadline, 0), true
 	}
-	return v.config.Quarantine.guard(r, func() call.Reply { return v.run(ctx, b, r) })
+	return call.Reply{}, false
 }
 
 // run admits the request and runs it on the backend server.
@@ -107,15 +121,66 @@
 		return refusal
 	}
 	waited := time.Since(offered)
+	result := v.turn(ctx, b, r)
+	for used := 1; v.takesTurnAgain(ctx, r, &result); used++ {
+		offered = time.Now()
+		b = v.config.Board.Snapshot()
+		if _, refused := refuses(b, r); refused {
+			break // what the last turn said stands
+		}
+		if _, admitted = v.config.Gate.Enter(ctx, r, share(b, r)); !admitted {
+			break
+		}
+		waited += time.Since(offered)
+		result = v.turn(ctx, b, r)
+		result.Reply.AttemptsUsed += used
+	}
+	v.end(r, start, waited, &result)
+	return result.Reply
+}
+
+// turn runs a request on the backend server that the gate has admitted.
+func (v *Receiver) turn(ctx context.Context, b *board.Board, r *call.Request) backend.Result {
 	result := v.config.Backend.Run(ctx, backend.Target{Address: b.Backend.Address, Instance: b.Backend.Instance}, r)
 	v.config.Gate.Leave(sample(r, result))
-	v.config.Trees.end(r, start, waited, result)
+	return result
+}
+
+// takesTurnAgain reports whether a request that the backend server shed gets another turn here, and waits until it is due.
+func (v *Receiver) takesTurnAgain(ctx context.Context, r *call.Request, result *backend.Result) bool {
+	if !v.config.TurnsAgain {
+		return false
+	}
+	wait, again := retry.TurnAgain(retry.Turn{
+		Shed:         result.Overloaded,
+		Safe:         r.Idempotent || result.Reply.Outcome == call.NotRun,
+		AttemptsLeft: r.AttemptsLeft,
+		TimeLeft:     time.Until(r.Deadline),
+		HoldTime:     v.config.Gate.HoldTime(),
+	})
+	if !again {
+		return false
+	}
+	v.config.Requests.Emit(time.Now(), events.RequestWaitsAgain, events.Fields{
+		"request":       r.Root.ID,
+		"attempt":       r.AttemptID,
+		"kind":          r.Kind,
+		"rank":          r.Root.Rank,
+		"attempts_left": r.AttemptsLeft,
+		"wait_ms":       wait.Milliseconds(),
+	})
+	r.AttemptsLeft--
+	return pause.For(ctx, wait)
+}
+
+// end takes in how a request ended that ran, or was shed by the backend server.
+func (v *Receiver) end(r *call.Request, start trees.Start, waited time.Duration, result *backend.Result) {
+	v.config.Trees.end(r, start, waited, *result)
 	result.Reply.Waited += waited
-	v.counters.ended(result)
+	v.counters.ended(*result)
 	if result.Broken {
 		v.config.Events.Emit(time.Now(), events.BackendFailed, events.Fields{"service": r.Service, "kind": r.Kind})
 	}
-	return result.Reply
 }
 
 // sample tells the gate what the run showed about the backend server.
--- /dev/null
+++ b/internal/traffic/flow/receiver_test.go
@@ -0,0 +1,87 @@
+package flow
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+// A request that the backend server shed gets another turn where that is safe and it has attempts left. What has been
+// said of it is not taken back when there is no other turn.
+func TestShedRequestGetsAnotherTurn(t *testing.T) {
+	for name, test := range map[string]struct {
+		idempotent bool
+		attempts   int
+		// sheds is how many requests the backend server sheds first.
+		sheds int32
+		// leaves says that the node begins to leave meanwhile.
+		leaves         bool
+		status, turned int
+		used           int
+	}{
+		"shed once":             {idempotent: true, attempts: 1, sheds: 1, status: http.StatusOK, turned: 2, used: 1},
+		"shed again":            {idempotent: true, attempts: 1, sheds: 2, status: http.StatusServiceUnavailable, turned: 2, used: 1},
+		"without attempts":      {idempotent: true, attempts: 0, sheds: 1, status: http.StatusServiceUnavailable, turned: 1, used: 0},
+		"not idempotent":        {idempotent: false, attempts: 1, sheds: 1, status: http.StatusServiceUnavailable, turned: 1, used: 0},
+		"the node leaves":       {idempotent: true, attempts: 1, sheds: 1, leaves: true, status: http.StatusServiceUnavailable, turned: 1, used: 0},
+		"served the first time": {idempotent: true, attempts: 1, sheds: 0, status: http.StatusOK, turned: 1, used: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			loop := board.NewLoop(board.Board{})
+			ctx, cancel := context.WithCancel(t.Context())
+			var arrived atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if arrived.Add(1) > test.sheds {
+					return
+				}
+				if test.leaves {
+					loop.Do(ctx, func(b *board.Board) { b.Self.Leaving = true })
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			defer server.Close()
+			var group conc.WaitGroup
+			defer group.Wait()
+			defer cancel()
+			group.Go(func() { loop.Run(ctx) })
+			loop.Do(ctx, func(b *board.Board) {
+				b.Backend = board.Backend{Service: "keys", Address: strings.TrimPrefix(server.URL, "http://")}
+			})
+			log := events.NewLimiter(events.NewLog(io.Discard, zerolog.InfoLevel, "node_1"), time.Second)
+			v := NewReceiver(ReceiverConfig{
+				Board:      loop,
+				Gate:       backend.NewGate(admission.GateConfig{Limit: admission.LimitConfig{Initial: 4, Min: 1, Max: 8}, MaxWait: time.Second}),
+				Backend:    backend.NewClient(backend.ClientConfig{MaxBody: 1 << 10}, call.NewChains()),
+				Quarantine: NewQuarantine(QuarantineConfig{Table: quarantine.DefaultConfig}),
+				TurnsAgain: true,
+				Events:     log,
+				Requests:   log,
+			})
+			reply := v.Receive(ctx, &call.Request{
+				Service: "keys", Method: http.MethodGet, Path: "/x", Idempotent: test.idempotent,
+				AttemptsLeft: test.attempts, Deadline: time.Now().Add(5 * time.Second),
+			})
+			is.Equal(reply.Outcome, call.Ran)
+			is.Equal(reply.Status, test.status)
+			is.Equal(int(arrived.Load()), test.turned)
+			is.Equal(reply.AttemptsUsed, test.used)
+		})
+	}
+}
