--- a/cmd/hoistlab/fleet.go
+++ b/cmd/hoistlab/fleet.go
@@ -17,25 +17,32 @@
 // withFleet builds the program, starts a fleet and runs f on it. The nodes' logs go to standard error where they are
 // wanted.
 func withFleet(ctx context.Context, config fleet.Config, verbose bool, f func(*fleet.Fleet) error) error {
+	return withProgram(ctx, func(_, binary string) error {
+		config.Binary, config.Output = binary, io.Discard
+		if verbose {
+			config.Output = os.Stderr
+		}
+		running, err := startFleet(ctx, config)
+		defer running.Stop()
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		return f(running)
+	})
+}
+
+// withProgram builds the program in a directory that is there while f runs.
+func withProgram(ctx context.Context, f func(directory, binary string) error) error {
 	directory, err := os.MkdirTemp("", "hoistlab")
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
-	config.Binary, err = fleet.Build(ctx, directory)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	config.Output = io.Discard
-	if verbose {
-		config.Output = os.Stderr
-	}
-	running, err := startFleet(ctx, config)
-	defer running.Stop()
+	binary, err := fleet.Build(ctx, directory)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return f(running)
+	return f(directory, binary)
 }
 
 // startFleet starts a fleet and waits until it is ready. It must be stopped, also after an error.
--- a/cmd/hoistlab/soak.go
+++ b/cmd/hoistlab/soak.go
@@ -11,7 +11,6 @@
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"github.com/comfreyhoist/comfreyhoist/internal/lab/fleet"
 	"github.com/comfreyhoist/comfreyhoist/platform/soak"
 )
 
@@ -36,18 +35,22 @@
 }
 
 func runSoak(ctx context.Context, config soak.Config, seed, seeds uint64, keep string) error {
-	directory, err := os.MkdirTemp("", "comfreyhoist")
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	defer func() { _ = os.RemoveAll(directory) }()
-	if config.Binary, err = fleet.Build(ctx, directory); err != nil {
-		return err
-	}
+	return withProgram(ctx, func(directory, binary string) error {
+		config.Binary = binary
+		if keep == "" {
+			keep = directory
+		}
+		return playSeeds(ctx, config, seed, seeds, keep)
+	})
+}
+
+// playSeeds plays one seed after the other; each has a directory of its own below the parent.
+func playSeeds(ctx context.Context, config soak.Config, seed, seeds uint64, parent string) error {
 	broken := 0
 	for config.Seed = seed; config.Seed < seed+seeds; config.Seed++ {
-		if config.Directory, err = soakDirectory(directory, keep, config.Seed); err != nil {
-			return err
+		config.Directory = fmt.Sprintf("%s/seed_%d", parent, config.Seed)
+		if err := os.MkdirAll(config.Directory, 0o700); err != nil {
+			return trace.ConvertSystemError(err)
 		}
 		report, err := soak.Run(ctx, config)
 		if err != nil {
@@ -65,12 +68,3 @@
 	}
 	return nil
 }
-
-func soakDirectory(temporary, keep string, seed uint64) (string, error) {
-	parent := temporary
-	if keep != "" {
-		parent = keep
-	}
-	directory := fmt.Sprintf("%s/seed_%d", parent, seed)
-	return directory, trace.Wrap(os.MkdirAll(directory, 0o700))
-}
--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -253,20 +253,20 @@
 
 // announce keeps the own entry in the store.
 func (c *Controller) announce(ctx context.Context) {
-	retry := writeRetry
+	backoff := pause.Backoff{First: writeRetry, Longest: maxWriteRetry}
 	for ctx.Err() == nil {
 		changed := c.config.Board.Changed()
 		done, err := c.tend(ctx)
 		switch {
 		case err != nil && ctx.Err() == nil:
 			c.config.Log.Emit(time.Now(), events.EntryUnwritten, events.Fields{"error": err.Error()})
-			pause.For(ctx, retry)
-			retry = min(2*retry, maxWriteRetry)
-			continue
+			backoff.Wait(ctx)
 		case done:
+			backoff.Reset()
 			waitFor(ctx, changed, lookEvery)
+		default:
+			backoff.Reset()
 		}
-		retry = writeRetry
 	}
 }
 
--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -40,12 +40,13 @@
 	after  uint64
 	listed bool
 	lost   bool
-	retry  time.Duration
+	// backoff is the pause after calls that fail.
+	backoff pause.Backoff
 }
 
 // NewFollower returns a follower that knows nothing.
 func NewFollower(config FollowerConfig) *Follower {
-	return &Follower{config: config, retry: firstRetry}
+	return &Follower{config: config, backoff: pause.Backoff{First: firstRetry, Longest: maxRetry}}
 }
 
 // Run follows until the context ends.
@@ -107,12 +108,11 @@
 		f.lost = true
 		f.config.Lost(err)
 	}
-	pause.For(ctx, f.retry)
-	f.retry = min(2*f.retry, maxRetry)
+	f.backoff.Wait(ctx)
 }
 
 func (f *Follower) succeeded() {
-	f.retry = firstRetry
+	f.backoff.Reset()
 	if f.lost {
 		f.lost = false
 		f.config.Back()
--- a/internal/decide/routing/set.go
+++ b/internal/decide/routing/set.go
@@ -135,10 +135,10 @@
 	if c.counts[healthy] == c.counts[near] {
 		return own
 	}
+	far := s.farMarkup(now, r)
 	for range spillTries {
 		other := s.pick(now, random, r, healthy, c.counts[healthy])
 		mean := other.mean(r)
-		far := s.farMarkup(now, r)
 		switch {
 		case other.Member.Zone == s.config.Zone:
 		case mean == 0 && random.Float64() < exploredPart:
--- a/internal/decide/throttle/throttle_test.go
+++ b/internal/decide/throttle/throttle_test.go
@@ -179,20 +179,17 @@
 
 // What was refused in a rush says nothing about the few requests that come after it.
 func TestFewRequestsAfterARushAreAdmitted(t *testing.T) {
-	for name, test := range map[string]struct {
-		perSecond float64
-		// rest is how long after the rush the requests are counted.
-		rest time.Duration
-	}{
-		"at half of what can be done": {20, time.Second},
-		"at a tenth of it":            {4, time.Second},
+	const rest = time.Second // between the rush and them
+	for name, perSecond := range map[string]float64{
+		"at half of what can be done": 20,
+		"at a tenth of it":            4,
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			th, c := throttle.New(throttle.DefaultConfig), &capacity{perSecond: 40}
 			drive(th, c, start, 3*time.Second, map[string]source{"crowd": {perSecond: 200}})
-			after := start.Add(3*time.Second + test.rest)
-			sum := drive(th, c, after, 2*time.Second, map[string]source{"later": {perSecond: test.perSecond}})["later"]
+			after := start.Add(3*time.Second + rest)
+			sum := drive(th, c, after, 2*time.Second, map[string]source{"later": {perSecond: perSecond}})["later"]
 			is.Equal(sum.admitted, sum.offered)
 		})
 	}
--- a/internal/process/pause/pause.go
+++ b/internal/process/pause/pause.go
@@ -32,3 +32,21 @@
 func Until(ctx context.Context, t time.Time) bool {
 	return For(ctx, time.Until(t))
 }
+
+// Backoff is the wait after failures in a row: First after the first one, and twice as long after each further one, up to
+// Longest. A Backoff is not safe for concurrent use.
+type Backoff struct {
+	First, Longest time.Duration
+
+	next time.Duration
+}
+
+// Wait waits after a failure and reports false where the context ends before.
+func (b *Backoff) Wait(ctx context.Context) bool {
+	d := max(b.next, b.First)
+	b.next = min(2*d, b.Longest)
+	return For(ctx, d)
+}
+
+// Reset forgets the failures, after a success.
+func (b *Backoff) Reset() { b.next = 0 }
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -82,6 +82,7 @@
 	loop     *board.Loop
 	gate     *backend.Gate
 	pool     *peer.Pool
+	peers    *peer.Client
 	packer   *peer.Packer
 	local    *local.Server
 	receiver *flow.Receiver
@@ -157,6 +158,7 @@
 	pool := parts.PoolConfig(s)
 	pool.Packer = n.packer
 	n.pool = peer.NewPool(pool)
+	n.peers = peer.NewClient(n.pool, s.Node.Name)
 	client := backend.NewClient(backend.ClientConfig{
 		MaxBody:  s.Caller.MaxBody,
 		Presence: presence,
@@ -166,7 +168,7 @@
 	n.quarantine = flow.NewQuarantine(flow.QuarantineConfig{
 		Table: parts.QuarantineConfig(s),
 		Board: n.loop,
-		Peers: peer.NewClient(n.pool, s.Node.Name),
+		Peers: n.peers,
 		Log:   n.config.Log,
 	})
 	n.receiver = flow.NewReceiver(flow.ReceiverConfig{
@@ -190,10 +192,10 @@
 }
 
 func (n *Node) buildSender(s *settings.Settings) {
-	n.reach = flow.NewReach(flow.ReachConfig{Board: n.loop, Peers: peer.NewClient(n.pool, s.Node.Name), Log: n.limiter})
+	n.reach = flow.NewReach(flow.ReachConfig{Board: n.loop, Peers: n.peers, Log: n.limiter})
 	n.sender = flow.NewSender(flow.SenderConfig{
 		Board:       n.loop,
-		Peers:       peer.NewClient(n.pool, s.Node.Name),
+		Peers:       n.peers,
 		Receiver:    n.fenced,
 		Budgets:     flow.NewBudgets(retryBudget),
 		Routing:     routing.DefaultConfig(s.Node.Name, s.Node.Zone),
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -49,15 +49,18 @@
 	config RoutedConfig
 
 	// usual are the times that calls of each kind take without what they wait.
-	usual *usualTimes
+	usual *call.UsualTimes[string]
 
 	mu      sync.Mutex
 	numbers map[string]*atomic.Uint64
 }
 
+// maxUsual bounds the kinds whose usual time is known.
+const maxUsual = 1024
+
 // NewRouted returns a handler.
 func NewRouted(config RoutedConfig) *Routed {
-	return &Routed{config: config, usual: newUsualTimes(), numbers: map[string]*atomic.Uint64{}}
+	return &Routed{config: config, usual: call.NewUsualTimes[string](maxUsual), numbers: map[string]*atomic.Uint64{}}
 }
 
 // answerGrace is how long the answer of another node is waited for after the deadline. That node gives up the request at the
@@ -110,12 +113,12 @@
 	}
 	inheritFrom(request, parent)
 	request.Attempts = call.NewAttempts(request.AttemptsLeft)
-	child := parent.BeginChild(time.Now(), h.usual.of(request.Kind))
+	child := parent.BeginChild(time.Now(), h.usual.Of(request.Kind))
 	reply := h.config.Sender.Send(ctx, request)
 	parent.EndChild(time.Now(), child)
 	parent.NoteReply(&reply)
 	if reply.Failure() == call.ReasonNone {
-		h.usual.learn(request.Kind, time.Since(request.Entered)-reply.Waited)
+		h.usual.Learn(request.Kind, time.Since(request.Entered)-reply.Waited)
 	}
 	return reply
 }
--- a/internal/traffic/flow/pace.go
+++ b/internal/traffic/flow/pace.go
@@ -1,8 +1,9 @@
 package flow
 
 import (
-	"sync"
 	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
 const (
@@ -13,8 +14,6 @@
 	maxProgressBound = 2 * time.Second
 	// usualFactor is how many times its usual time an answer may take before the question.
 	usualFactor = 2
-	// paceWeight is the part that one answer has in the usual time.
-	paceWeight = 0.1
 )
 
 // workKind names one kind of work of one service.
@@ -25,28 +24,19 @@
 
 // paces knows how long answers usually take, so that work that always takes long is not asked about each time.
 type paces struct {
-	mu     sync.Mutex
-	byKind map[workKind]time.Duration
+	usual *call.UsualTimes[workKind]
 }
 
 func newPaces() *paces {
-	return &paces{byKind: map[workKind]time.Duration{}}
+	return &paces{usual: call.NewUsualTimes[workKind](0)} // documents and routes bound the kinds
 }
 
 // learn takes in the time of one answer.
 func (p *paces) learn(k workKind, took time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	usual, known := p.byKind[k]
-	if !known {
-		usual = took
-	}
-	p.byKind[k] = usual + time.Duration(paceWeight*float64(took-usual))
+	p.usual.Learn(k, took)
 }
 
 // bound returns how long an answer may take before it is asked about.
 func (p *paces) bound(k workKind) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return min(max(progressBound, usualFactor*p.byKind[k]), maxProgressBound)
+	return min(max(progressBound, usualFactor*p.usual.Of(k)), maxProgressBound)
 }
