Ports of a test fleet are free beside processes that start; a backend server that can't run is reported

Cause: the log has no announcement of its backend server, and that server's error was dropped. Its port was taken: a process that another test starts at that moment holds copies of all sockets until its program begins, and so of the listeners with which free ports are found. Ruled out: outgoing connections (ports below their range), another fleet on the same addresses (node 0 had the same ports as all others).

Now no process starts while ports are looked for, the stand-in tries again for a second (after its own crash), and a fleet whose backend server can't run fails at once with the reason.

--- a/internal/lab/fleet/address.go
+++ b/internal/lab/fleet/address.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
@@ -45,8 +46,11 @@
 	lastPort  = 32000
 )
 
-// freeAddresses returns addresses on the IP whose ports were free a moment ago.
+// freeAddresses returns addresses on the IP whose ports were free a moment ago. No process is started meanwhile: until its program
+// begins, it would hold copies of the sockets and so keep the ports.
 func freeAddresses(ip string, count int) ([]string, error) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	var addresses []string
 	for port := firstPort; port <= lastPort && len(addresses) < count; port++ {
 		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
--- a/internal/lab/fleet/address_test.go
+++ b/internal/lab/fleet/address_test.go
@@ -1,11 +1,17 @@
 package fleet
 
 import (
+	"context"
 	"net"
+	"os/exec"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 )
 
 // Outgoing connections from a node's IP never take the port of a node that has not started yet.
@@ -28,3 +34,31 @@
 		is.True(number < lowestOutgoing)
 	}
 }
+
+// Pattern: tests that start processes side by side. A process that is being started holds copies of all sockets for a moment.
+func TestPortsAreFreeWhileProcessesStart(t *testing.T) {
+	is := is.New(t)
+	const ip = "127.251.251.2"
+	ctx, stop := context.WithCancel(t.Context())
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer stop()
+	for range 4 {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				_ = exec.Command("true").Run()
+			}
+		})
+	}
+	for range 100 {
+		addresses, err := freeAddresses(ip, 5)
+		is.NoErr(err)
+		l, err := net.Listen("tcp", addresses[4])
+		is.NoErr(err)
+		is.NoErr(l.Close())
+		pause.For(ctx, settleAfterClose)
+	}
+}
+
+// settleAfterClose lets processes that were being started while the test itself closed a listener begin.
+const settleAfterClose = 10 * time.Millisecond
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -113,10 +113,13 @@
 // readyPoll is the time between looks at a node that is not ready.
 const readyPoll = 50 * time.Millisecond
 
-// WaitReady waits until every node knows every other.
+// WaitReady waits until every node knows every other. It fails at once where a backend server could not run.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for _, n := range f.Nodes {
 		for !f.ready(ctx, n) {
+			if err := n.serverFailed(); err != nil {
+				return trace.Wrap(err, "backend server of node %s", n.Name)
+			}
 			select {
 			case <-ctx.Done():
 				return trace.LimitExceeded("node %s is not ready: %v", n.Name, ctx.Err())
@@ -190,7 +193,7 @@
 			return trace.Wrap(err)
 		}
 	}
-	f.group.Go(func() { _ = n.Server.Run(ctx) })
+	f.group.Go(func() { n.serverEnded(n.Server.Run(ctx)) })
 	return nil
 }
 
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"io"
 	"os/exec"
 	"sync"
@@ -30,6 +31,26 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
+	// failed is why the backend server could not run, if it could not.
+	failed error
+}
+
+func (n *Node) serverEnded(err error) {
+	if err == nil {
+		return
+	}
+	if n.output != nil {
+		_, _ = fmt.Fprintf(n.output, "backend server of node %s: %v\n", n.Name, err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.failed = err
+}
+
+func (n *Node) serverFailed() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.failed
 }
 
 // Start starts the node's process, for the first time or after it ended.
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -154,7 +154,7 @@
 }
 
 func (s *Server) serve(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.config.Address)
+	listener, err := s.listen(ctx)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -176,6 +176,24 @@
 	return nil
 }
 
+const (
+	// listenWithin is how long the server waits for its port. After a crash, a process that is being started at the same moment may
+	// hold the port still.
+	listenWithin = time.Second
+	// listenAgain is the time between trials.
+	listenAgain = 5 * time.Millisecond
+)
+
+func (s *Server) listen(ctx context.Context) (net.Listener, error) {
+	begun := time.Now()
+	for {
+		l, err := net.Listen("tcp", s.config.Address)
+		if err == nil || time.Since(begun) > listenWithin || !pause.For(ctx, listenAgain) {
+			return l, trace.Wrap(err)
+		}
+	}
+}
+
 func (s *Server) begin(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
