A zone's load is no reason to send many calls across

The instances were compared by requests ahead for their capacity, where an idle one is cheaper than a half busy one however quick that is. Now one of another zone needs room and a time of at most half as much again. TestBusyZonesTakeWhatWouldCross failed before (0.00 crossed, now 0.96).

--- a/internal/decide/routing/crossing.go
+++ b/internal/decide/routing/crossing.go
@@ -59,7 +59,7 @@
 // mostMoved is the largest part of the requests that moves; the others show when their calls no longer cross.
 const mostMoved = 0.98
 
-// slowerFar is how many times the time at an instance of the own zone one of another may take that saves bytes.
+// slowerFar is how many times as long as at an instance of the own zone requests may take at one of another that saves bytes.
 const slowerFar = 1.5
 
 // crossesLess returns an instance of another availability zone where the calls of the request cross between zones so much
@@ -70,8 +70,16 @@
 	if random.Float64() >= min(own.farShare.of(now, r.Kind), mostMoved) {
 		return nil
 	}
-	quickEnough := markup{factor: 1 / slowerFar}
 	return s.pickElsewhere(now, random, r, func(i *Instance) bool {
-		return below-crossing > i.farBelow.of(now, r.Kind) && i.isCheaper(now, r, own, quickEnough)
+		return below-crossing > i.farBelow.of(now, r.Kind) && i.isQuickEnough(now, r, own)
 	})
 }
+
+// isQuickEnough reports whether the instance has room and takes little longer than the other one.
+func (i *Instance) isQuickEnough(now time.Time, r Request, other *Instance) bool {
+	if i.ahead(r.Rank)+1 > i.config.SpillFrom*i.capacity(now) {
+		return false
+	}
+	a, b, ok := i.latencies.common(now, work{rank: r.Rank, kind: r.Kind}, i.config.Fade, &other.latencies)
+	return !ok || i.delay(now, a) < slowerFar*other.delay(now, b)
+}
--- a/internal/decide/routing/crossing_test.go
+++ b/internal/decide/routing/crossing_test.go
@@ -58,6 +58,31 @@
 	}
 }
 
+// Pattern: the zone that lacks something is idle and the others are busy. As long as these are quick, their load is no reason to
+// send many calls across; where they are full, it is.
+func TestBusyZonesTakeWhatWouldCross(t *testing.T) {
+	for name, test := range map[string]struct {
+		inFlight    int
+		took        time.Duration
+		least, most float64
+	}{
+		"half busy": {slots / 2, 25 * time.Millisecond, 0.95, 1},
+		"slow":      {slots / 2, 50 * time.Millisecond, 0, 0.1},
+		"full":      {slots, 25 * time.Millisecond, 0, 0.1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			part := farPart(func(node string) routing.Sample {
+				if node == "node_0" {
+					return routing.Sample{Took: 20 * time.Millisecond, Bytes: 800, FarBytesBelow: 4000, Load: routing.Load{Limit: slots}}
+				}
+				return routing.Sample{Took: test.took, Bytes: 800, Load: routing.Load{InFlight: test.inFlight, Limit: slots}}
+			}, 0, routing.Request{Kind: "ledger", IsCall: true})
+			t.Logf("%.2f crossed", part)
+			is.New(t).True(part >= test.least && part <= test.most)
+		})
+	}
+}
+
 // Pattern: the own zone has too little of the service at the end of a chain, and the calls of some requests cross. Only so many
 // requests cross instead, not all.
 func TestSomeRequestsCrossWhereSomeCallsWould(t *testing.T) {
