Requests that another zone has no room for get what is left, and a zone's own bounded instances are asked first

One refusal for waiting calls kept the own zone's instance away for 100 ms, in which several places there were free again; the other zone took the request in the place of its own.

Such a refusal now has a reason of its own (calls_wait). Instances that gave it are asked after others of their zone and before those of other zones; one of another zone isn't asked twice in 200 ms by what was refused already. A request that spilled over, of a zone that has instances itself, runs only up to four fifths of a bound; one of a zone without any counts like the own ones.

--- a/internal/decide/routing/instance.go
+++ b/internal/decide/routing/instance.go
@@ -20,6 +20,8 @@
 	Failed
 	// Shed means that requests of this rank and of less urgent ones are refused.
 	Shed
+	// Bounded means that as many requests of the kind run as may, because their calls wait further down.
+	Bounded
 )
 
 // Load is what an instance reports about itself. It lags.
@@ -73,6 +75,8 @@
 	failures     int
 	ejectedUntil time.Time
 	ejection     Ejection
+	// boundedUntil is for how long a refusal says that requests of the kind are bounded.
+	boundedUntil map[string]time.Time
 	lastShed     ShedEvidence
 	sheddingRank int
 	shedUntil    time.Time
@@ -89,7 +93,7 @@
 	if s.Load.Limit > 0 {
 		i.load = s.Load
 	}
-	if s.Result != Shed {
+	if s.Result != Shed && s.Result != Bounded {
 		i.sizes.learn(now, s.Kind, float64(s.Bytes))
 		i.farBelow.learn(now, s.Kind, float64(s.FarBytesBelow))
 		i.farShare.learn(now, s.Kind, sharePart(s.FarBytesBelow))
@@ -114,9 +118,28 @@
 			i.shedUntil = now.Add(i.config.LeavingTime)
 		}
 		i.lastShed = ShedEvidence{Reason: ShedReply, Told: s.Reason, At: now}
+	case Bounded:
+		i.noteBounded(now, s.Kind)
 	}
 }
 
+func (i *Instance) noteBounded(now time.Time, kind string) {
+	if i.boundedUntil == nil || len(i.boundedUntil) >= maxKinds {
+		i.boundedUntil = map[string]time.Time{}
+	}
+	i.boundedUntil[kind] = now.Add(i.config.BoundedTime)
+}
+
+// isBounded reports whether the instance lately refused the request's kind because calls wait further down.
+func (i *Instance) isBounded(now time.Time, r Request) bool {
+	return !r.IsCall && now.Before(i.boundedUntil[r.Kind])
+}
+
+// takesWork reports whether the instance answers and takes requests of some rank.
+func (i *Instance) takesWork(now time.Time) bool {
+	return !i.Lost && !i.isEjected(now) && !i.sheds(now, 0)
+}
+
 // sharePart is what a request adds to the part of those whose calls cross between availability zones.
 func sharePart(farBytesBelow int64) float64 {
 	if farBytesBelow > 0 {
--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -63,6 +63,8 @@
 	UnconfirmedEjection time.Duration
 	// SheddingTime is how long a shed request keeps others of its rank away.
 	SheddingTime time.Duration
+	// BoundedTime is how long an instance that refused a kind of request because calls wait further down is asked after others.
+	BoundedTime time.Duration
 	// LeavingTime is how long an instance that takes nothing is kept away from. It may not be able to say so to all.
 	LeavingTime time.Duration
 	// Fade is the time constant with which latency and errors are forgotten.
@@ -93,6 +95,7 @@
 		UnconfirmedEjection: 10 * time.Second,
 
 		SheddingTime: 100 * time.Millisecond,
+		BoundedTime:  200 * time.Millisecond,
 		LeavingTime:  time.Second,
 		Fade:         2 * time.Second,
 		FailureCost:  time.Second,
--- a/internal/decide/routing/set.go
+++ b/internal/decide/routing/set.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Set is what one sender knows of the instances of one service.
 type Set struct {
@@ -63,6 +66,9 @@
 const (
 	// near are the healthy instances of the own zone that seldom fail.
 	near tier = iota
+	// nearBounded are those of the own zone that lately had no room for the kind. They may have again: a place is free as soon as
+	// one request has ended.
+	nearBounded
 	// healthy are all that are neither ejected nor shedding.
 	healthy
 	// alive may be shedding.
@@ -185,12 +191,33 @@
 		return untried
 	case i.sheds(now, r.Rank):
 		return alive
+	case i.isBounded(now, r):
+		return s.boundedTier(r, i)
 	case i.Member.Zone != s.config.Zone || i.isFailing(now):
 		return healthy
 	}
 	return near
 }
 
+// boundedTier returns the tier of an instance that lately had no room for the kind. One of another zone isn't asked again by a
+// request that was refused already.
+func (s *Set) boundedTier(r Request, i *Instance) tier {
+	switch {
+	case i.Member.Zone == s.config.Zone:
+		return nearBounded
+	case len(r.Tried) > 0:
+		return tiers
+	}
+	return alive
+}
+
+// HasNear reports whether an instance of the own zone takes work.
+func (s *Set) HasNear(now time.Time) bool {
+	return slices.ContainsFunc(s.instances, func(i *Instance) bool {
+		return i.Member.Zone == s.config.Zone && i.takesWork(now)
+	})
+}
+
 // isFull reports whether the own zone is used so far that others are worth a look.
 func (c *survey) isFull(spillFrom float64) bool {
 	return c.nearAhead+1 > spillFrom*c.nearCapacity
--- a/internal/decide/trees/trees.go
+++ b/internal/decide/trees/trees.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	start, ok := limits.Begin(now, kind)
+//	start, ok := limits.Begin(now, trees.Offer{Kind: kind})
 //	if !ok { ... refuse ... }
 //	limits.End(now, start, trees.Sample{Took: took, Waited: waited, Calls: calls})
 //
@@ -30,6 +30,8 @@
 	IdleGrowth float64
 	// Headroom is how many requests more than a request tells the bound goes for.
 	Headroom float64
+	// SpilledPart is the part of the bound up to which requests may run that another availability zone had no room for.
+	SpilledPart float64
 	// Gain is the part of the way that the bound goes while as many requests end as it holds.
 	Gain float64
 	// UsedTime is how long ago the bound was reached at most for it to count as used.
@@ -47,8 +49,11 @@
 	Wait:       0.15,
 	IdleGrowth: 0.6,
 	Headroom:   1,
-	Gain:       1,
-	UsedTime:   150 * time.Millisecond,
+
+	SpilledPart: 0.8,
+
+	Gain:     1,
+	UsedTime: 150 * time.Millisecond,
 }
 
 // Sample is what a finished request showed.
@@ -111,17 +116,29 @@
 	beside int
 }
 
-// Begin counts a request that starts, or reports false where the bound of its kind is reached.
-func (l *Limits) Begin(now time.Time, kind string) (Start, bool) {
-	k := l.kind(kind)
-	if float64(k.inFlight+1) >= k.value {
+// Offer is a request that asks to start.
+type Offer struct {
+	Kind string
+	// Spilled says that another availability zone, which has instances of its own, had no room for it.
+	Spilled bool
+}
+
+// Begin counts a request that starts, or reports false where the bound of its kind is reached. Where all zones are overloaded, one that
+// spilled over from another zone would only take the place of one that costs no bytes between zones.
+func (l *Limits) Begin(now time.Time, o Offer) (Start, bool) {
+	k := l.kind(o.Kind)
+	bound := k.value
+	if o.Spilled {
+		bound *= l.config.SpilledPart
+	}
+	if float64(k.inFlight+1) >= bound {
 		k.usedAt = now
 	}
-	if (k.calls || !k.seen) && float64(k.inFlight+1) > k.value {
+	if (k.calls || !k.seen) && float64(k.inFlight+1) > bound {
 		return Start{}, false
 	}
 	k.inFlight++
-	return Start{kind: kind, beside: k.inFlight}, true
+	return Start{kind: o.Kind, beside: k.inFlight}, true
 }
 
 // Cancel takes back a Begin whose request did not start.
--- a/internal/decide/trees/trees_test.go
+++ b/internal/decide/trees/trees_test.go
@@ -45,7 +45,7 @@
 func (c *circle) tick(arrivals int) {
 	c.now = c.now.Add(step)
 	for range arrivals {
-		start, ok := c.limits.Begin(c.now, "sheet")
+		start, ok := c.limits.Begin(c.now, trees.Offer{Kind: "sheet"})
 		if !ok {
 			c.refused++
 			continue
@@ -129,12 +129,12 @@
 	limits := trees.NewLimits(trees.DefaultConfig)
 	now := time.Now()
 	for range 100 {
-		start, ok := limits.Begin(now, "browse")
+		start, ok := limits.Begin(now, trees.Offer{Kind: "browse"})
 		is.True(ok)
 		limits.End(now, start, trees.Sample{Took: time.Second})
 	}
 	for range 100 {
-		_, ok := limits.Begin(now, "browse")
+		_, ok := limits.Begin(now, trees.Offer{Kind: "browse"})
 		is.True(ok)
 	}
 }
@@ -146,7 +146,7 @@
 	now := time.Now()
 	for range 50 {
 		now = now.Add(200 * time.Millisecond)
-		start, ok := limits.Begin(now, "sheet")
+		start, ok := limits.Begin(now, trees.Offer{Kind: "sheet"})
 		is.True(ok)
 		limits.End(now, start, trees.Sample{Took: 100 * time.Millisecond, Waited: 90 * time.Millisecond, Calls: 1})
 	}
@@ -155,7 +155,7 @@
 	var running []trees.Start
 	for range 500 { // 5 s, in which the fleet is to be back
 		now = now.Add(10 * time.Millisecond)
-		for start, ok := limits.Begin(now, "sheet"); ok; start, ok = limits.Begin(now, "sheet") {
+		for start, ok := limits.Begin(now, trees.Offer{Kind: "sheet"}); ok; start, ok = limits.Begin(now, trees.Offer{Kind: "sheet"}) {
 			running = append(running, start)
 		}
 		ended := (len(running) + 9) / 10 // each takes 100 ms
@@ -167,3 +167,35 @@
 	high, _ := limits.Value("sheet")
 	is.True(high >= trees.DefaultConfig.Initial)
 }
+
+// Pattern: all zones are overloaded, and send each other what they can't run. A zone's own requests go first, so that requests
+// don't change places between zones; where a zone has room, those of others get it.
+func TestOwnRequestsGoBeforeThoseOfOtherZones(t *testing.T) {
+	for name, test := range map[string]struct {
+		own         int
+		least, most int
+	}{
+		"own ones fill it":   {40, 0, 0},
+		"half of it is free": {10, 5, 6},
+		"all of it is free":  {0, 16, 16},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			config := trees.DefaultConfig
+			config.Initial, config.SpilledPart = 20, 0.8
+			limits := trees.NewLimits(config)
+			now := time.Now()
+			for range test.own {
+				limits.Begin(now, trees.Offer{Kind: "sheet"})
+			}
+			far := 0
+			for range 40 {
+				if _, ok := limits.Begin(now, trees.Offer{Kind: "sheet", Spilled: true}); ok {
+					far++
+				}
+			}
+			is.True(far >= test.least)
+			is.True(far <= test.most)
+		})
+	}
+}
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -86,6 +86,8 @@
 	NewConnection bool
 	// IsFar says that the attempt goes to another availability zone; it is not passed on.
 	IsFar bool
+	// Spilled says that the sender's own zone has instances of the service, and that the attempt goes to another zone.
+	Spilled bool
 	// Crashes is how many backend servers crashed, as far as the sender knows, while they ran the request.
 	Crashes int
 	// SourceNode is the node that sent the request here; empty at the entry.
--- a/internal/traffic/call/reason.go
+++ b/internal/traffic/call/reason.go
@@ -16,6 +16,7 @@
 	ReasonBadKey          Reason = "bad_key"
 	ReasonKeyReused       Reason = "key_reused"
 	ReasonOverload        Reason = "overload"
+	ReasonCallsWait       Reason = "calls_wait"
 	ReasonQueueTimeout    Reason = "queue_timeout"
 	ReasonDeadline        Reason = "deadline"
 	ReasonNoInstance      Reason = "no_instance"
@@ -54,6 +55,7 @@
 	ReasonBadKey:          {Status: http.StatusBadRequest, Final: true, Text: "The Idempotency-Key header is malformed."},
 	ReasonKeyReused:       {Status: http.StatusUnprocessableEntity, Final: true, Text: "The key was used before with another request."},
 	ReasonOverload:        {Status: http.StatusServiceUnavailable, Text: "The backend server has more urgent work than it can run."},
+	ReasonCallsWait:       {Status: http.StatusServiceUnavailable, Text: "The calls of the requests that run already have to wait further down."},
 	ReasonQueueTimeout:    {Status: http.StatusServiceUnavailable, Text: "The request waited too long for a free slot."},
 	ReasonDeadline:        {Status: http.StatusServiceUnavailable, Final: true, Text: "The deadline leaves no time to run the request."},
 	ReasonNoInstance:      {Status: http.StatusServiceUnavailable, Text: "No instance of the service is known or reachable."},
--- a/internal/traffic/flow/entry.go
+++ b/internal/traffic/flow/entry.go
@@ -110,7 +110,7 @@
 	switch reply.Cause() {
 	case call.ReasonNone:
 		return throttle.Accepted
-	case call.ReasonOverload, call.ReasonQueueTimeout, call.ReasonBackendShed:
+	case call.ReasonOverload, call.ReasonCallsWait, call.ReasonQueueTimeout, call.ReasonBackendShed:
 		return throttle.Refused
 	}
 	return throttle.Neutral
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -82,11 +82,11 @@
 }
 
 func (s *Sender) send(ctx context.Context, r *call.Request) call.Reply {
-	t := &trial{}
+	t := newTrial()
 	for {
 		target, ok := s.choose(r, t.tried)
 		if !ok {
-			return t.end(call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry))
+			return t.end(t.last)
 		}
 		lent := r.Attempts.Lend()
 		reply := s.attempt(ctx, target, r, lent)
@@ -141,10 +141,17 @@
 	farBytes int64
 	// mayHaveRun says that an attempt ran, or may have.
 	mayHaveRun bool
+	// last is the reply to the last attempt, or what is said where there is nobody to send one to.
+	last call.Reply
+}
+
+func newTrial() *trial {
+	return &trial{last: call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetry)}
 }
 
 func (t *trial) note(node string, reply call.Reply) {
 	t.tried = append(t.tried, node)
+	t.last = reply
 	t.used += reply.AttemptsUsed
 	t.waited += reply.Waited
 	t.farBytes += reply.FarBytes
@@ -171,11 +178,12 @@
 func (s *Sender) choose(r *call.Request, tried []string) (membership.Member, bool) {
 	b := s.config.Board.Snapshot()
 	members := b.Members.ByService[r.Service]
-	node, ok := s.views.choose(r.Service, members, time.Now(), routing.Request{Rank: r.Root.Rank, Kind: r.Kind, IsCall: r.Depth > 0, Target: r.Target, Tried: tried})
+	chosen, ok := s.views.choose(r.Service, members, time.Now(), routing.Request{Rank: r.Root.Rank, Kind: r.Kind, IsCall: r.Depth > 0, Target: r.Target, Tried: tried})
 	if !ok {
 		return membership.Member{}, false
 	}
-	return b.Members.ByNode[node], true
+	r.Spilled = chosen.spilled
+	return b.Members.ByNode[chosen.node], true
 }
 
 func (s *Sender) attempt(ctx context.Context, target membership.Member, r *call.Request, attemptsLeft int) call.Reply {
--- a/internal/traffic/flow/trees.go
+++ b/internal/traffic/flow/trees.go
@@ -28,10 +28,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.limits.Announce(slots)
-	if start, ok := t.limits.Begin(time.Now(), r.Kind); ok {
+	if start, ok := t.limits.Begin(time.Now(), trees.Offer{Kind: r.Kind, Spilled: r.Spilled}); ok {
 		return start, call.Reply{}, true
 	}
-	return trees.Start{}, call.Refused(call.NotRun, call.ReasonOverload, backend.Jittered(t.limits.RetryAfter(r.Kind))), false
+	return trees.Start{}, call.Refused(call.NotRun, call.ReasonCallsWait, backend.Jittered(t.limits.RetryAfter(r.Kind))), false
 }
 
 // bound returns how many root requests of the kind may run, and whether that holds.
@@ -82,7 +82,7 @@
 // isShort reports whether a call failed for want of room. One that ran out of time may just have worked for long.
 func isShort(reason call.Reason) bool {
 	switch reason {
-	case call.ReasonOverload, call.ReasonQueueTimeout, call.ReasonBackendShed:
+	case call.ReasonOverload, call.ReasonCallsWait, call.ReasonQueueTimeout, call.ReasonBackendShed:
 		return true
 	}
 	return false
--- a/internal/traffic/flow/views.go
+++ b/internal/traffic/flow/views.go
@@ -29,15 +29,26 @@
 	return &views{config: config, byService: map[string]*serviceView{}, byNode: map[string]*routing.Instance{}}
 }
 
+// choice is the node that gets a request.
+type choice struct {
+	node string
+	// spilled says that it is in another availability zone, though there are instances in the own one.
+	spilled bool
+}
+
 // choose returns the node that gets a request of the rank.
-func (v *views) choose(service string, members []membership.Member, now time.Time, r routing.Request) (string, bool) {
+func (v *views) choose(service string, members []membership.Member, now time.Time, r routing.Request) (choice, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	instance, ok := v.set(service, members, now).Choose(now, globalRandom{}, r)
+	set := v.set(service, members, now)
+	instance, ok := set.Choose(now, globalRandom{}, r)
 	if !ok {
-		return "", false
+		return choice{}, false
 	}
-	return instance.Member.Node, true
+	return choice{
+		node:    instance.Member.Node,
+		spilled: instance.Member.Zone != v.config.Zone && set.HasNear(now),
+	}, true
 }
 
 // count returns how many instances of the service are in use.
@@ -104,6 +115,8 @@
 	switch reply.Failure() {
 	case call.ReasonNone:
 		return routing.Good
+	case call.ReasonCallsWait:
+		return routing.Bounded
 	case call.ReasonOverload, call.ReasonQueueTimeout, call.ReasonDraining, call.ReasonNoInstance, call.ReasonBackendShed:
 		return routing.Shed
 	case call.ReasonPeerSilent:
--- a/internal/traffic/flow/views_test.go
+++ b/internal/traffic/flow/views_test.go
@@ -43,9 +43,9 @@
 	_, ok := v.choose("a", members.ByService["a"], now, routing.Request{})
 	is.True(ok)
 	is.Equal(len(v.byNode), 2)
-	node, ok := v.choose("a", members.ByService["a"][1:], now, routing.Request{})
+	chosen, ok := v.choose("a", members.ByService["a"][1:], now, routing.Request{})
 	is.True(ok)
-	is.Equal(node, "two")
+	is.Equal(chosen.node, "two")
 	is.Equal(len(v.byNode), 1)
 	v.begin("one", 0) // an attempt of before is nobody's any more
 	v.end("one", now, now, &call.Request{}, call.Reply{})
@@ -54,3 +54,34 @@
 	is.True(!ok)
 	is.Equal(len(v.byNode), 0)
 }
+
+// A request is spilled over where its own zone has instances that take work, and not where it has none.
+func TestSpilledRequests(t *testing.T) {
+	for name, test := range map[string]struct {
+		own    []membership.Member
+		leaves bool
+		want   bool
+	}{
+		"own zone has room for others": {own: []membership.Member{{Node: "near", Zone: "z"}}, want: true},
+		"own zone's instance leaves":   {own: []membership.Member{{Node: "near", Zone: "z"}}, leaves: true},
+		"own zone has none":            {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := newViews(routing.DefaultConfig("sender", "z"))
+			now := time.Unix(1_000_000, 0)
+			members := append(test.own, membership.Member{Node: "far", Zone: "y"})
+			request := routing.Request{Kind: "sheets", Tried: []string{"near"}}
+			_, ok := v.choose("a", members, now, request)
+			is.True(ok)
+			reason := call.ReasonCallsWait
+			if test.leaves {
+				reason = call.ReasonDraining
+			}
+			v.end("near", now, now, &call.Request{Kind: "sheets"}, call.Refused(call.NotRun, reason, 0))
+			chosen, ok := v.choose("a", members, now, request)
+			is.True(ok)
+			is.Equal(chosen, choice{node: "far", spilled: test.want})
+		})
+	}
+}
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -51,6 +51,7 @@
 		AgeMicros:           now.Sub(r.Entered).Microseconds(),
 		Resent:              r.Resent,
 		TargetIncarnation:   r.TargetIncarnation,
+		Spilled:             r.Spilled,
 	}
 }
 
@@ -93,6 +94,7 @@
 		Resent:       m.GetResent(),
 
 		TargetIncarnation: m.GetTargetIncarnation(),
+		Spilled:           m.GetSpilled(),
 	}, nil
 }
 
