The most urgent requests that a backend server sheds get another turn, within a budget of the gate

The retries of the entries are earned by successes, and the calls of less urgent requests, ten times as many, spent them. The gate beside the backend server sees all requests for it: a twelfth of them is a bound for the fleet, and three quarters of what is kept there is for the most urgent that came lately.

--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -170,6 +170,11 @@
 	return g.demand.sheddingRank(now)
 }
 
+// IsMoreUrgentPresent reports whether work of a more urgent rank was offered lately.
+func (g *Gate) IsMoreUrgentPresent(now time.Time, rank int) bool {
+	return g.demand.moreUrgentPresent(now, rank)
+}
+
 // Totals returns the counts since the start.
 func (g *Gate) Totals() Totals {
 	return g.totals
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -58,7 +58,7 @@
 
 // BudgetConfig sets a Budget up.
 type BudgetConfig struct {
-	// PerSuccess is how much of an attempt each success earns.
+	// PerSuccess is how much of an attempt each success earns, or with Turns each request.
 	PerSuccess float64
 	// Max is the most that is kept.
 	Max float64
@@ -82,7 +82,12 @@
 
 // Take spends one retry and reports whether there was one.
 func (b *Budget) Take() bool {
-	if b.tokens < 1 {
+	return b.TakeAbove(0)
+}
+
+// TakeAbove spends one retry where so many are left after it, and reports whether they are.
+func (b *Budget) TakeAbove(reserve float64) bool {
+	if b.tokens < 1+reserve {
 		return false
 	}
 	b.tokens--
--- a/internal/decide/retry/turn.go
+++ b/internal/decide/retry/turn.go
@@ -2,6 +2,35 @@
 
 import "time"
 
+// Turns is the budget of the further turns at the gate of one backend server. The gate sees all requests for it, so that a part of
+// them is a bound for the whole fleet. While many are shed, the most urgent ones get most of the turns: a call of a request that
+// makes many, each of which may be shed, is seldom worth one.
+type Turns struct {
+	budget *Budget
+	kept   float64
+}
+
+// NewTurns returns a full budget, which each request fills.
+func NewTurns(config BudgetConfig) *Turns {
+	return &Turns{budget: NewBudget(config), kept: config.Max * keptPart}
+}
+
+// keptPart of the budget is kept for the most urgent requests.
+const keptPart = 0.75
+
+// Came adds what a request earns that came to the gate.
+func (t *Turns) Came() {
+	t.budget.Earn()
+}
+
+// Take spends a turn and reports whether there was one.
+func (t *Turns) Take(isMostUrgent bool) bool {
+	if isMostUrgent {
+		return t.budget.Take()
+	}
+	return t.budget.TakeAbove(t.kept)
+}
+
 // Turn is a request after its turn at the gate of a backend server.
 type Turn struct {
 	// Shed says that the backend server turned it away for want of room.
--- a/internal/decide/retry/turn_test.go
+++ b/internal/decide/retry/turn_test.go
@@ -34,3 +34,29 @@
 		})
 	}
 }
+
+// Pattern: the backend servers of the deepest service shed most requests at random. The most urgent ones get the further turns, and
+// all turns together stay a small part of the requests.
+func TestTurnsGoToTheMostUrgent(t *testing.T) {
+	is := is.New(t)
+	const perRequest, kept, urgentEvery, count = 0.1, 8, 10, 2000
+	turns := retry.NewTurns(retry.BudgetConfig{PerSuccess: perRequest, Max: kept})
+	urgent, urgentTurns, otherTurns := 0, 0, 0
+	for n := range count {
+		turns.Came()
+		isUrgent := n%urgentEvery == 0
+		if isUrgent {
+			urgent++
+		}
+		if n%2 == 0 && turns.Take(isUrgent) { // shed
+			if isUrgent {
+				urgentTurns++
+			} else {
+				otherTurns++
+			}
+		}
+	}
+	t.Logf("%d of %d urgent ones, %d others", urgentTurns, urgent, otherTurns)
+	is.True(float64(urgentTurns) >= 0.95*float64(urgent))
+	is.True(float64(urgentTurns+otherTurns) <= perRequest*count+kept)
+}
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -119,6 +119,9 @@
 // retryBudget is that of one node for one service.
 var retryBudget = retry.BudgetConfig{PerSuccess: 0.05, Max: 3}
 
+// turnBudget bounds the further turns of what a backend server shed, as a part of the requests for it.
+var turnBudget = retry.BudgetConfig{PerSuccess: 0.08, Max: 4}
+
 // New builds a node without starting it.
 func New(config Config) (*Node, error) {
 	s := config.Settings
@@ -177,6 +180,8 @@
 		Backend:    client,
 		Quarantine: n.quarantine,
 		Trees:      flow.NewTrees(trees.DefaultConfig),
+		TurnsAgain: true,
+		TurnBudget: &turnBudget,
 		Events:     n.limiter,
 		Requests:   n.requests,
 	})
--- a/internal/traffic/backend/gate.go
+++ b/internal/traffic/backend/gate.go
@@ -111,6 +111,13 @@
 	return g.gate.HoldTime()
 }
 
+// IsMoreUrgentPresent reports whether a request that is more urgent than the rank came lately.
+func (g *Gate) IsMoreUrgentPresent(rank int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.IsMoreUrgentPresent(time.Now(), rank)
+}
+
 // QueuedByRank returns how many requests of each rank wait.
 func (g *Gate) QueuedByRank() [admission.Ranks]int {
 	g.mu.Lock()
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -27,6 +27,8 @@
 	// TurnsAgain lets a request that the backend server shed wait for another turn at the gate, which has learnt from it,
 	// as long as the request has attempts left.
 	TurnsAgain bool
+	// TurnBudget bounds such turns for all requests together; nil where their attempts are bound enough.
+	TurnBudget *retry.BudgetConfig
 	// Events takes what operators should know, and Requests what was decided about single requests.
 	Events   *events.Limiter
 	Requests *events.Limiter
@@ -35,12 +37,13 @@
 // Receiver runs requests on the local backend server.
 type Receiver struct {
 	config   ReceiverConfig
+	turns    *turnBudget
 	counters receiverCounters
 }
 
 // NewReceiver returns a receiver.
 func NewReceiver(config ReceiverConfig) *Receiver {
-	return &Receiver{config: config}
+	return &Receiver{config: config, turns: newTurnBudget(config.TurnBudget)}
 }
 
 // Receive admits the request, runs it on the backend server and returns the reply with the load after it.
@@ -121,6 +124,7 @@
 		return refusal
 	}
 	waited := time.Since(offered)
+	v.turns.came()
 	result := v.take(ctx, b, r, turn)
 	for used := 1; v.takesTurnAgain(ctx, r, &result); used++ {
 		offered = time.Now()
@@ -158,7 +162,7 @@
 		TimeLeft:     time.Until(r.Deadline),
 		HoldTime:     v.config.Gate.HoldTime(),
 	})
-	if !again {
+	if !again || !v.turns.take(!v.config.Gate.IsMoreUrgentPresent(r.Root.Rank)) {
 		return false
 	}
 	v.config.Requests.Emit(time.Now(), events.RequestWaitsAgain, events.Fields{
