A client of the backend server that does less than the library's transport

The library's transport has two goroutines a connection and four changes between them for each exchange.

The goroutine that waits for an answer now writes the request and reads it, with the library's own writer and reader of messages. A kept connection is looked at before it is used, so one that the backend server has closed, or on which something came unasked, isn't. A second answer to an earlier request is passed over: it was taken for the backend server's failure before. A request that is alone on its connection is worked on by the goroutine that writes its answer.

--- a/internal/decide/lineage/lineage.go
+++ b/internal/decide/lineage/lineage.go
@@ -58,8 +58,9 @@
 	// whole is the share of the requests with that time, and fitting the share of those that expire with a running one.
 	whole   float64
 	fitting float64
-	// parents counts the requests of each kind that calls of this kind expired with.
+	// parents counts the requests of each kind that calls of this kind expired with, and matched all of them.
 	parents map[string]int
+	matched int
 }
 
 // leastOfParents is the least part of the calls that a kind of request must have made to be taken for the maker of
@@ -68,11 +69,7 @@
 
 // isMadeBy reports whether requests of the kind make calls of this one.
 func (k *kind) isMadeBy(parent string) bool {
-	total := 0
-	for _, count := range k.parents {
-		total += count
-	}
-	return float64(k.parents[parent]) >= leastOfParents*float64(total)
+	return float64(k.parents[parent]) >= leastOfParents*float64(k.matched)
 }
 
 // NewMatcher returns a matcher that knows no kinds.
@@ -91,6 +88,7 @@
 	k.learn(now, c, fits)
 	if fits {
 		k.parents[running[index].Kind]++
+		k.matched++
 	}
 	switch {
 	case !k.isCall():
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -15,7 +15,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -65,15 +64,13 @@
 
 // Client runs requests on the local backend server.
 type Client struct {
-	config ClientConfig
-	chains *call.Chains
-
-	dialer dialer
-	tokens atomic.Uint64
+	config    ClientConfig
+	chains    *call.Chains
+	transport transport
+	tokens    atomic.Uint64
 
 	mu          sync.Mutex
 	connections int
-	http        *http.Client
 }
 
 // NewClient returns a client that enters each running request in chains.
@@ -97,19 +94,7 @@
 		return
 	}
 	c.connections = connections
-	c.dialer.setMost(connections)
-	if c.http != nil {
-		c.http.CloseIdleConnections()
-	}
-	c.http = &http.Client{
-		Transport: &http.Transport{
-			DialContext:         c.dialer.dial,
-			MaxConnsPerHost:     connections,
-			MaxIdleConnsPerHost: connections,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	c.transport.setMost(connections)
 }
 
 // Result is what running a request told about the backend server.
@@ -187,50 +172,106 @@
 	return fmt.Sprintf("backend server: %v", e.cause)
 }
 
+// exchange sends the request and reads the answer, on a connection of its own for the time.
 func (c *Client) exchange(ctx context.Context, target Target, r *call.Request, token string) (call.Reply, *exchangeError) {
-	sent := false
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent = true },
-	})
-	request, err := http.NewRequestWithContext(traced, r.Method, "http://"+target.Address+r.Path, http.NoBody)
+	request, err := c.newRequest(ctx, target, r, token)
 	if err != nil {
 		return call.Reply{}, &exchangeError{cause: err}
 	}
-	c.setHeaders(request, target, r, token)
-	setBody(request, r.Body)
-	client := c.client()
-	defer c.retire(client)
-	response, err := client.Do(request)
+	kept, err := c.transport.take(ctx, target.Address)
 	if err != nil {
 		c.config.Presence.noteError(ctx, err)
-		return call.Reply{}, &exchangeError{sent: sent, cause: err}
+		return call.Reply{}, &exchangeError{cause: err}
 	}
-	c.config.Presence.noteAnswer()
-	defer func() { _ = response.Body.Close() }()
-	if err := c.check(r, response); err != nil {
+	release := context.AfterFunc(ctx, func() { _ = kept.SetDeadline(time.Now()) })
+	reply, response, err := c.converse(kept, request, r)
+	inTime := release()
+	if err != nil {
+		_ = kept.Close()
+		if response == nil {
+			c.config.Presence.noteError(ctx, err)
+		}
 		return call.Reply{}, &exchangeError{sent: true, cause: err}
 	}
+	if inTime && kept.mayServe(time.Now(), response) {
+		c.transport.put(target.Address, kept)
+	} else {
+		_ = kept.Close()
+	}
+	return reply, nil
+}
+
+// maxStray is how many answers to earlier requests are passed over.
+const maxStray = 2
+
+// converse sends the request on the connection and returns the answer, with its head where one came. An answer that comes late, to a
+// request before, is passed over.
+func (c *Client) converse(kept *keptConn, request *http.Request, r *call.Request) (call.Reply, *http.Response, error) {
+	if err := kept.send(&c.transport, request); err != nil {
+		return call.Reply{}, nil, err
+	}
+	for strays := 0; ; strays++ {
+		response, err := kept.receive(request)
+		if err != nil {
+			return call.Reply{}, nil, err
+		}
+		c.config.Presence.noteAnswer()
+		body, err := c.readBody(response)
+		isStray := c.isOthers(r, response)
+		switch {
+		case isStray && err == nil && kept.used && strays < maxStray:
+			continue
+		case isStray:
+			err = errOtherRequest
+		case err == nil:
+			err = c.checkSigned(response)
+		}
+		if err != nil {
+			return call.Reply{}, response, err
+		}
+		return c.reply(response, body), response, nil
+	}
+}
+
+func (c *Client) readBody(response *http.Response) ([]byte, error) {
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.config.MaxBody+1))
 	if err == nil && int64(len(body)) > c.config.MaxBody {
 		err = errAnswerTooLarge
 	}
-	if err != nil {
-		return call.Reply{}, &exchangeError{sent: true, cause: err}
-	}
+	return body, err
+}
+
+func (c *Client) reply(response *http.Response, body []byte) call.Reply {
 	if c.isNotRun(response) {
-		return call.Refused(call.NotRun, notRunReason(response.StatusCode), 0), nil
+		return call.Refused(call.NotRun, notRunReason(response.StatusCode), 0)
 	}
-	return call.Reply{Outcome: call.Ran, Status: response.StatusCode, Header: EndToEnd(response.Header), Body: body}, nil
+	return call.Reply{Outcome: call.Ran, Status: response.StatusCode, Header: EndToEnd(response.Header), Body: body}
 }
 
-// check finds answers that belong to another request, or that the backend server didn't make.
-func (c *Client) check(r *call.Request, response *http.Response) error {
-	id, signature := c.config.Headers.RequestID, c.config.Headers.Signature
-	if id != "" && response.Header.Get(id) != "" && response.Header.Get(id) != r.Header.Get(id) {
-		return errOtherRequest
+func (c *Client) newRequest(ctx context.Context, target Target, r *call.Request, token string) (*http.Request, error) {
+	body := io.Reader(http.NoBody)
+	if len(r.Body) > 0 {
+		body = bytes.NewReader(r.Body)
 	}
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+target.Address+r.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	c.setHeaders(request, target, r, token)
+	return request, nil
+}
+
+// isOthers reports whether the answer belongs to another request.
+func (c *Client) isOthers(r *call.Request, response *http.Response) bool {
+	name := c.config.Headers.RequestID
+	return name != "" && response.Header.Get(name) != "" && response.Header.Get(name) != r.Header.Get(name)
+}
+
+// checkSigned finds successes that the backend server didn't make.
+func (c *Client) checkSigned(response *http.Response) error {
 	succeeded := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
-	if signature != "" && succeeded && response.Header.Get(signature) == "" {
+	if name := c.config.Headers.Signature; name != "" && succeeded && response.Header.Get(name) == "" {
 		return errUnsigned
 	}
 	return nil
@@ -249,27 +290,6 @@
 	return call.ReasonBackendShed
 }
 
-func (c *Client) client() *http.Client {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.http
-}
-
-// retire closes the idle connections of a client that is no longer the one in use.
-func (c *Client) retire(used *http.Client) {
-	if c.client() != used {
-		used.CloseIdleConnections()
-	}
-}
-
-// setBody sets a body that can't be read twice. The transport would otherwise send a request with an idempotency key,
-// or a GET, once more by itself where a kept connection breaks, and the backend server could run it twice.
-func setBody(request *http.Request, body []byte) {
-	request.Body = io.NopCloser(bytes.NewReader(body))
-	request.ContentLength = int64(len(body))
-	request.GetBody = nil
-}
-
 // hostHeader carries the host that the caller asked for between nodes.
 const hostHeader = "Host"
 
--- a/internal/traffic/backend/connections.go
+++ b/internal/traffic/backend/connections.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -118,6 +120,15 @@
 	reading sync.Mutex
 }
 
+// SyscallConn returns the connection as the system knows it.
+func (c *connection) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return s.SyscallConn()
+}
+
 // Read reads until the connection is closed at this end.
 func (c *connection) Read(p []byte) (int, error) {
 	c.reading.Lock()
--- a/internal/traffic/caller/server.go
+++ b/internal/traffic/caller/server.go
@@ -128,6 +128,8 @@
 	done    chan struct{}
 	// last says that the connection closes after the answer.
 	last bool
+	// isOnly says that none before it was unanswered when it came.
+	isOnly bool
 }
 
 func newServerConn(s *Server, conn net.Conn) *serverConn {
@@ -205,11 +207,11 @@
 		if alone {
 			c.waitAnswered(ctx)
 		}
+		x.isOnly = c.isOnly()
 		c.pending <- x
-		group.Go(func() {
-			defer close(x.done)
-			c.handle(x)
-		})
+		if !x.isOnly {
+			group.Go(func() { c.handle(x) })
+		}
 		if x.last {
 			return nil
 		}
@@ -224,6 +226,7 @@
 
 // handle makes the answer. A fault of the handler costs one request and not the process.
 func (c *serverConn) handle(x *exchanged) {
+	defer close(x.done)
 	fault := panics.Try(func() { c.server.config.Handler.ServeHTTP(&x.answer, x.request) })
 	if fault == nil {
 		return
@@ -332,10 +335,14 @@
 		"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 }
 
-// write sends answers in the order of the requests. Where that fails, the work for the caller ends.
+// write sends answers in the order of the requests. Where that fails, the work for the caller ends. A request that is alone is worked
+// on here too, which spares a goroutine whose stack would have to grow anew.
 func (c *serverConn) write(cancel context.CancelFunc) {
 	failed := false
 	for x := range c.pending {
+		if x.isOnly {
+			c.handle(x)
+		}
 		<-x.done
 		if !failed {
 			failed = c.send(x) != nil
