--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -16,6 +16,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -235,18 +236,31 @@
 
 func (c *Client) readBody(response *http.Response) ([]byte, error) {
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.config.MaxBody+1))
+	if response.ContentLength > c.config.MaxBody {
+		return nil, errAnswerTooLarge
+	}
+	body, err := ReadBody(response.Body, response.ContentLength, c.config.MaxBody+1)
 	if err == nil && int64(len(body)) > c.config.MaxBody {
 		err = errAnswerTooLarge
 	}
 	return body, err
 }
 
+// ReadBody reads a body of the length, or of up to the most bytes where the length isn't known, which is then below 0.
+func ReadBody(body io.Reader, length, most int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(io.LimitReader(body, most))
+	}
+	whole := make([]byte, min(length, most))
+	_, err := io.ReadFull(body, whole)
+	return whole, err
+}
+
 func (c *Client) reply(response *http.Response, body []byte) call.Reply {
 	if c.isNotRun(response) {
 		return call.Refused(call.NotRun, notRunReason(response.StatusCode), 0)
 	}
-	return call.Reply{Outcome: call.Ran, Status: response.StatusCode, Header: EndToEnd(response.Header), Body: body}
+	return call.Reply{Outcome: call.Ran, Status: response.StatusCode, Header: keepEndToEnd(response.Header), Body: body}
 }
 
 func (c *Client) newRequest(ctx context.Context, target Target, r *call.Request, token string) (*http.Request, error) {
@@ -294,9 +308,10 @@
 const hostHeader = "Host"
 
 func (c *Client) setHeaders(request *http.Request, target Target, r *call.Request, token string) {
-	for name, values := range EndToEnd(r.Header) {
+	for name, values := range r.Header {
 		request.Header[name] = values
 	}
+	keepEndToEnd(request.Header)
 	if host := request.Header.Get(hostHeader); host != "" {
 		request.Host = host
 		request.Header.Del(hostHeader)
@@ -348,8 +363,18 @@
 	if kept == nil {
 		kept = http.Header{}
 	}
+	return keepEndToEnd(kept)
+}
+
+// keepEndToEnd takes out the headers that concern one connection only: known ones, and those that Connection names.
+func keepEndToEnd(h http.Header) http.Header {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopByHop {
-		kept.Del(name)
+		delete(h, name)
 	}
-	return kept
+	return h
 }
--- a/internal/traffic/backend/transport.go
+++ b/internal/traffic/backend/transport.go
@@ -111,7 +111,8 @@
 	writer *bufio.Writer
 	// used says that it has served a request, so that a late answer to that may come.
 	used bool
-	// until is how long it may be used.
+	// keep is how long it may be idle, by the last answer, and until when it is now.
+	keep  time.Duration
 	until time.Time
 	// written is closed when the present request is written, whole is then true unless that failed.
 	written chan struct{}
@@ -171,8 +172,12 @@
 func (k *keptConn) receive(request *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(k.reader, request)
-		if err != nil || response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			k.keep = keepTime(response.Header.Get("Keep-Alive"))
+			return response, nil
 		}
 	}
 }
@@ -185,7 +190,7 @@
 		return false // the backend server answered before it had read all
 	}
 	k.used = true
-	k.until = now.Add(keepTime(response.Header.Get("Keep-Alive")))
+	k.until = now.Add(k.keep)
 	return k.whole && !response.Close && k.reader.Buffered() == 0
 }
 
--- a/internal/traffic/backend/transport_test.go
+++ b/internal/traffic/backend/transport_test.go
@@ -167,3 +167,11 @@
 	is.Equal(bodies, map[string]bool{"": true, "a wash": true}) // what is left of the long one is its own
 	is.Equal(server.connections.Load(), int32(2))
 }
+
+func TestHeadersOfOneConnectionStay(t *testing.T) {
+	is := is.New(t)
+	got := backend.EndToEnd(http.Header{
+		"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "Accept": {"*/*"}, "X-Name": {"a", "b"},
+	})
+	is.Equal(got, http.Header{"Accept": {"*/*"}, "X-Name": {"a", "b"}})
+}
--- a/internal/traffic/caller/server.go
+++ b/internal/traffic/caller/server.go
@@ -14,6 +14,8 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/panics"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 )
 
 // ServerConfig sets a Server up.
@@ -314,7 +316,7 @@
 	if request.ContentLength == 0 {
 		return true, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, c.server.config.MaxBody+1))
+	body, err := backend.ReadBody(request.Body, request.ContentLength, c.server.config.MaxBody+1)
 	if err != nil {
 		return false, err
 	}
--- a/internal/traffic/peer/client.go
+++ b/internal/traffic/peer/client.go
@@ -78,10 +78,11 @@
 	if err != nil {
 		return call.Reply{}, unanswered(ctx, address, err)
 	}
-	if err := checkReply(r, answer); err != nil {
+	reply, err := checkedReply(r, answer)
+	if err != nil {
 		return call.Reply{}, &Error{Address: address, Sent: true, Reason: call.ReasonCorrupt, Cause: err}
 	}
-	return replyOf(answer), nil
+	return reply, nil
 }
 
 // notSentRetry is when to come back after a request that found no connection.
@@ -149,6 +150,14 @@
 	}
 }
 
+// checkedReply returns the reply in an answer that is one to the request.
+func checkedReply(r *call.Request, answer *peerpb.CallReply) (call.Reply, error) {
+	if err := checkReply(r, answer); err != nil {
+		return call.Reply{}, err
+	}
+	return parseReply(answer)
+}
+
 func checkReply(r *call.Request, answer *peerpb.CallReply) error {
 	if answer.GetAttemptId() != r.AttemptID {
 		return fmt.Errorf("answer is for attempt %q, not %q", answer.GetAttemptId(), r.AttemptID)
--- a/internal/traffic/peer/handover.go
+++ b/internal/traffic/peer/handover.go
@@ -47,7 +47,11 @@
 func (s *Server) Handover(ctx context.Context, m *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
 	p := HandoverPart{ID: m.GetHandoverId(), Part: int(m.GetPart()), Parts: int(m.GetParts()), Target: m.GetTargetIncarnation()}
 	for _, k := range m.GetKeys() {
-		p.Keys = append(p.Keys, keyOf(k))
+		key, err := parseKey(k)
+		if err != nil {
+			return nil, err
+		}
+		p.Keys = append(p.Keys, key)
 	}
 	for _, h := range m.GetHomes() {
 		p.Homes = append(p.Homes, homeOf(h))
@@ -71,16 +75,20 @@
 	}
 }
 
-func keyOf(m *peerpb.RememberedKey) RememberedKey {
+func parseKey(m *peerpb.RememberedKey) (RememberedKey, error) {
+	reply, err := parseReply(m.GetReply())
+	if err != nil {
+		return RememberedKey{}, err
+	}
 	return RememberedKey{
 		ID:          m.GetKey(),
 		Fingerprint: m.GetFingerprint(),
 		UnixMillis:  m.GetKeyUnixMillis(),
 		Bytes:       int(m.GetBytes()),
 		State:       states[m.GetState()],
-		Reply:       replyOf(m.GetReply()),
+		Reply:       reply,
 		MovedTo:     homeOf(m.GetMovedTo()),
-	}
+	}, nil
 }
 
 func homeMessage(n outcome.Node) *peerpb.HomeNode {
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
-	"slices"
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
@@ -34,7 +32,7 @@
 		Kind:                r.Kind,
 		Method:              r.Method,
 		Path:                r.Path,
-		Headers:             headerMessages(r.Header),
+		Headers:             headerBlock(r.Header),
 		Body:                r.Body,
 		Key:                 r.Key,
 		KeyMinted:           r.KeyMinted,
@@ -66,6 +64,10 @@
 	if m.GetAttemptsLeft() < 0 || m.GetDepth() < 0 || m.GetCrashes() < 0 {
 		return nil, fmt.Errorf("attempts, depth or crashes is negative")
 	}
+	header, err := parseHeaders(m.GetHeaders())
+	if err != nil {
+		return nil, err
+	}
 	return &call.Request{
 		AttemptID: m.GetAttemptId(),
 		Root: call.Root{
@@ -79,7 +81,7 @@
 		Kind:         m.GetKind(),
 		Method:       m.GetMethod(),
 		Path:         m.GetPath(),
-		Header:       headerOf(m.GetHeaders()),
+		Header:       header,
 		Body:         m.GetBody(),
 		Idempotent:   m.GetIdempotent(),
 		Key:          m.GetKey(),
@@ -105,7 +107,7 @@
 		Reason:           string(r.Reason),
 		RetryAfterMicros: r.RetryAfter.Microseconds(),
 		Status:           int32(r.Status),
-		Headers:          headerMessages(r.Header),
+		Headers:          headerBlock(r.Header),
 		Body:             r.Body,
 		AttemptsUsed:     int32(r.AttemptsUsed),
 		Final:            r.Final,
@@ -122,13 +124,18 @@
 	}
 }
 
-func replyOf(m *peerpb.CallReply) call.Reply {
+// parseReply returns the reply in a message of another node.
+func parseReply(m *peerpb.CallReply) (call.Reply, error) {
+	header, err := parseHeaders(m.GetHeaders())
+	if err != nil {
+		return call.Reply{}, err
+	}
 	return call.Reply{
 		Outcome:      outcomes[m.GetOutcome()],
 		Reason:       call.Reason(m.GetReason()),
 		RetryAfter:   time.Duration(m.GetRetryAfterMicros()) * time.Microsecond,
 		Status:       int(m.GetStatus()),
-		Header:       headerOf(m.GetHeaders()),
+		Header:       header,
 		Body:         m.GetBody(),
 		AttemptsUsed: int(m.GetAttemptsUsed()),
 		Final:        m.GetFinal(),
@@ -143,28 +150,5 @@
 		Waited:  time.Duration(m.GetWaitedMicros()) * time.Microsecond,
 
 		FarBytes: max(m.GetFarBytes(), 0),
-	}
-}
-
-func headerMessages(h http.Header) []*peerpb.Header {
-	names := make([]string, 0, len(h))
-	for name := range h {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	var messages []*peerpb.Header
-	for _, name := range names {
-		for _, value := range h[name] {
-			messages = append(messages, &peerpb.Header{Name: name, Value: value})
-		}
-	}
-	return messages
-}
-
-func headerOf(messages []*peerpb.Header) http.Header {
-	h := make(http.Header, len(messages))
-	for _, m := range messages {
-		h.Add(m.GetName(), m.GetValue())
-	}
-	return h
+	}, nil
 }
--- a/internal/traffic/peer/resolve.go
+++ b/internal/traffic/peer/resolve.go
@@ -77,10 +77,10 @@
 	if !known || state != outcome.Done {
 		return resolution, nil
 	}
-	if err := checkReply(&call.Request{AttemptID: q.AttemptID}, answer.GetReply()); err != nil {
+	resolution.Reply, err = checkedReply(&call.Request{AttemptID: q.AttemptID}, answer.GetReply())
+	if err != nil {
 		return Resolution{}, &Error{Address: address, Sent: true, Reason: call.ReasonCorrupt, Cause: err}
 	}
-	resolution.Reply = replyOf(answer.GetReply())
 	return resolution, nil
 }
 
--- a/internal/traffic/peer/seal_test.go
+++ b/internal/traffic/peer/seal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
@@ -23,7 +24,7 @@
 }
 
 func TestEveryFlippedBitIsFound(t *testing.T) {
-	headers := []*peerpb.Header{{Name: "X", Value: "y"}}
+	headers := headerBlock(http.Header{"X": {"y"}})
 	body := bytes.Repeat([]byte("ballroom"), 100)
 	for name, sent := range map[string]proto.Message{
 		"request":           &peerpb.CallRequest{AttemptId: "a", Key: "k", Rank: 3, Path: "/bookings", Headers: headers},
@@ -71,10 +72,10 @@
 	id := "b5d47934b518c678.858882962b8c3d29.360816f9491c73f4"
 	request := &peerpb.CallRequest{
 		AttemptId: "2fj49fk3m2k1", RootId: id, Service: "keys", Kind: "key_lookup", Method: "GET", Path: "/keys/44?page=1",
-		Headers: []*peerpb.Header{
-			{Name: "Accept", Value: "*/*"}, {Name: "Accept-Encoding", Value: "identity"}, {Name: "Host", Value: "keys.example"},
-			{Name: "User-Agent", Value: "sdk-client/1.9.3"}, {Name: "X-Request-Name", Value: id}, {Name: "X-Calling-Service", Value: "stock"},
-		},
+		Headers: headerBlock(http.Header{
+			"Accept": {"*/*"}, "Accept-Encoding": {"identity"}, "Host": {"keys.example"},
+			"User-Agent": {"sdk-client/1.9.3"}, "X-Request-Name": {id}, "X-Calling-Service": {"stock"},
+		}),
 	}
 	plain, err := sealed{Encoding: protoEncoding{}}.Marshal(request)
 	is.NoErr(err)
