--- a/internal/traffic/peer/seal.go
+++ b/internal/traffic/peer/seal.go
@@ -10,13 +10,14 @@
 	"github.com/gravitational/trace"
 	"github.com/klauspost/compress/zstd"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcenc"
 )
 
 // errDamaged says that a message was changed on its way.
 var errDamaged = errors.New("message does not match its checksum")
 
 const (
-	// sealSize is the length of the checksum behind each message, in bytes.
+	// sealSize is the length of the checksum before each message, in bytes.
 	sealSize = 8
 	// dictionaryID names the dictionary in each message.
 	dictionaryID = 1
@@ -69,11 +70,9 @@
 // errForm says that a message stands in a form that this node doesn't know.
 var errForm = errors.New("message is in an unknown form")
 
-// pack returns the message in the packed form.
-func (p *Packer) pack(message []byte) []byte {
-	const typicalShare = 2 // of the message, one part is left
-	packed := append(make([]byte, 0, len(message)/typicalShare+sealSize), packedForm)
-	return p.encoder.EncodeAll(message, packed)
+// pack appends the message in the packed form.
+func (p *Packer) pack(buffer, message []byte) []byte {
+	return p.encoder.EncodeAll(message, append(buffer, packedForm))
 }
 
 // open returns the message, and whether it was packed.
@@ -103,15 +102,32 @@
 
 // Marshal returns the encoded message and its checksum.
 func (s sealed) Marshal(m drpc.Message) ([]byte, error) {
-	encoded, err := s.Encoding.Marshal(m)
+	return s.MarshalAppend(nil, m)
+}
+
+// MarshalAppend appends the checksum and the encoded message.
+func (s sealed) MarshalAppend(buffer []byte, m drpc.Message) ([]byte, error) {
+	start := len(buffer)
+	var none [sealSize]byte
+	buffer, err := s.encode(append(buffer, none[:]...), m)
 	if err != nil {
 		return nil, err
 	}
-	message := append([]byte{plainForm}, encoded...)
-	if s.packs && s.packer != nil {
-		message = s.packer.pack(encoded)
+	message := buffer[start:]
+	binary.LittleEndian.PutUint64(message, xxhash.Sum64(message[sealSize:]))
+	return buffer, nil
+}
+
+// encode appends the message in its form.
+func (s sealed) encode(buffer []byte, m drpc.Message) ([]byte, error) {
+	if !s.packs || s.packer == nil {
+		return drpcenc.MarshalAppend(m, s.Encoding, append(buffer, plainForm))
+	}
+	encoded, err := s.Encoding.Marshal(m)
+	if err != nil {
+		return nil, err
 	}
-	return binary.LittleEndian.AppendUint64(message, xxhash.Sum64(message)), nil
+	return s.packer.pack(buffer, encoded), nil
 }
 
 // Unmarshal reads the message where its checksum is right.
@@ -119,7 +135,7 @@
 	if len(buffer) < sealSize {
 		return errDamaged
 	}
-	message, checksum := buffer[:len(buffer)-sealSize], buffer[len(buffer)-sealSize:]
+	checksum, message := buffer[:sealSize], buffer[sealSize:]
 	if binary.LittleEndian.Uint64(checksum) != xxhash.Sum64(message) {
 		return errDamaged
 	}
