--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -215,10 +215,6 @@
 	})
 }
 
-// garbagePercent lets the small heap of a node grow further between collections than the runtime would: processor time is
-// scarcer than memory beside a backend server.
-const garbagePercent = 300
-
 const (
 	// megabyte is in bytes.
 	megabyte = 1 << 20
@@ -229,7 +225,6 @@
 
 // boundMemory keeps the process below the memory that it may use.
 func boundMemory(megabytes int64) {
-	debug.SetGCPercent(garbagePercent)
 	if megabytes > 0 {
 		debug.SetMemoryLimit(megabytes * megabyte * heapPercent / 100)
 	}
