Log and count what backend servers state in their responses

Cause of this change: neither log nor metrics could tell whether the gate admits too much or something passes it by. Now the rate limit and the leaving header of each response are decoded once (backend.Statement, names in platform/), changes of the rate limit are events 1107 and 1108, a malformed one 1109, and /metrics has backend_sent, which equals the sum of admission.started unless something reaches the backend server past the gate. No decision depends on it yet. Evidence: TestStatementOf, FuzzStatementOf; go test of backend, process and platform passes.

--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -30,6 +30,9 @@
 	RequestQuarantined Number = 1104
 	BackendLost        Number = 1105
 	BackendBack        Number = 1106
+	BackendRateLimited Number = 1107
+	BackendUnlimited   Number = 1108
+	StatementInvalid   Number = 1109
 	PeerUnreachable    Number = 1201
 	PeerSilent         Number = 1202
 	PeerGarbage        Number = 1203
@@ -90,6 +93,9 @@
 	RequestQuarantined: {Name: "request_quarantined", Level: zerolog.WarnLevel, Since: "0.1", Text: "A request that crashed backend servers is refused for a time.", Action: "Find the request by its fingerprint in the dump and mend the backend server."},
 	BackendLost:        {Name: "backend_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "The backend server refuses connections, or hangs: it neither announces itself nor answers. Other nodes send it nothing.", Action: "Start the backend server again; the node takes work for it as soon as it is there."},
 	BackendBack:        {Name: "backend_back", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server is there again and gets work."},
+	BackendRateLimited: {Name: "backend_rate_limited", Level: zerolog.WarnLevel, Since: "0.4", Text: "The backend server states in its responses how many requests a second it accepts.", Action: "The backend server is in trouble: look at that program."},
+	BackendUnlimited:   {Name: "backend_unlimited", Level: zerolog.InfoLevel, Since: "0.4", Text: "The backend server no longer states a rate limit."},
+	StatementInvalid:   {Name: "statement_invalid", Level: zerolog.WarnLevel, Since: "0.4", Text: "The rate limit in a response of the backend server is not a number of 0 or more; at most one a second is logged, with the number of suppressed ones.", Action: "Correct the backend server."},
 	PeerUnreachable:    {Name: "peer_unreachable", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node failed.", Action: "If it lasts, check the network between the two nodes and whether the other one runs."},
 	PeerSilent:         {Name: "peer_silent", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to another node went silent and was closed.", Action: "If it repeats, look for a device between the two nodes that loses track of connections."},
 	PeerGarbage:        {Name: "peer_garbage", Level: zerolog.WarnLevel, Since: "0.1", Text: "A connection to the peer address broke off or sent something that isn't drpc; at most one a second is logged, with the number of suppressed ones.", Action: "Find out who connects to the peer address."},
--- a/internal/process/local/local.go
+++ b/internal/process/local/local.go
@@ -28,6 +28,8 @@
 	Client   *backend.Client
 	Liveness *backend.Liveness
 	Log      *events.Log
+	// Limiter receives the events that every response of the backend server may cause.
+	Limiter *events.Limiter
 }
 
 // Server holds what the node knows about its local backend server.
@@ -36,6 +38,8 @@
 
 	mu           sync.Mutex
 	lastPosition announcement.Position
+	// statement is the latest statement about the rate limit.
+	statement backend.Statement
 }
 
 // New returns a server that has not announced itself.
@@ -107,6 +111,31 @@
 	s.config.Log.Emit(events.BackendLeaving, events.Fields{"instance": instance})
 }
 
+// HandleStatement records what a response of the backend server says about the backend server.
+func (s *Server) HandleStatement(next backend.Statement) {
+	if next.Invalid != "" {
+		s.config.Limiter.Emit(time.Now(), events.StatementInvalid, events.Fields{"instance": next.Instance, "rate_limit": next.Invalid})
+		return
+	}
+	s.mu.Lock()
+	previous := s.statement
+	s.statement = next
+	s.mu.Unlock()
+	s.logRateLimit(previous, next)
+}
+
+func (s *Server) logRateLimit(previous, next backend.Statement) {
+	switch {
+	case previous.RateLimit == next.RateLimit && previous.IsRateLimited == next.IsRateLimited:
+	case next.IsRateLimited:
+		s.config.Log.Emit(events.BackendRateLimited, events.Fields{
+			"instance": next.Instance, "per_second": next.RateLimit, "was_limited": previous.IsRateLimited, "previous": previous.RateLimit,
+		})
+	default:
+		s.config.Log.Emit(events.BackendUnlimited, events.Fields{"instance": next.Instance, "previous": previous.RateLimit})
+	}
+}
+
 // livenessCheckInterval is the interval between checks whether the backend server is alive.
 const livenessCheckInterval = 200 * time.Millisecond
 
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -82,6 +82,7 @@
 	config          Config
 	loop            *board.Loop
 	gate            *backend.Gate
+	client          *backend.Client
 	pool            *peer.Pool
 	peerClient      *peer.Client
 	compressor      *peer.Compressor
@@ -168,8 +169,12 @@
 		MaxBody:  s.Caller.MaxBody,
 		Liveness: liveness,
 		Headers:  n.config.Adapter.BackendHeaders,
+		Stated:   func(s backend.Statement) { n.localServer.HandleStatement(s) },
 	}, n.runningRequests)
-	n.localServer = local.New(local.Config{Board: n.loop, Gate: n.gate, Client: client, Liveness: liveness, Log: n.config.Log})
+	n.client = client
+	n.localServer = local.New(local.Config{
+		Board: n.loop, Gate: n.gate, Client: client, Liveness: liveness, Log: n.config.Log, Limiter: n.limiter,
+	})
 	n.quarantine = flow.NewQuarantine(flow.QuarantineConfig{
 		Table: parts.QuarantineConfig(s),
 		Board: n.loop,
--- a/internal/process/routed/state.go
+++ b/internal/process/routed/state.go
@@ -34,13 +34,16 @@
 
 // Metrics holds the counters of a node since its start and the latencies of the requests of its callers.
 type Metrics struct {
-	Members           int                  `json:"members"`
-	RoutesVersion     uint64               `json:"routes_version"`
-	PlatformReachable bool                 `json:"platform_reachable"`
-	Load              call.Load            `json:"load"`
-	Admission         admission.Totals     `json:"admission"`
-	Receiver          flow.ReceiverStats   `json:"receiver"`
-	Requests          map[string]KindStats `json:"requests"`
+	Members           int                `json:"members"`
+	RoutesVersion     uint64             `json:"routes_version"`
+	PlatformReachable bool               `json:"platform_reachable"`
+	Load              call.Load          `json:"load"`
+	Admission         admission.Totals   `json:"admission"`
+	Receiver          flow.ReceiverStats `json:"receiver"`
+	// BackendSent is the number of requests sent to the backend server. It is the sum of Admission.Started, unless
+	// something reaches the backend server past the gate.
+	BackendSent uint64               `json:"backend_sent"`
+	Requests    map[string]KindStats `json:"requests"`
 }
 
 func (n *Node) metrics() Metrics {
@@ -51,6 +54,7 @@
 		Load:              n.gate.Load(),
 		Admission:         n.gate.Totals(),
 		Receiver:          n.receiver.Stats(),
+		BackendSent:       n.client.Sent(),
 		Requests:          n.requestStats.snapshot(),
 	}
 	if b.Routes != nil {
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -54,6 +54,9 @@
 	Signature string
 	// NotRun is set on the response when the backend server did not run the request.
 	NotRun string
+	// RateLimit is set on every response of a backend server that limits the rate of its requests, to the limit in
+	// requests per second. Leaving is set on every response of a backend server that is about to stop.
+	RateLimit, Leaving string
 }
 
 // DefaultHeaders are the headers of comfreyhoist's own backend interface.
@@ -67,6 +70,8 @@
 	MaxBody int64
 	// Liveness records whether the backend server responds or refuses connections. It may be nil.
 	Liveness *Liveness
+	// Stated is called with the statement in each response. It may be nil.
+	Stated func(Statement)
 }
 
 // Client sends requests to the local backend server.
@@ -75,6 +80,7 @@
 	runningRequests *call.RunningRequests
 	transport       transport
 	tokens          atomic.Uint64
+	sent            atomic.Uint64
 
 	mu             sync.Mutex
 	maxConnections int
@@ -147,6 +153,11 @@
 	return result
 }
 
+// Sent returns the number of requests that were sent to the backend server, in whole or in part.
+func (c *Client) Sent() uint64 {
+	return c.sent.Load()
+}
+
 // newToken returns the token that identifies one running request. A token that is sent to the backend server is random,
 // so that it is hard to guess; otherwise it is a sequence number.
 func (c *Client) newToken() string {
@@ -194,7 +205,7 @@
 		return call.Reply{}, &exchangeError{cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
-	reply, response, err := c.roundTrip(conn, request, r)
+	reply, response, err := c.roundTrip(conn, request, target, r)
 	notCanceled := stop()
 	if err != nil {
 		_ = conn.Close()
@@ -216,7 +227,9 @@
 
 // roundTrip sends the request on the connection and returns the reply. The HTTP response is nil if no response header was
 // received. Late responses to earlier requests on the connection are skipped.
-func (c *Client) roundTrip(conn *persistentConn, request *http.Request, r *call.Request) (call.Reply, *http.Response, error) {
+func (c *Client) roundTrip(conn *persistentConn, request *http.Request, target Target, r *call.Request) (call.Reply, *http.Response, error) {
+	sentAt := time.Now()
+	c.sent.Add(1)
 	if err := conn.send(&c.transport, request); err != nil {
 		return call.Reply{}, nil, err
 	}
@@ -226,8 +239,11 @@
 			return call.Reply{}, nil, err
 		}
 		c.config.Liveness.recordResponse()
-		body, err := c.readBody(response)
 		isStale := c.isForOtherRequest(r, response)
+		if !isStale {
+			c.reportStatement(target, response, sentAt)
+		}
+		body, err := c.readBody(response)
 		switch {
 		case isStale && err == nil && conn.served && staleCount < maxStaleResponses:
 			continue
@@ -243,6 +259,17 @@
 	}
 }
 
+// reportStatement reports the statement in the response. A response that another backend server sent, or that bears no
+// signature although it should, says nothing about the backend server.
+func (c *Client) reportStatement(target Target, response *http.Response, sentAt time.Time) {
+	if c.config.Stated == nil || response.StatusCode == http.StatusMisdirectedRequest || c.checkSignature(response) != nil {
+		return
+	}
+	s := c.config.Headers.statementOf(response.Header)
+	s.Instance, s.SentAt, s.ReceivedAt = target.Instance, sentAt, time.Now()
+	c.config.Stated(s)
+}
+
 func (c *Client) readBody(response *http.Response) ([]byte, error) {
 	defer func() { _ = response.Body.Close() }()
 	if response.ContentLength > c.config.MaxBody {
