--- a/internal/process/routed/fleet_test.go
+++ b/internal/process/routed/fleet_test.go
@@ -35,6 +35,7 @@
 	callerHeaders  = caller.RoutedHeaders{RequestID: "Request-Name", Timeout: "Time-Left", CallerService: "Calling-Service"}
 	backendHeaders = backend.Headers{
 		TimeLeft: "Time-Left", Instance: "Only-Instance", RequestID: "Request-Name", Signature: "Signature", NotRun: "Not-Run",
+		RateLimit: "Rate-Limit", Leaving: "Leaving",
 	}
 )
 
@@ -119,10 +120,27 @@
 		"-ready.address", freeAddress(tb), "-platform.url", "http://127.0.0.1:1", "-platform.source", settings.SourceRoutes,
 	}))
 	is.New(tb).NoErr(s.Check())
-	n := &testNode{settings: s, log: &syncBuffer{}, service: service, ended: make(chan struct{})}
+	n := &testNode{settings: s, log: &syncBuffer{}, service: service}
 	n.server = httptest.NewServer(withSignature(handler))
+	f.start(n)
+	n.announceServer(false)
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// restart stops the node and starts it again beside its backend server, which keeps running and announces itself.
+func (f *fleet) restart(n *testNode) {
+	n.stop()
+	<-n.ended
+	f.start(n)
+	n.announceServer(false)
+}
+
+// start starts the process of the node and returns when it takes announcements.
+func (f *fleet) start(n *testNode) {
 	ctx, cancel := context.WithCancel(context.Background())
-	n.stop = cancel
+	n.stop, n.ended = cancel, make(chan struct{})
+	s, ended := n.settings, n.ended
 	registered, readyRegistered := make(chan struct{}), make(chan struct{})
 	adapter := routed.Adapter{
 		Store:     f.store.ForNode(s.Node.Name),
@@ -147,14 +165,11 @@
 	}
 	log := events.NewLog(n.log, zerolog.DebugLevel, s.Node.Name)
 	f.group.Go(func() {
-		defer close(n.ended)
+		defer close(ended)
 		_ = routed.Run(ctx, routed.Config{Settings: s, Log: log, Adapter: adapter})
 	})
 	<-registered
 	<-readyRegistered
-	n.announceServer(false)
-	f.nodes = append(f.nodes, n)
-	return n
 }
 
 // withSignature adds the headers by which a node recognizes the response of its backend server.
--- /dev/null
+++ b/internal/process/routed/ratelimit_test.go
@@ -0,0 +1,144 @@
+package routed_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+)
+
+// limitedServer is a backend server that states a rate limit and records when requests arrive.
+type limitedServer struct {
+	mu       sync.Mutex
+	rate     float64
+	arrivals []time.Time
+}
+
+// limitedServiceTime is the service time of a limitedServer.
+const limitedServiceTime = 50 * time.Millisecond
+
+func (s *limitedServer) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	s.mu.Unlock()
+	time.Sleep(limitedServiceTime)
+	s.mu.Lock()
+	rate := s.rate
+	s.mu.Unlock()
+	if rate > 0 {
+		w.Header().Set("Rate-Limit", strconv.FormatFloat(rate, 'f', -1, 64))
+	}
+	hello(w, r)
+}
+
+func (s *limitedServer) setRate(rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rate = rate
+}
+
+// most returns the greatest number of requests that arrived in any window of the length since the time.
+func (s *limitedServer) most(since time.Time, length time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0
+	for i, from := range s.arrivals {
+		if from.Before(since) {
+			continue
+		}
+		end, _ := slices.BinarySearchFunc(s.arrivals, from.Add(length), time.Time.Compare)
+		most = max(most, end-i)
+	}
+	return most
+}
+
+// The requests that a backend server with a rate limit may get in rateWindow: one and a half times the limit, and
+// rateSlack more. The bound holds from learnTime after the first statement on.
+const (
+	rateWindow = 4 * time.Second
+	rateFactor = 1.5
+	rateSlack  = 5
+	learnTime  = 3 * time.Second
+)
+
+// sendSteadily sends requests to the node until the context ends, each at the interval after the one before.
+func sendSteadily(ctx context.Context, t *testing.T, n *testNode, interval time.Duration) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	client := &http.Client{}
+	for ctx.Err() == nil {
+		group.Go(func() { n.call(t, client, "GET", "sheets.example", "/a") })
+		time.Sleep(interval)
+	}
+}
+
+// Guards against a backend server that states a rate limit and gets more requests than that, because the node beside it
+// does not count them, or has just started and knows no limit.
+func TestBackendServerGetsNoMoreThanItsRateLimit(t *testing.T) {
+	for name, test := range map[string]struct {
+		rate     float64
+		restarts int
+	}{
+		"nodes keep running":      {5, 0},
+		"low rate":                {0.6, 0},
+		"node restarts":           {5, 1},
+		"node restarts, low rate": {1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			limited := &limitedServer{}
+			f := newFleet(t, twoServices(1))
+			node := f.add(t, "zone_1", "crew", limited.serve)
+			entries := []*testNode{f.add(t, "zone_1", "bookings", hello), f.add(t, "zone_2", "bookings", hello)}
+			f.waitReady(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			var load conc.WaitGroup
+			for _, entry := range entries {
+				load.Go(func() { sendSteadily(ctx, t, entry, 20*time.Millisecond) })
+			}
+			time.Sleep(500 * time.Millisecond)
+			is.True(limited.most(time.Time{}, rateWindow) > 20) // without a limit, it gets what is sent
+			limited.setRate(test.rate)
+			stated := time.Now()
+			time.Sleep(learnTime)
+			for range test.restarts {
+				f.restart(node)
+			}
+			time.Sleep(rateWindow + time.Second)
+			cancel()
+			load.Wait()
+			got, allowed := limited.most(stated.Add(learnTime), rateWindow), int(rateFactor*test.rate*rateWindow.Seconds()+rateSlack)
+			t.Logf("%d requests in %s, %d allowed", got, rateWindow, allowed)
+			is.True(got <= allowed)
+			is.True(got > 0)
+		})
+	}
+}
+
+// Guards against a rate limit that outlives its statement: once responses no longer state it, all requests are served.
+func TestRateLimitEndsWithItsStatement(t *testing.T) {
+	is := is.New(t)
+	limited := &limitedServer{rate: 2}
+	f := newFleet(t, twoServices(1))
+	f.add(t, "zone_1", "crew", limited.serve)
+	entry := f.add(t, "zone_1", "bookings", hello)
+	f.waitReady(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var load conc.WaitGroup
+	load.Go(func() { sendSteadily(ctx, t, entry, 20*time.Millisecond) })
+	time.Sleep(2 * time.Second)
+	limited.setRate(0)
+	time.Sleep(time.Second) // in which a request is sent at the rate limit, and its response arrives
+	since := time.Now()
+	time.Sleep(time.Second)
+	cancel()
+	load.Wait()
+	is.True(limited.most(since, time.Second) > 35) // about 50 are sent
+}
