Start no more requests than the rate limit that a backend server states

Cause: the gate beside the backend server counted slots only, and nobody read the statement. Fix: the gate is the one place where everything that reaches the backend server passes: first attempts, retries of any entry, second copies of fenced attempts, requeues and calls. The queue, the reported limit and Retry-After follow the rate, so that entries choose other instances. A process that has just started, or sees a new start of its backend server, knows no limit: until the first response it starts 4 requests a second.

--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // GateConfig configures a Gate.
 type GateConfig struct {
@@ -16,12 +19,16 @@
 	ReserveInterval time.Duration
 	// MaxRetryAfter is the upper limit of the Retry-After of refusals.
 	MaxRetryAfter time.Duration
+	// RateBeforeFirstResponse is the rate limit, in requests per second, from the start of a backend server until its
+	// first response, which may state a lower limit; 0 means none.
+	RateBeforeFirstResponse float64
 }
 
 // Gate admits requests to one backend server.
 type Gate struct {
 	config   GateConfig
 	limit    *Limit
+	rate     rateLimit
 	demand   demand
 	inFlight int
 	ranks    [Ranks]*fairQueue
@@ -50,6 +57,7 @@
 	g := &Gate{
 		config: config,
 		limit:  NewLimit(config.Limit),
+		rate:   newRateLimit(config.RateBeforeFirstResponse),
 		expiry: indexedHeap[*Ticket]{
 			less:  func(a, b *Ticket) bool { return a.expires.Before(b.expires) },
 			index: func(t *Ticket) *int { return &t.expiryIndex },
@@ -72,7 +80,9 @@
 		g.start(now, t)
 		return Verdict{Action: Run}
 	}
-	g.limit.NoteBlocked()
+	if g.rate.allows(now) {
+		g.limit.NoteBlocked()
+	}
 	g.enqueue(now, t)
 	return g.shedExcess(now, t)
 }
@@ -103,9 +113,10 @@
 	maxPause = 50 * time.Millisecond
 )
 
-// Cancel frees the slot of a request that did not run.
+// Cancel frees the slot of a request that was not sent.
 func (g *Gate) Cancel(now time.Time) Dequeued {
 	g.inFlight--
+	g.rate.giveBack()
 	return g.Advance(now)
 }
 
@@ -138,6 +149,22 @@
 	g.limit.Announce(slots, connections)
 }
 
+// ObserveRate applies what a response of the backend server says about its rate limit.
+func (g *Gate) ObserveRate(now time.Time, s RateStatement) Dequeued {
+	g.rate.observe(now, s)
+	return g.Advance(now)
+}
+
+// Restarted records that the backend server has started again. Nothing is known about its rate limit.
+func (g *Gate) Restarted() {
+	g.rate = newRateLimit(g.config.RateBeforeFirstResponse)
+}
+
+// RateLimit returns the rate limit that the backend server states, in requests per second; 0 means none.
+func (g *Gate) RateLimit() float64 {
+	return g.rate.stated()
+}
+
 // InFlight returns the number of requests that hold a slot.
 func (g *Gate) InFlight() int {
 	return g.inFlight
@@ -157,9 +184,15 @@
 	return counts
 }
 
-// LimitValue returns the in-flight limit in force.
+// LimitValue returns the in-flight limit in force. If the backend server states a rate limit, it is at most the number of
+// requests that are in flight at that rate.
 func (g *Gate) LimitValue() int {
-	return g.limit.Value()
+	limit := g.limit.Value()
+	rate, holdTime := g.rate.stated(), g.limit.HoldTime()
+	if rate == 0 || holdTime == 0 {
+		return limit
+	}
+	return min(limit, max(int(math.Ceil(rate*holdTime.Seconds())), 1))
 }
 
 // HoldTime returns the recent mean time for which requests held their slots; 0 if unknown.
@@ -189,13 +222,15 @@
 // ahead of it drains, times the ratio of offered to started requests of the rank, between minRetryAfter and
 // GateConfig.MaxRetryAfter.
 func (g *Gate) RetryAfter(rank int) time.Duration {
-	drain := g.limit.HoldTime() * time.Duration(g.queuedUpTo(rank)+1) / time.Duration(g.limit.Value())
+	interval := max(g.limit.HoldTime()/time.Duration(g.limit.Value()), g.rate.interval())
+	drain := interval * time.Duration(g.queuedUpTo(rank)+1)
 	delay := time.Duration(float64(drain) * g.demand.offeredRatio(rank))
 	return min(max(delay, minRetryAfter), g.config.MaxRetryAfter)
 }
 
 func (g *Gate) start(now time.Time, t *Ticket) {
 	g.inFlight++
+	g.rate.take(now)
 	t.SaturatedLimit = g.limit.Begin(now, g.inFlight)
 	g.demand.started(now, t.Rank)
 	g.totals.Started[t.Rank]++
@@ -219,7 +254,7 @@
 // mayStart reports whether a slot is available to the rank.
 func (g *Gate) mayStart(now time.Time, rank int) bool {
 	free := g.limit.Value() - g.inFlight
-	if free <= 0 || now.Before(g.pausedUntil) {
+	if free <= 0 || now.Before(g.pausedUntil) || !g.rate.allows(now) {
 		return false
 	}
 	return free > 1 || !g.reservesLastSlot(now, rank)
@@ -274,6 +309,9 @@
 // within the maximum queueing delay of the rank, and at most QueuePerSlot for each slot, but at least one.
 func (g *Gate) maxQueued(rank int) int {
 	limit := float64(g.limit.Value())
+	if rate := g.rate.stated(); rate > 0 {
+		return max(int(math.Min(rate*g.maxQueueingDelay(rank).Seconds(), limit*g.config.QueuePerSlot)), 1)
+	}
 	perSlot := g.config.QueuePerSlot
 	if holdTime := g.limit.HoldTime(); holdTime > 0 {
 		perSlot = min(perSlot, float64(g.maxQueueingDelay(rank))/float64(holdTime))
--- a/internal/decide/announcement/announcement.go
+++ b/internal/decide/announcement/announcement.go
@@ -30,3 +30,8 @@
 	}
 	return next.Sequence != 0 && next.Sequence <= held.Sequence
 }
+
+// IsSameStart reports whether both announcements are of the same start of the same backend server.
+func IsSameStart(a, b Position) bool {
+	return a.Instance == b.Instance && a.Started == b.Started
+}
--- a/internal/process/local/local.go
+++ b/internal/process/local/local.go
@@ -15,6 +15,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/announcement"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/liveness"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
@@ -38,8 +39,10 @@
 
 	mu           sync.Mutex
 	lastPosition announcement.Position
-	// statement is the latest statement about the rate limit.
-	statement backend.Statement
+	// restartedAt is when the first announcement of the current start of the backend server arrived.
+	restartedAt time.Time
+	// rateLimit is the rate limit that was logged last; 0 means none.
+	rateLimit float64
 }
 
 // New returns a server that has not announced itself.
@@ -50,13 +53,17 @@
 // HandleAnnouncement applies an announcement of the backend server, unless a later one is known. It returns when the
 // board shows it.
 func (s *Server) HandleAnnouncement(ctx context.Context, a backend.Announcement) {
-	if s.isStale(a) {
+	isStale, isRestart := s.recordPosition(a)
+	if isStale {
 		s.config.Log.Emit(events.AnnouncementStale, events.Fields{
 			"instance": a.Instance, "started": a.Started, "sequence": a.Sequence,
 		})
 		return
 	}
 	s.config.Liveness.RecordAnnouncement()
+	if isRestart {
+		s.config.Gate.Restarted()
+	}
 	s.config.Gate.Announce(a.Slots, a.Connections)
 	s.config.Client.SetMaxConnections(a.Connections)
 	previous := s.config.Board.Snapshot().Backend
@@ -85,16 +92,21 @@
 	}
 }
 
-// isStale reports whether a later announcement is known. If none is, it records the position of this one.
-func (s *Server) isStale(a backend.Announcement) bool {
+// recordPosition reports whether a later announcement is known. If none is, it records the position of this one, and
+// reports whether it is the first of its start of the backend server.
+func (s *Server) recordPosition(a backend.Announcement) (isStale, isRestart bool) {
 	next := announcement.Position{Instance: a.Instance, Started: a.Started, Sequence: a.Sequence}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if announcement.IsStale(s.lastPosition, next) {
-		return true
+		return true, false
+	}
+	isRestart = !announcement.IsSameStart(s.lastPosition, next)
+	if isRestart {
+		s.restartedAt = time.Now()
 	}
 	s.lastPosition = next
-	return false
+	return false, isRestart
 }
 
 // HandleDeparture marks the backend server as leaving if it has this instance name. A departure of another instance is
@@ -111,28 +123,43 @@
 	s.config.Log.Emit(events.BackendLeaving, events.Fields{"instance": instance})
 }
 
-// HandleStatement records what a response of the backend server says about the backend server.
+// HandleStatement applies what a response of the backend server says about the backend server. Responses of earlier starts
+// of the backend server are ignored.
 func (s *Server) HandleStatement(next backend.Statement) {
+	if !s.isCurrent(next) {
+		return
+	}
 	if next.Invalid != "" {
 		s.config.Limiter.Emit(time.Now(), events.StatementInvalid, events.Fields{"instance": next.Instance, "rate_limit": next.Invalid})
 		return
 	}
+	s.config.Gate.ObserveRate(admission.RateStatement{
+		PerSecond: next.RateLimit, IsLimited: next.IsRateLimited, SentAt: next.SentAt, ReceivedAt: next.ReceivedAt,
+	})
+	s.logRateLimit(next.Instance)
+}
+
+// isCurrent reports whether the statement is that of the current start of the backend server.
+func (s *Server) isCurrent(next backend.Statement) bool {
 	s.mu.Lock()
-	previous := s.statement
-	s.statement = next
-	s.mu.Unlock()
-	s.logRateLimit(previous, next)
+	defer s.mu.Unlock()
+	return s.lastPosition.Instance == next.Instance && !next.SentAt.Before(s.restartedAt)
 }
 
-func (s *Server) logRateLimit(previous, next backend.Statement) {
+// logRateLimit logs the rate limit in force if it has changed.
+func (s *Server) logRateLimit(instance string) {
+	rateLimit := s.config.Gate.RateLimit()
+	s.mu.Lock()
+	previous := s.rateLimit
+	s.rateLimit = rateLimit
+	s.mu.Unlock()
+	fields := events.Fields{"instance": instance, "per_second": rateLimit, "previous": previous}
 	switch {
-	case previous.RateLimit == next.RateLimit && previous.IsRateLimited == next.IsRateLimited:
-	case next.IsRateLimited:
-		s.config.Log.Emit(events.BackendRateLimited, events.Fields{
-			"instance": next.Instance, "per_second": next.RateLimit, "was_limited": previous.IsRateLimited, "previous": previous.RateLimit,
-		})
+	case previous == rateLimit:
+	case rateLimit > 0:
+		s.config.Log.Emit(events.BackendRateLimited, fields)
 	default:
-		s.config.Log.Emit(events.BackendUnlimited, events.Fields{"instance": next.Instance, "previous": previous.RateLimit})
+		s.config.Log.Emit(events.BackendUnlimited, fields)
 	}
 }
 
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -122,6 +122,10 @@
 // retryBudget is the retry budget of one node for one service.
 var retryBudget = retry.BudgetConfig{EarnRatio: 0.05, Max: 3}
 
+// rateBeforeFirstResponse is the rate, in requests per second, at which a backend server gets requests from its start, or
+// from the start of this process, until it has responded: it may state a rate limit.
+const rateBeforeFirstResponse = 4
+
 // requeueBudget limits how many requests that the backend server shed are requeued, as a ratio of all requests for it.
 var requeueBudget = retry.BudgetConfig{EarnRatio: 0.08, Max: 4}
 
@@ -160,6 +164,7 @@
 	liveness := backend.NewLiveness()
 	gate := parts.GateConfig(s)
 	gate.Limit.Fixed = true
+	gate.RateBeforeFirstResponse = rateBeforeFirstResponse
 	n.gate = backend.NewGate(gate)
 	pool := parts.PoolConfig(s)
 	pool.Compressor = n.compressor
--- a/internal/traffic/backend/gate.go
+++ b/internal/traffic/backend/gate.go
@@ -94,6 +94,27 @@
 	g.gate.Announce(slots, connections)
 }
 
+// ObserveRate applies what a response of the backend server says about its rate limit.
+func (g *Gate) ObserveRate(s admission.RateStatement) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.notify(g.gate.ObserveRate(time.Now(), s))
+}
+
+// RateLimit returns the rate limit that the backend server states, in requests per second; 0 means none.
+func (g *Gate) RateLimit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.RateLimit()
+}
+
+// Restarted records that the backend server has started again.
+func (g *Gate) Restarted() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Restarted()
+}
+
 // Load returns the load of the gate, as it is reported to other nodes.
 func (g *Gate) Load() call.Load {
 	g.mu.Lock()
