Tests of routed nodes: own loopback address for each node, no wait for a process that has ended

Cause: freeAddress closed a listener and let the node open it again; between the two, or while a node restarts, an outgoing connection or a parallel test may take the port. The node then ends, and the test waits for its registration for good. Change: each node has a loopback address of its own with fixed ports, and a test fails at once if the node ends before it registers.

--- a/internal/process/routed/fleet_test.go
+++ b/internal/process/routed/fleet_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -58,6 +59,7 @@
 	ready    func() bool
 	stop     context.CancelFunc
 	ended    chan struct{}
+	started  atomic.Int64
 	sequence atomic.Uint64
 	service  string
 }
@@ -103,41 +105,55 @@
 	}
 }
 
-func freeAddress(tb testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(tb).NoErr(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// nodeCount numbers the nodes of all tests.
+var nodeCount atomic.Int64
+
+// The ports of a node. Each node has its own IP address, so that no outgoing connection takes one of its ports.
+const (
+	callerPort  = "18311"
+	peerPort    = "18312"
+	backendPort = "18313"
+	readyPort   = "18314"
+)
+
+// nextIP returns a loopback address that no other node of this or another test process has.
+func nextIP() string {
+	const octet = 250
+	pid := os.Getpid()
+	number := int(nodeCount.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 100+(pid/octet+number/octet)%100, pid%octet, number%octet+1)
 }
 
 // add starts a node in the availability zone, beside a backend server of the service that runs the handler.
 func (f *fleet) add(tb testing.TB, zone, service string, handler http.HandlerFunc) *testNode {
-	flags := flag.NewFlagSet("node", flag.ContinueOnError)
+	flags, ip := flag.NewFlagSet("node", flag.ContinueOnError), nextIP()
 	s := settings.Register(flags)
 	is.New(tb).NoErr(s.Parse(flags, []string{
 		"-node.name", fmt.Sprintf("node_%d", len(f.nodes)+1), "-node.zone", zone, "-node.zones", zone, "-node.service", service,
-		"-caller.address", freeAddress(tb), "-peer.address", freeAddress(tb), "-backend.address", freeAddress(tb),
-		"-ready.address", freeAddress(tb), "-platform.url", "http://127.0.0.1:1", "-platform.source", settings.SourceRoutes,
+		"-caller.address", net.JoinHostPort(ip, callerPort), "-peer.address", net.JoinHostPort(ip, peerPort),
+		"-backend.address", net.JoinHostPort(ip, backendPort), "-ready.address", net.JoinHostPort(ip, readyPort),
+		"-platform.url", "http://127.0.0.1:1", "-platform.source", settings.SourceRoutes,
 	}))
 	is.New(tb).NoErr(s.Check())
 	n := &testNode{settings: s, log: &syncBuffer{}, service: service}
+	n.started.Store(1)
 	n.server = httptest.NewServer(withSignature(handler))
-	f.start(n)
+	f.start(tb, n)
 	n.announceServer(false)
 	f.nodes = append(f.nodes, n)
 	return n
 }
 
 // restart stops the node and starts it again beside its backend server, which keeps running and announces itself.
-func (f *fleet) restart(n *testNode) {
+func (f *fleet) restart(tb testing.TB, n *testNode) {
 	n.stop()
 	<-n.ended
-	f.start(n)
+	f.start(tb, n)
 	n.announceServer(false)
 }
 
 // start starts the process of the node and returns when it takes announcements.
-func (f *fleet) start(n *testNode) {
+func (f *fleet) start(tb testing.TB, n *testNode) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop, n.ended = cancel, make(chan struct{})
 	s, ended := n.settings, n.ended
@@ -168,8 +184,13 @@
 		defer close(ended)
 		_ = routed.Run(ctx, routed.Config{Settings: s, Log: log, Adapter: adapter})
 	})
-	<-registered
-	<-readyRegistered
+	for _, done := range []chan struct{}{registered, readyRegistered} {
+		select {
+		case <-done:
+		case <-ended:
+			tb.Fatal("the node ended: " + n.log.String())
+		}
+	}
 }
 
 // withSignature adds the headers by which a node recognizes the response of its backend server.
@@ -181,10 +202,16 @@
 	}
 }
 
+// restartServer announces a new start of the backend server under the same name.
+func (n *testNode) restartServer() {
+	n.started.Store(time.Now().UnixMilli())
+	n.announceServer(false)
+}
+
 func (n *testNode) announceServer(leaving bool) {
 	n.announce(backend.Announcement{
 		Service: n.service, Address: strings.TrimPrefix(n.server.URL, "http://"), Slots: 64, Connections: 256,
-		Instance: "i_" + n.settings.Node.Name, Started: 1, Sequence: n.sequence.Add(1), Leaving: leaving,
+		Instance: "i_" + n.settings.Node.Name, Started: n.started.Load(), Sequence: n.sequence.Add(1), Leaving: leaving,
 	})
 }
 
--- a/internal/process/routed/ratelimit_test.go
+++ b/internal/process/routed/ratelimit_test.go
@@ -109,7 +109,7 @@
 			stated := time.Now()
 			time.Sleep(learnTime)
 			for range test.restarts {
-				f.restart(node)
+				f.restart(t, node)
 			}
 			time.Sleep(rateWindow + time.Second)
 			cancel()
