A backend server that has said that it leaves stays out of use at its node

What callers saw: on the wire of the test, requests that still went to a backend server that was about to stop, over 200 in 5 s. Cause: the node beside the backend server learned of the leaving from announcements alone, and each later announcement replaced what it knew, also one that had been sent before. Ruled out: the entries; in these cases they ask the node, which must refuse. Fix: the node learns it in each way there is (an announcement, a withdrawal, also of an instance that has not announced itself here yet, and the header of a response) and it holds for that start of the backend server for good. A new start under the same name is in use again (TestRestartedBackendServerGetsRequestsAgain). Evidence: two of the three cases of TestBackendServerThatSaidItLeavesGetsNoRequests failed before (392 for 148 each) and pass; the third, a node that restarts, stays listed. TestDepartureCovers has the order of announcements.

--- a/internal/control/board/board.go
+++ b/internal/control/board/board.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -67,13 +68,24 @@
 	Slots          int    `json:"slots"`
 	MaxConnections int    `json:"connections"`
 	// Instance names the start of the backend server's process; empty if the announcement did not name it.
-	Instance    string    `json:"instance,omitempty"`
+	Instance string `json:"instance,omitempty"`
+	// Started is the time of that start, in Unix milliseconds; 0 if the announcement did not say.
+	Started     int64     `json:"started,omitempty"`
 	Leaving     bool      `json:"leaving"`
 	AnnouncedAt time.Time `json:"announced_at"`
 	// State is whether the backend server is reachable.
 	State liveness.State `json:"state"`
 }
 
+// StartID identifies the start of the backend server's process in the whole fleet; empty if the announcement did not name
+// it.
+func (b Backend) StartID() string {
+	if b.Instance == "" {
+		return ""
+	}
+	return b.Instance + "@" + strconv.FormatInt(b.Started, 10)
+}
+
 // IsLost reports whether the backend server announced itself and is now unreachable.
 func (b Backend) IsLost() bool {
 	return b.State == liveness.Refusing || b.State == liveness.Silent
--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -88,7 +88,7 @@
 	SettingsReloaded:   {Name: "settings_reloaded", Level: zerolog.InfoLevel, Since: "0.3", Text: "The settings were read again after SIGHUP. The log level applies now, all other changes from the next start on."},
 	SettingsRefused:    {Name: "settings_refused", Level: zerolog.WarnLevel, Since: "0.3", Text: "The settings that were read again after SIGHUP have faults; the previous ones stay in force.", Action: "Correct the file; the error names the line."},
 	BackendAnnounced:   {Name: "backend_announced", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server announced itself."},
-	BackendLeaving:     {Name: "backend_leaving", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server announced that it leaves."},
+	BackendLeaving:     {Name: "backend_leaving", Level: zerolog.InfoLevel, Since: "0.1", Text: "The backend server said that it leaves, in an announcement, by withdrawing, or in a response (learned_from)."},
 	BackendFailed:      {Name: "backend_failed", Level: zerolog.WarnLevel, Since: "0.1", Text: "The backend server broke a connection in the middle of a request.", Action: "If it repeats, look for a crash of the backend server."},
 	RequestQuarantined: {Name: "request_quarantined", Level: zerolog.WarnLevel, Since: "0.1", Text: "A request that crashed backend servers is refused for a time.", Action: "Find the request by its fingerprint in the dump and mend the backend server."},
 	BackendLost:        {Name: "backend_lost", Level: zerolog.WarnLevel, Since: "0.1", Text: "The backend server refuses connections, or hangs: it neither announces itself nor answers. Other nodes send it nothing.", Action: "Start the backend server again; the node takes work for it as soon as it is there."},
--- a/internal/process/local/local.go
+++ b/internal/process/local/local.go
@@ -39,6 +39,8 @@
 
 	mu           sync.Mutex
 	lastPosition announcement.Position
+	// departure is the last departure of the backend server.
+	departure announcement.Departure
 	// restartedAt is when the first announcement of the current start of the backend server arrived.
 	restartedAt time.Time
 	// rateLimit is the rate limit that was logged last; 0 means none.
@@ -67,6 +69,7 @@
 	s.config.Gate.Announce(a.Slots, a.Connections)
 	s.config.Client.SetMaxConnections(a.Connections)
 	previous := s.config.Board.Snapshot().Backend
+	a.Leaving = s.recordLeaving(a)
 	s.config.Board.Do(ctx, func(b *board.Board) {
 		b.Backend = board.Backend{
 			Service:        a.Service,
@@ -74,6 +77,7 @@
 			Slots:          a.Slots,
 			MaxConnections: a.Connections,
 			Instance:       a.Instance,
+			Started:        a.Started,
 			Leaving:        a.Leaving,
 			AnnouncedAt:    time.Now(),
 			State:          cmp.Or(b.Backend.State, liveness.Alive),
@@ -88,6 +92,7 @@
 		s.config.Log.Emit(events.BackendAnnounced, fields)
 	}
 	if a.Leaving && !previous.Leaving {
+		fields["learned_from"] = "announcement"
 		s.config.Log.Emit(events.BackendLeaving, fields)
 	}
 }
@@ -109,10 +114,34 @@
 	return false, isRestart
 }
 
-// HandleDeparture marks the backend server as leaving if it has this instance name. A departure of another instance is
-// ignored.
+// recordLeaving reports whether the start of the backend server leaves that sent the announcement. It may have said so
+// before.
+func (s *Server) recordLeaving(a backend.Announcement) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	position := announcement.Position{Instance: a.Instance, Started: a.Started}
+	if a.Leaving && a.Instance != "" {
+		s.departure = announcement.Departure{Instance: a.Instance, Started: a.Started, At: time.Now()}
+	}
+	return a.Leaving || s.departure.Covers(position)
+}
+
+// HandleDeparture marks the backend server as leaving if it has this instance name. The departure of an instance that has
+// not announced itself here counts for its later announcements.
 func (s *Server) HandleDeparture(ctx context.Context, instance string) {
-	if s.config.Board.Snapshot().Backend.Instance != instance {
+	s.mu.Lock()
+	departure := announcement.Departure{Instance: instance, At: time.Now()}
+	if s.lastPosition.Instance == instance {
+		departure.Started = s.lastPosition.Started
+	}
+	s.departure = departure
+	s.mu.Unlock()
+	s.markLeaving(ctx, instance, "withdrawn")
+}
+
+// markLeaving takes the backend server out of use if it has this instance name and doesn't leave already.
+func (s *Server) markLeaving(ctx context.Context, instance, learnedFrom string) {
+	if b := s.config.Board.Snapshot().Backend; b.Instance != instance || b.Leaving {
 		return
 	}
 	s.config.Board.Do(ctx, func(b *board.Board) {
@@ -120,15 +149,24 @@
 			b.Backend.Leaving = true
 		}
 	})
-	s.config.Log.Emit(events.BackendLeaving, events.Fields{"instance": instance})
+	s.config.Log.Emit(events.BackendLeaving, events.Fields{"instance": instance, "learned_from": learnedFrom})
 }
 
+// boardTimeout limits how long a response waits for the board, which no longer changes when the process is about to end.
+const boardTimeout = time.Second
+
 // HandleStatement applies what a response of the backend server says about the backend server. Responses of earlier starts
-// of the backend server are ignored.
+// of the backend server are ignored. It returns when the board shows that the backend server leaves.
 func (s *Server) HandleStatement(next backend.Statement) {
 	if !s.isCurrent(next) {
 		return
 	}
+	if next.Leaving {
+		s.recordStatedLeaving(next.Instance)
+		ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
+		defer cancel()
+		s.markLeaving(ctx, next.Instance, "response")
+	}
 	if next.Invalid != "" {
 		s.config.Limiter.Emit(time.Now(), events.StatementInvalid, events.Fields{"instance": next.Instance, "rate_limit": next.Invalid})
 		return
@@ -139,6 +177,15 @@
 	s.logRateLimit(next.Instance)
 }
 
+// recordStatedLeaving records that the current start of the backend server has stated that it leaves.
+func (s *Server) recordStatedLeaving(instance string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if instance != "" && s.lastPosition.Instance == instance {
+		s.departure = announcement.Departure{Instance: instance, Started: s.lastPosition.Started, At: time.Now()}
+	}
+}
+
 // isCurrent reports whether the statement is that of the current start of the backend server.
 func (s *Server) isCurrent(next backend.Statement) bool {
 	s.mu.Lock()
