Entries remember a backend server that has said that it leaves

Cause: only that node knew, and it forgets everything when it stops. Ruled out: asking the store at the start; it may be away, and the entry there bears the state of the node, which also leaves alone. Fix: each reply names the start of a backend server that leaves (leaving_start, set only then), and the entry of a member names the present start and whether it leaves. A sender passes over a node whose present backend server has left by either; a roster keeps it over a restart of the node. A new start of the backend server has another id.

--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -374,6 +374,10 @@
 		PeerAddress: b.Self.PeerAddress,
 		Service:     b.Backend.Service,
 		Slots:       b.Backend.Slots,
+
+		BackendStart:   b.Backend.StartID(),
+		BackendLeaving: b.Backend.Leaving,
+
 		State:       state,
 		BackendLost: b.Backend.IsLost(),
 	}, b.Backend.Service != ""
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -28,10 +28,14 @@
 	PeerAddress   string `json:"peer_address"`
 	CallerAddress string `json:"caller_address"`
 	// Service is the service of the backend server; empty until a backend server has announced itself.
-	Service     string `json:"service,omitempty"`
-	Slots       int    `json:"slots,omitempty"`
-	Connections int    `json:"connections,omitempty"`
-	State       State  `json:"state"`
+	Service string `json:"service,omitempty"`
+	Slots   int    `json:"slots,omitempty"`
+	// BackendStart identifies the start of the backend server; empty if its announcement did not name it.
+	BackendStart string `json:"backend_start,omitempty"`
+	// BackendLeaving reports whether that start of the backend server has said that it leaves.
+	BackendLeaving bool  `json:"backend_leaving,omitempty"`
+	Connections    int   `json:"connections,omitempty"`
+	State          State `json:"state"`
 	// BackendLost reports whether the node is up but its backend server is not.
 	BackendLost bool `json:"lost,omitempty"`
 	// Unconfirmed reports whether the member's entry in the platform's store disappeared although the member had not
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -62,6 +62,14 @@
 type Roster struct {
 	config  Config
 	entries map[string]*trackedMember
+	// departures holds the backend servers that have said that they leave, by the key of the entry.
+	departures map[string]departure
+}
+
+// departure is the start of a backend server that has said that it leaves.
+type departure struct {
+	backendStart string
+	learnedAt    time.Time
 }
 
 // trackedMember is one member.
@@ -73,7 +81,7 @@
 
 // New returns an empty roster.
 func New(config Config) *Roster {
-	return &Roster{config: config, entries: map[string]*trackedMember{}}
+	return &Roster{config: config, entries: map[string]*trackedMember{}, departures: map[string]departure{}}
 }
 
 // Replace replaces the known entries by those that the store holds now. A member without an entry becomes unconfirmed,
@@ -82,7 +90,7 @@
 	held := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		held[e.Key] = true
-		r.put(e)
+		r.put(now, e)
 	}
 	for key := range r.entries {
 		if !held[key] {
@@ -100,18 +108,34 @@
 		r.markLapsed(now, c.Key)
 		return
 	}
-	r.put(c.Entry)
+	r.put(now, c.Entry)
 }
 
-func (r *Roster) put(e Entry) {
+func (r *Roster) put(now time.Time, e Entry) {
 	before, ok := r.entries[e.Key]
 	if ok && e.Revision < before.Revision {
 		return
 	}
+	r.keepDeparture(now, &e)
 	r.dropReplacedAt(e)
 	r.entries[e.Key] = &trackedMember{Entry: e}
 }
 
+// keepDeparture makes the member leave if its backend server has said that it leaves. A node that has restarted beside the
+// backend server may not know that.
+func (r *Roster) keepDeparture(now time.Time, e *Entry) {
+	start := e.Member.BackendStart
+	if start == "" {
+		return
+	}
+	if e.Member.BackendLeaving {
+		r.departures[e.Key] = departure{backendStart: start, learnedAt: now}
+	}
+	if r.departures[e.Key].backendStart == start {
+		e.Member.State, e.Member.BackendLeaving = membership.Leaving, true
+	}
+}
+
 // dropReplacedAt drops the members whose peer address now belongs to the entry's node, even before their own entries
 // are deleted.
 func (r *Roster) dropReplacedAt(e Entry) {
@@ -135,6 +159,11 @@
 
 // Members returns the members, sorted by name. Members without an entry are marked unconfirmed.
 func (r *Roster) Members(now time.Time) []membership.Member {
+	for key, d := range r.departures {
+		if _, present := r.entries[key]; !present && now.Sub(d.learnedAt) > r.config.KeepUnconfirmed {
+			delete(r.departures, key)
+		}
+	}
 	var members []membership.Member
 	for key, k := range r.entries {
 		if !k.lapsedAt.IsZero() && now.Sub(k.lapsedAt) > r.config.KeepUnconfirmed {
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -133,6 +133,8 @@
 	// to a failure may retry, so the nodes above return such a reply to their callers.
 	DownstreamFailure Reason
 	Load              Load
+	// LeavingStart identifies the start of the backend server of the replying node if it has said that it leaves.
+	LeavingStart string
 	// QueueingDelay is the total queueing delay of the request and of the calls below it.
 	QueueingDelay time.Duration
 	// CrossZoneBytes is the number of bytes sent between availability zones for the request and for the calls below it.
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -51,6 +51,9 @@
 func (v *Receiver) Receive(ctx context.Context, r *call.Request) call.Reply {
 	reply := v.receive(ctx, r)
 	reply.Load = v.config.Gate.Load()
+	if b := v.config.Board.Snapshot(); b.Backend.Leaving {
+		reply.LeavingStart = b.Backend.StartID()
+	}
 	if reply.Outcome == call.NotRun {
 		v.logRefusal(r, &reply)
 	}
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -53,6 +54,7 @@
 	views            *instanceViews
 	entryThrottles   *entryThrottles
 	typicalDurations *typicalDurations
+	departures       *departures
 }
 
 // NewSender returns a Sender.
@@ -62,6 +64,7 @@
 		views:            newInstanceViews(config.Routing),
 		entryThrottles:   newEntryThrottles(config.Throttle),
 		typicalDurations: newTypicalDurations(),
+		departures:       newDepartures(),
 	}
 	if config.Reachability != nil {
 		config.Reachability.onChange = s.views.setUnreachable
@@ -184,6 +187,9 @@
 func (s *Sender) choose(r *call.Request, tried []string) (membership.Member, bool) {
 	b := s.config.Board.Snapshot()
 	members := b.Members.ByService[r.Service]
+	if leaving := s.departures.nodes(members); len(leaving) > 0 {
+		tried = slices.Concat(tried, leaving)
+	}
 	chosen, ok := s.views.choose(r.Service, members, time.Now(), routing.Request{Rank: r.Root.Rank, Kind: r.Kind, IsCall: r.Depth > 0, Target: r.TargetLatency, Tried: tried})
 	if !ok {
 		return membership.Member{}, false
@@ -207,6 +213,9 @@
 	reply := s.transmit(ctx, target, &attempt)
 	s.views.end(target.Node, start, time.Now(), r, reply)
 	s.config.Reachability.observe(target.Node, &reply, time.Since(start))
+	if reply.LeavingStart != "" {
+		s.departures.record(s.config.Board.Snapshot().Members, target.Node, reply.LeavingStart)
+	}
 	if attempt.IsCrossZone {
 		reply.CrossZoneBytes += exchangedBytes(r, &reply)
 	}
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -121,6 +121,7 @@
 		Confirm:      r.ChallengeToken,
 		WaitedMicros: r.QueueingDelay.Microseconds(),
 		FarBytes:     r.CrossZoneBytes,
+		LeavingStart: r.LeavingStart,
 	}
 }
 
@@ -150,5 +151,6 @@
 		QueueingDelay:  time.Duration(m.GetWaitedMicros()) * time.Microsecond,
 
 		CrossZoneBytes: max(m.GetFarBytes(), 0),
+		LeavingStart:   m.GetLeavingStart(),
 	}, nil
 }
