Bound responses of a backend server that never end

What callers saw: a request whose backend server sends bytes without end, as a status line, header lines, informational responses or no HTTP at all, failed only at its deadline, and the node kept all of the header in memory; of a chunked body the rest was read until the deadline, of one after a whole response the connection stayed open for good. Cause: http.ReadResponse has no bound of its own; Close of an unfinished body reads the rest; the closing side read for 5 s whatever came; idle connections were closed only when another one was put back; and each of up to 1,000 bodies may hold 1 MiB. Ruled out: the size limit of a single body, which held. Fix: a header, with informational responses, has at most 64 KiB; all bodies of which a part has been read at most 16 MiB together; an unfinished body is not closed but its connection; closing reads 64 KiB at most; expired idle connections are closed by a timer.

--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -81,6 +81,7 @@
 	transport       transport
 	tokens          atomic.Uint64
 	sent            atomic.Uint64
+	reading         readingBytes
 
 	mu             sync.Mutex
 	maxConnections int
@@ -270,28 +271,6 @@
 	c.config.Stated(s)
 }
 
-func (c *Client) readBody(response *http.Response) ([]byte, error) {
-	defer func() { _ = response.Body.Close() }()
-	if response.ContentLength > c.config.MaxBody {
-		return nil, errResponseTooLarge
-	}
-	body, err := ReadBody(response.Body, response.ContentLength, c.config.MaxBody+1)
-	if err == nil && int64(len(body)) > c.config.MaxBody {
-		err = errResponseTooLarge
-	}
-	return body, err
-}
-
-// ReadBody reads a body of the given length, but at most limit bytes. A negative length means that it isn't known.
-func ReadBody(body io.Reader, length, limit int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(io.LimitReader(body, limit))
-	}
-	content := make([]byte, min(length, limit))
-	_, err := io.ReadFull(body, content)
-	return content, err
-}
-
 func (c *Client) toReply(response *http.Response, body []byte) call.Reply {
 	if c.isNotRun(response) {
 		return call.Refused(call.NotRun, notRunReason(response.StatusCode), 0)
--- a/internal/traffic/backend/connections.go
+++ b/internal/traffic/backend/connections.go
@@ -150,8 +150,13 @@
 	return err
 }
 
-// lingerTimeout is how long lingerClose waits for the backend server to close its side of a connection.
-const lingerTimeout = 5 * time.Second
+const (
+	// lingerTimeout is how long lingerClose waits for the backend server to close its side of a connection.
+	lingerTimeout = 5 * time.Second
+	// maxLingerBytes is how many bytes lingerClose reads meanwhile. A backend server that sends more may send without
+	// end until the connection is closed.
+	maxLingerBytes = 64 << 10
+)
 
 // lingerClose shuts down the write side and waits until the backend server has closed the connection.
 func (c *connection) lingerClose() {
@@ -163,6 +168,6 @@
 		_ = halfCloser.CloseWrite()
 	}
 	if c.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
-		_, _ = io.Copy(io.Discard, c.Conn)
+		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
 	}
 }
--- /dev/null
+++ b/internal/traffic/backend/endless_test.go
@@ -0,0 +1,98 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
+)
+
+// Guards against a backend server that sends bytes without end, in a header or a body, until its connection is closed:
+// the request must fail soon, the connection must be closed, and memory must stay flat.
+func TestEndlessResponsesAreBounded(t *testing.T) {
+	block := strings.Repeat("x", 16<<10)
+	for name, test := range map[string]struct {
+		begin, repeated string
+		want            call.Reason
+	}{
+		"status line":             {"HTTP/1.1 200 ", block, call.ReasonBackendFailed},
+		"header line":             {"HTTP/1.1 200 OK\r\nX-Long: ", block, call.ReasonBackendFailed},
+		"header lines":            {"HTTP/1.1 200 OK\r\n", "X-Line: " + block + "\r\n", call.ReasonBackendFailed},
+		"informational responses": {"", "HTTP/1.1 100 Continue\r\n\r\n", call.ReasonBackendFailed},
+		"no response":             {"", block, call.ReasonBackendFailed},
+		"body without length":     {"HTTP/1.1 200 OK\r\n\r\n", block, call.ReasonResponseTooLarge},
+		"chunks":                  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4000\r\n" + block + "\r\n", call.ReasonResponseTooLarge},
+		"chunk header":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4000;", block, call.ReasonBackendFailed},
+		"after a whole response":  {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", block, call.ReasonNone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var open atomic.Int32
+			server := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+				open.Add(1)
+				defer open.Add(-1)
+				if _, err := http.ReadRequest(requests); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, test.begin)
+				for err == nil {
+					_, err = io.WriteString(conn, test.repeated)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			begin := time.Now()
+			result := newClient().Run(ctx, backend.Target{Address: server.address}, newRequest(http.MethodGet, "", ""))
+			is.Equal(result.Reply.Reason, test.want)
+			is.True(time.Since(begin) < time.Second)
+			harness.Eventually(t, 10*time.Second, func() bool { return open.Load() == 0 })
+		})
+	}
+}
+
+// Guards against a node that runs out of memory because all requests of its backend server get a body without end.
+func TestManyEndlessBodiesNeedLittleMemory(t *testing.T) {
+	is := is.New(t)
+	const requests, maxBody, maxHeap = 300, 1 << 20, 96 << 20
+	block := strings.Repeat("x", 16<<10)
+	server := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+		if _, err := http.ReadRequest(requests); err != nil {
+			return
+		}
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		for sent := 0; err == nil; sent++ {
+			if sent == 50 {
+				time.Sleep(500 * time.Millisecond) // until every request has read most of what it may
+			}
+			_, err = io.WriteString(conn, block)
+		}
+	})
+	client := backend.NewClient(backend.ClientConfig{MaxBody: maxBody}, call.NewRunningRequests())
+	client.SetMaxConnections(requests)
+	var group conc.WaitGroup
+	for range requests {
+		group.Go(func() {
+			client.Run(t.Context(), backend.Target{Address: server.address}, newRequest(http.MethodGet, "", ""))
+		})
+	}
+	time.Sleep(400 * time.Millisecond)
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	t.Logf("%d MiB", stats.HeapAlloc>>20)
+	is.True(stats.HeapAlloc < maxHeap)
+	group.Wait()
+}
--- a/internal/traffic/backend/transport.go
+++ b/internal/traffic/backend/transport.go
@@ -33,6 +33,8 @@
 	address string
 	// idle holds the connections that aren't in use, the most recently used one last.
 	idle []*persistentConn
+	// sweep closes expired idle connections; nil while there are none.
+	sweep *time.Timer
 }
 
 // get returns a connection to the address for the exclusive use of one request.
@@ -80,13 +82,32 @@
 		_ = conn.Close()
 		return
 	}
-	now := time.Now()
+	t.closeExpired(time.Now())
+	t.idle = append(t.idle, conn)
+	if t.sweep == nil {
+		t.sweep = time.AfterFunc(maxIdleTime, t.sweepIdle)
+	}
+}
+
+// sweepIdle closes the idle connections that have expired, and runs again while there are others. A backend server may
+// send on an idle connection until it is closed.
+func (t *transport) sweepIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closeExpired(time.Now())
+	t.sweep = nil
+	if len(t.idle) > 0 {
+		t.sweep = time.AfterFunc(maxIdleTime, t.sweepIdle)
+	}
+}
+
+// closeExpired closes the idle connections that have expired.
+func (t *transport) closeExpired(now time.Time) {
 	expired := 0
 	for expired < len(t.idle) && !now.Before(t.idle[expired].idleDeadline) {
 		expired++
 	}
 	t.closeIdle(expired)
-	t.idle = append(t.idle, conn)
 }
 
 // closeIdle closes the given number of idle connections, the least recently used ones first.
@@ -110,6 +131,7 @@
 	net.Conn
 	raw    syscall.RawConn
 	reader *bufio.Reader
+	header *headerLimiter
 	writer *bufio.Writer
 	// served reports whether the connection has carried a request before, so that a late response to it may arrive.
 	served bool
@@ -124,7 +146,8 @@
 }
 
 func newPersistentConn(conn net.Conn) *persistentConn {
-	c := &persistentConn{Conn: conn, reader: bufio.NewReader(conn), writer: bufio.NewWriter(conn)}
+	header := &headerLimiter{Reader: conn}
+	c := &persistentConn{Conn: conn, header: header, reader: bufio.NewReader(header), writer: bufio.NewWriter(conn)}
 	if s, ok := conn.(syscall.Conn); ok {
 		c.raw, _ = s.SyscallConn() // without it, isReusable only checks the idle deadline
 	}
@@ -173,8 +196,11 @@
 	return err
 }
 
-// receive reads the header of the next response that isn't informational.
+// receive reads the header of the next response that isn't informational. It returns errHeaderTooLarge for a header
+// without end.
 func (c *persistentConn) receive(request *http.Request) (*http.Response, error) {
+	c.header.begin(c.reader.Buffered())
+	defer c.header.end()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
