--- a/internal/control/members/members_test.go
+++ b/internal/control/members/members_test.go
@@ -122,3 +122,75 @@
 		is.Equal(len(first.Snapshot().Members.ByService["keys"]), 1)
 	})
 }
+
+// Guards against members that a node keeps from before the store was restored from a copy: entries that look older than
+// the known ones, a lease whose number another node has now, and an own entry that is thought to be stored.
+func TestMembersOfARestoredStore(t *testing.T) {
+	for name, test := range map[string]struct {
+		disturb func(ctx context.Context, s *kv.Store, before kv.Copy, second *board.Loop)
+		// accepting is how many members accept requests afterwards.
+		accepting int
+		// startsAfterCopy says that node_2 starts after the copy was made.
+		startsAfterCopy bool
+	}{
+		"entries gone": {func(_ context.Context, s *kv.Store, before kv.Copy, _ *board.Loop) {
+			s.RestoreWithoutLeases(before)
+		}, 2, false},
+		"lease given out again": {func(ctx context.Context, s *kv.Store, before kv.Copy, _ *board.Loop) {
+			s.RestoreWithoutLeases(before)
+			for range 60 { // other nodes that start
+				_, _ = s.ForNode("node_9").Grant(ctx, time.Minute)
+			}
+		}, 2, true},
+		"node leaves afterwards": {func(ctx context.Context, s *kv.Store, before kv.Copy, second *board.Loop) {
+			s.RestoreWithoutLeases(before)
+			time.Sleep(2 * time.Second)
+			second.Do(ctx, func(b *board.Board) { b.Backend.Leaving = true })
+		}, 1, false},
+		"node that leaves is in the copy as up": {func(ctx context.Context, s *kv.Store, before kv.Copy, second *board.Loop) {
+			second.Do(ctx, func(b *board.Board) { b.Backend.Leaving = true })
+			time.Sleep(time.Second)
+			s.Restore(before)
+			s.Skip(60)
+		}, 1, false},
+		"twice": {func(_ context.Context, s *kv.Store, before kv.Copy, _ *board.Loop) {
+			s.RestoreWithoutLeases(before)
+			time.Sleep(3 * time.Second)
+			s.RestoreWithoutLeases(before)
+		}, 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := kv.New()
+				ctx := t.Context()
+				var group conc.WaitGroup
+				t.Cleanup(group.Wait)
+				first := startController(ctx, &group, s, "node_1", 1)
+				if test.startsAfterCopy {
+					time.Sleep(time.Second)
+				}
+				before := s.Copy()
+				second := startController(ctx, &group, s, "node_2", 2)
+				time.Sleep(2 * time.Second)
+				if !test.startsAfterCopy {
+					before = s.Copy()
+				}
+				s.Skip(50) // changes of other keys
+				for _, loop := range []*board.Loop{first, second} {
+					loop.Do(ctx, func(b *board.Board) { b.Backend.Slots++ }) // written after the copy
+				}
+				time.Sleep(2 * time.Second)
+				test.disturb(ctx, s, before, second)
+				time.Sleep(4 * time.Second) // a lease lasts 4 s, an entry is back within 2 s
+				is.Equal(len(first.Snapshot().Members.ByService["keys"]), test.accepting)
+				for _, node := range []string{"node_1", "node_2"} {
+					m, ok := findMember(first, node)
+					is.True(ok)
+					is.True(!m.Unconfirmed)
+					is.True(s.Item("members/"+node).Revision > 0)
+				}
+			})
+		})
+	}
+}
--- a/internal/control/store/follower_test.go
+++ b/internal/control/store/follower_test.go
@@ -34,6 +34,11 @@
 }
 
 func follow(ctx context.Context, group *conc.WaitGroup, s store.Store, observed *observedValue) {
+	followPausing(ctx, group, s, observed, 0)
+}
+
+// followPausing is like follow, but the follower pauses after each change.
+func followPausing(ctx context.Context, group *conc.WaitGroup, s store.Store, observed *observedValue, delay time.Duration) {
 	f := store.NewFollower(store.FollowerConfig{
 		Store:        s,
 		Prefix:       "op/",
@@ -50,6 +55,8 @@
 		},
 		OnLost:      func(error) { observed.lost++ },
 		OnRecovered: func() {},
+
+		CoalesceDelay: func() time.Duration { return delay },
 	})
 	group.Go(func() { f.Run(ctx) })
 }
--- a/internal/lab/kv/kv.go
+++ b/internal/lab/kv/kv.go
@@ -52,8 +52,10 @@
 	mu       sync.Mutex
 	faults   Faults
 	revision uint64
-	items    map[string]store.Item
-	history  []store.Event
+	// era counts the restores from a copy.
+	era     uint64
+	items   map[string]store.Item
+	history []store.Event
 	// compacted is the revision up to which the history was dropped.
 	compacted  uint64
 	leases     map[uint64]*lease
@@ -68,6 +70,7 @@
 func New() *Store {
 	return &Store{
 		revision:    1,
+		era:         1,
 		items:       map[string]store.Item{},
 		leases:      map[uint64]*lease{},
 		changed:     make(chan struct{}),
@@ -245,7 +248,7 @@
 }
 
 // Watch waits for changes. A watch from before the compacted revision waits for the next change and then fails with
-// store.ErrCompacted.
+// store.ErrCompacted. A watch after a revision that the store does not have fails with it at once.
 func (c *client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Changes, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -284,7 +287,7 @@
 	if s.faults.StallWatches {
 		return store.Changes{}, nil
 	}
-	if after < s.compacted && len(s.history) > 0 {
+	if after < s.compacted && len(s.history) > 0 || after > s.revision {
 		return store.Changes{}, store.ErrCompacted
 	}
 	changes := store.Changes{Revision: s.revision}
