A follower of the store begins anew when the store was restored

What callers saw: nothing yet; with the stand-in of the store, a confirmed change that was not in force within 2 s, or never. Cause: after a restore the revision that a follower goes on from is given out again. If the follower made no call in between (it pauses after a change) or waits in a watch that is not told, it gets neither an error nor 410, and everything below that revision is missed. Ruled out: routes that go back. Lists and watches carry their era; a follower whose revision belongs to another era lists again, and any call that shows a new era, such as the renewal of the lease, breaks off a watch that waits.

--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -40,6 +40,8 @@
 	// revision is the revision up to which changes are known; it is valid while listed is true.
 	revision uint64
 	listed   bool
+	// era is the era of the store that the revision belongs to.
+	era uint64
 	// unreachable is true from a failed call to the next successful one. OnLost and OnRecovered are called when it
 	// changes, and so once per outage.
 	unreachable bool
@@ -82,13 +84,27 @@
 	if err != nil {
 		return err
 	}
-	f.revision, f.listed = snapshot.Revision, true
+	f.revision, f.era, f.listed = snapshot.Revision, snapshot.Era, true
 	f.config.OnList(ctx, snapshot)
 	return nil
 }
 
+// watch waits for changes. If the store has been restored since the list, a watch after the revision could miss changes,
+// and the next call is a list instead. A watch that waits meanwhile is broken off as soon as any call shows the restore.
 func (f *Follower) watch(ctx context.Context) error {
+	era, ended := f.config.Store.Era()
+	if era != f.era {
+		f.listed = false
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(ended, cancel)()
 	changes, err := f.config.Store.Watch(ctx, f.config.Prefix, f.revision, f.config.WatchTimeout)
+	if ended.Err() != nil {
+		f.listed = false
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -9,6 +9,9 @@
 //	})
 //	f.Run(ctx)
 //
+// A store may be restored from a copy. Its era then rises, and revisions and leases of an earlier era mean nothing any
+// more: a Follower begins anew with a list.
+//
 // A write that fails with any error other than ErrConflict, ErrNoLease or ErrBusy may have taken effect, or may still
 // take effect later while its condition holds.
 package store
@@ -40,12 +43,15 @@
 	Items []Item
 	// Revision is the store's revision at the time of the read. A watch continues after it.
 	Revision uint64
+	// Era is the era of the store at the time of the read; see Store.Era.
+	Era uint64
 }
 
 // Changes is the result of a watch.
 type Changes struct {
 	Events   []Event
 	Revision uint64
+	Era      uint64
 }
 
 // Write replaces or deletes one key if the key's revision is the expected one.
@@ -70,6 +76,8 @@
 	ErrCompacted = errors.New("the history after the revision has been compacted")
 	// ErrBusy means that the store did nothing; the call may succeed later.
 	ErrBusy = errors.New("the store refused the call")
+	// ErrOldEra means that a response comes from before a restore of the store that is known. A write may have been lost.
+	ErrOldEra = errors.New("the response is from before the store was restored")
 	// ErrNotFound means that the key does not exist.
 	ErrNotFound = errors.New("the key does not exist")
 )
@@ -90,4 +98,8 @@
 	// Renew extends a lease to its full time to live, counted from the call. It returns ErrNoLease if the lease has
 	// ended.
 	Renew(ctx context.Context, lease uint64) error
+	// Era returns the newest era that a response has named, and a context that ends when a response names a newer one.
+	// The era rises each time that the store is restored from a copy. What was written since the copy is gone then, and
+	// revisions and leases are given out again.
+	Era() (era uint64, ended context.Context)
 }
--- a/internal/lab/kv/kv.go
+++ b/internal/lab/kv/kv.go
@@ -146,7 +146,7 @@
 
 // ForNode returns the store as a client on the node sees it.
 func (s *Store) ForNode(node string) store.Store {
-	return &client{store: s, node: node}
+	return &client{store: s, node: node, eras: store.NewEraTracker()}
 }
 
 func (s *Store) expireLeases() {
@@ -204,6 +204,12 @@
 type client struct {
 	store *Store
 	node  string
+	eras  *store.EraTracker
+}
+
+// Era returns the newest era that a response has named, and a context that ends when a response names a newer one.
+func (c *client) Era() (uint64, context.Context) {
+	return c.eras.Current()
 }
 
 // beginCall locks the store and counts a call. If a fault makes the call fail, it unlocks the store and returns the
@@ -216,6 +222,7 @@
 		c.store.mu.Unlock()
 		return errUnavailable
 	}
+	_ = c.eras.Observe(c.store.era) // eras only rise
 	return nil
 }
 
@@ -238,7 +245,7 @@
 		return store.Snapshot{}, err
 	}
 	defer c.store.mu.Unlock()
-	snapshot := store.Snapshot{Revision: c.store.revision}
+	snapshot := store.Snapshot{Revision: c.store.revision, Era: c.store.era}
 	for key, item := range c.store.items {
 		if strings.HasPrefix(key, prefix) {
 			snapshot.Items = append(snapshot.Items, item)
@@ -272,7 +279,7 @@
 			endErr = ctx.Err()
 		case <-timer.C:
 			c.store.mu.Lock()
-			return store.Changes{Revision: c.store.revision}, nil
+			return c.empty(), nil
 		}
 		c.store.mu.Lock()
 		if endErr != nil {
@@ -284,13 +291,14 @@
 // changes returns the changes under the prefix after the revision.
 func (c *client) changes(prefix string, after uint64) (store.Changes, error) {
 	s := c.store
+	_ = c.eras.Observe(s.era) // eras only rise
 	if s.faults.StallWatches {
-		return store.Changes{}, nil
+		return store.Changes{Era: s.era}, nil
 	}
 	if after < s.compacted && len(s.history) > 0 || after > s.revision {
 		return store.Changes{}, store.ErrCompacted
 	}
-	changes := store.Changes{Revision: s.revision}
+	changes := c.empty()
 	for _, e := range s.history {
 		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
 			changes.Events = append(changes.Events, e)
@@ -299,6 +307,12 @@
 	return changes, nil
 }
 
+// empty returns the response to a watch without changes.
+func (c *client) empty() store.Changes {
+	_ = c.eras.Observe(c.store.era) // eras only rise
+	return store.Changes{Revision: c.store.revision, Era: c.store.era}
+}
+
 // Put carries out one write.
 func (c *client) Put(_ context.Context, w store.Write) (uint64, error) {
 	if err := c.beginCall(); err != nil {
--- a/internal/process/routed/fleet_test.go
+++ b/internal/process/routed/fleet_test.go
@@ -275,3 +275,12 @@
 		Services: []routes.Service{{Name: "crew", MaxConnections: 256}, {Name: "bookings", MaxConnections: 256}},
 	}
 }
+
+// withRoute returns the configuration with a further route, on its own host, to the service crew.
+func withRoute(version uint64, host string) routes.Configuration {
+	c := twoServices(version)
+	added := c.Routes[0]
+	added.Name, added.Host = "added", host
+	c.Routes = append(c.Routes, added)
+	return c
+}
--- a/internal/process/routed/routed_test.go
+++ b/internal/process/routed/routed_test.go
@@ -165,3 +165,27 @@
 	is.True(got.header.Get("Retry-After") != "")
 	is.True(time.Since(begin) < time.Second)
 }
+
+// Guards against routes that go back when the store is restored from a copy that is older than the routes in force, and
+// against later routes that are missed because their revision was given out before.
+func TestRoutesOfARestoredStore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, twoServices(1))
+	crew := f.add(t, "zone_1", "crew", hello)
+	f.add(t, "zone_1", "bookings", hello)
+	f.waitReady(t)
+	before := f.store.Copy()
+	f.setRoutes(t, withRoute(2, "added.example"))
+	time.Sleep(time.Second)
+	client := &http.Client{}
+	is.Equal(crew.call(t, client, "GET", "added.example", "/a").status, http.StatusOK)
+	f.store.RestoreWithoutLeases(before)
+	for range 10 {
+		is.Equal(crew.call(t, client, "GET", "added.example", "/a").status, http.StatusOK)
+		time.Sleep(200 * time.Millisecond)
+	}
+	f.setRoutes(t, withRoute(2, "added.example")) // the operators write it again, and then another version
+	f.setRoutes(t, withRoute(3, "later.example"))
+	time.Sleep(2 * time.Second)
+	is.Equal(crew.call(t, client, "GET", "later.example", "/a").status, http.StatusOK)
+}
