Members, own entry and lease belong to one era of the store

What callers saw: with the stand-in of the store, requests that went on to a node that had left after a restore, members that stayed unconfirmed, and a node whose entry was missing for good. Cause: the roster takes an entry only if its revision is not lower than the known one, and after a restore all are lower; a node kept its lease, whose number another node had got, and took its entry for stored. Besides, a list without the own entry never counted, since its revision was not passed on. Ruled out: an entry of the copy that says up for a node that leaves (the case passed before: the node itself refuses and writes again). Fix: the roster forgets its revisions with the first list of another era; the own entry forgets its lease and revision with any response of another era and is written anew; the position from which an entry is missing has an era, and lists set it.

--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -61,9 +61,24 @@
 type Controller struct {
 	config Config
 	roster *roster.Roster
-	entry  ownEntry
-	// missingAtRevision is the latest revision at which the store was observed without the own entry.
-	missingAtRevision atomic.Uint64
+	// rosterEra is the era of the store that the roster's revisions belong to; 0 before the first list.
+	rosterEra uint64
+	entry     ownEntry
+	// missing is the latest position at which the store was observed without the own entry; nil if never.
+	missing atomic.Pointer[position]
+}
+
+// position is a revision of the store in one of its eras.
+type position struct {
+	era, revision uint64
+}
+
+// isAfter reports whether the position is later than the other one.
+func (p position) isAfter(other position) bool {
+	if p.era != other.era {
+		return p.era > other.era
+	}
+	return p.revision > other.revision
 }
 
 // NewController returns a controller with an empty list of members.
@@ -82,7 +97,7 @@
 // rosterUpdate is a snapshot of all entries or a list of changes, as received by the follower.
 type rosterUpdate struct {
 	isSnapshot bool
-	revision   uint64
+	position   position
 	entries    []roster.Entry
 	changes    []roster.Change
 }
@@ -102,10 +117,10 @@
 		WatchTimeout:  watchTimeout,
 		CoalesceDelay: func() time.Duration { return roster.CoalesceDelay(len(c.config.Board.Snapshot().Members.ByNode)) },
 		OnList: func(ctx context.Context, s store.Snapshot) {
-			send(ctx, rosterUpdate{isSnapshot: true, entries: c.parseEntries(s.Items)})
+			send(ctx, rosterUpdate{isSnapshot: true, position: position{s.Era, s.Revision}, entries: c.parseEntries(s.Items)})
 		},
 		OnChange: func(ctx context.Context, update store.Changes) {
-			send(ctx, rosterUpdate{changes: c.parseChanges(update.Events)})
+			send(ctx, rosterUpdate{position: position{update.Era, update.Revision}, changes: c.parseChanges(update.Events)})
 		},
 		OnLost:      func(err error) { c.setPlatformReachable(ctx, false, err) },
 		OnRecovered: func() { c.setPlatformReachable(ctx, true, nil) },
@@ -131,19 +146,32 @@
 	now := time.Now()
 	own := Prefix + c.config.Board.Snapshot().Self.Node
 	if update.isSnapshot {
+		c.enterEra(update.position.era)
 		c.roster.Replace(now, update.entries)
 		if !slices.ContainsFunc(update.entries, func(e roster.Entry) bool { return e.Key == own }) {
-			c.missingAtRevision.Store(update.revision)
+			c.missing.Store(&update.position)
 		}
 	}
 	for _, change := range update.changes {
 		c.roster.Apply(now, change)
 		if change.Deleted && change.Key == own {
-			c.missingAtRevision.Store(change.Revision)
+			c.missing.Store(&position{update.position.era, change.Revision})
 		}
 	}
 }
 
+// enterEra prepares the roster for entries of the era. The first list of the process begins an era, too.
+func (c *Controller) enterEra(era uint64) {
+	if era == c.rosterEra {
+		return
+	}
+	if c.rosterEra != 0 {
+		c.config.Log.Emit(time.Now(), events.StoreRestored, events.Fields{"watch": Prefix, "era": era, "previous": c.rosterEra})
+	}
+	c.rosterEra = era
+	c.roster.ForgetRevisions()
+}
+
 // parseEntries parses items and skips those that are invalid.
 func (c *Controller) parseEntries(items []store.Item) []roster.Entry {
 	var entries []roster.Entry
@@ -246,6 +274,8 @@
 
 // ownEntry is the known state of this node's entry in the store.
 type ownEntry struct {
+	// era is the era of the store that the lease and the revision belong to.
+	era       uint64
 	lease     uint64
 	renewedAt time.Time
 	revision  uint64
@@ -293,10 +323,13 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	e := &c.entry
+	if era, _ := c.config.Store.Era(); era != e.era {
+		*e = ownEntry{era: era} // the lease may be another node's now
+	}
 	if e.lease != 0 && time.Since(e.renewedAt) >= renewInterval {
 		return false, c.renewLease(ctx)
 	}
-	if e.isStored && e.storedMember == own && e.revision >= c.missingAtRevision.Load() {
+	if e.isStored && e.storedMember == own && !c.isMissing() {
 		return true, nil
 	}
 	if e.lease == 0 {
@@ -305,6 +338,12 @@
 	return false, c.writeEntry(ctx, own)
 }
 
+// isMissing reports whether the store was observed without the own entry after its last write.
+func (c *Controller) isMissing() bool {
+	missing := c.missing.Load()
+	return missing != nil && missing.isAfter(position{c.entry.era, c.entry.revision})
+}
+
 func (c *Controller) grantLease(ctx context.Context) error {
 	start := time.Now()
 	lease, err := c.config.Store.Grant(ctx, leaseDuration)
@@ -320,7 +359,7 @@
 	start := time.Now()
 	err := c.config.Store.Renew(ctx, c.entry.lease)
 	if errors.Is(err, store.ErrNoLease) {
-		c.entry = ownEntry{}
+		c.entry = ownEntry{era: c.entry.era}
 		return nil
 	}
 	if err == nil {
@@ -341,7 +380,7 @@
 	case errors.Is(err, store.ErrConflict):
 		return c.readRevision(ctx, own.Node)
 	case errors.Is(err, store.ErrNoLease):
-		c.entry = ownEntry{}
+		c.entry = ownEntry{era: c.entry.era}
 		return nil
 	case err != nil:
 		return err
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -99,6 +99,14 @@
 	}
 }
 
+// ForgetRevisions makes the next entry of each member count, whatever its revision is. It is for a store that was restored
+// from a copy, so that its revisions have gone back.
+func (r *Roster) ForgetRevisions() {
+	for _, k := range r.entries {
+		k.Revision = 0
+	}
+}
+
 // Apply applies one change. A change that is older than the known entry has no effect.
 func (r *Roster) Apply(now time.Time, c Change) {
 	if before, ok := r.entries[c.Key]; ok && c.Revision < before.Revision {
