Count a response body with a length as a whole from the beginning

What callers saw: nothing; 300 responses that declare 1 MiB and send nothing took 304 MiB of the node's memory. Cause: the buffer of a body with a length is made at once, and only bytes that had arrived counted in the bound of all bodies. Fix: such a body counts with its declared length before its buffer is made. Evidence: TestManyEndlessBodiesNeedLittleMemory/with_a_length failed before (304 MiB, 96 allowed) and passes with 19 MiB.

--- a/internal/traffic/backend/body.go
+++ b/internal/traffic/backend/body.go
@@ -62,7 +62,7 @@
 	r.total.Add(-n)
 }
 
-// countedReader reads a body whose bytes count in readingBytes.
+// countedReader reads a body without a length, whose bytes count in readingBytes.
 type countedReader struct {
 	io.Reader
 	reading *readingBytes
@@ -86,9 +86,7 @@
 	if response.ContentLength > c.config.MaxBody {
 		return nil, errResponseTooLarge
 	}
-	counted := &countedReader{Reader: response.Body, reading: &c.reading}
-	defer func() { c.reading.release(counted.counted) }()
-	body, err := ReadBody(counted, response.ContentLength, c.config.MaxBody+1)
+	body, err := c.readCounted(response)
 	if err == nil && int64(len(body)) > c.config.MaxBody {
 		err = errResponseTooLarge
 	}
@@ -98,6 +96,22 @@
 	return body, response.Body.Close()
 }
 
+// readCounted reads the body of a response and counts it in readingBytes meanwhile. A body with a length counts as a whole
+// from the beginning, because its buffer has that size.
+func (c *Client) readCounted(response *http.Response) ([]byte, error) {
+	limit := c.config.MaxBody + 1
+	if length := response.ContentLength; length >= 0 {
+		defer c.reading.release(length)
+		if !c.reading.reserve(length) {
+			return nil, errResponseTooLarge
+		}
+		return ReadBody(response.Body, length, limit)
+	}
+	counted := &countedReader{Reader: response.Body, reading: &c.reading}
+	defer func() { c.reading.release(counted.counted) }()
+	return ReadBody(counted, response.ContentLength, limit)
+}
+
 // ReadBody reads a body of the given length, but at most limit bytes. A negative length means that it isn't known.
 func ReadBody(body io.Reader, length, limit int64) ([]byte, error) {
 	if length < 0 {
--- a/internal/traffic/backend/endless_test.go
+++ b/internal/traffic/backend/endless_test.go
@@ -63,36 +63,48 @@
 	}
 }
 
-// Guards against a node that runs out of memory because all requests of its backend server get a body without end.
+// Guards against a node that runs out of memory because all requests of its backend server get a body without end, or one
+// with a length that never arrives.
 func TestManyEndlessBodiesNeedLittleMemory(t *testing.T) {
-	is := is.New(t)
 	const requests, maxBody, maxHeap = 300, 1 << 20, 96 << 20
-	block := strings.Repeat("x", 16<<10)
-	server := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
-		if _, err := http.ReadRequest(requests); err != nil {
-			return
-		}
-		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
-		for sent := 0; err == nil; sent++ {
-			if sent == 50 {
-				time.Sleep(500 * time.Millisecond) // until every request has read most of what it may
+	for name, test := range map[string]struct {
+		header string
+		// blocks is how many blocks arrive before a pause of 500 ms, in which the memory is measured.
+		blocks int
+	}{
+		"without length": {"HTTP/1.1 200 OK\r\n\r\n", 50},
+		"with a length":  {"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			block := strings.Repeat("x", 16<<10)
+			server := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+				if _, err := http.ReadRequest(requests); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, test.header)
+				for sent := 0; err == nil; sent++ {
+					if sent == test.blocks {
+						time.Sleep(500 * time.Millisecond)
+					}
+					_, err = io.WriteString(conn, block)
+				}
+			})
+			client := backend.NewClient(backend.ClientConfig{MaxBody: maxBody}, call.NewRunningRequests())
+			client.SetMaxConnections(requests)
+			var group conc.WaitGroup
+			for range requests {
+				group.Go(func() {
+					client.Run(t.Context(), backend.Target{Address: server.address}, newRequest(http.MethodGet, "", ""))
+				})
 			}
-			_, err = io.WriteString(conn, block)
-		}
-	})
-	client := backend.NewClient(backend.ClientConfig{MaxBody: maxBody}, call.NewRunningRequests())
-	client.SetMaxConnections(requests)
-	var group conc.WaitGroup
-	for range requests {
-		group.Go(func() {
-			client.Run(t.Context(), backend.Target{Address: server.address}, newRequest(http.MethodGet, "", ""))
+			time.Sleep(400 * time.Millisecond)
+			var stats runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&stats)
+			t.Logf("%d MiB", stats.HeapAlloc>>20)
+			is.True(stats.HeapAlloc < maxHeap)
+			group.Wait()
 		})
 	}
-	time.Sleep(400 * time.Millisecond)
-	var stats runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&stats)
-	t.Logf("%d MiB", stats.HeapAlloc>>20)
-	is.True(stats.HeapAlloc < maxHeap)
-	group.Wait()
 }
