Rate limits and leaving in responses on the product's own interface, and in the lab's backend servers

What was missing: only nodes that go by routes read what a backend server says of itself, and the lab's simulated backend servers said nothing. Change: Comfreyhoist-Rate-Limit and Comfreyhoist-Leaving are the headers of the product's own interface; the simulated backend servers state both and can send bodies without end. Nodes that go by routes run the same code as before this commit.

--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -59,6 +60,7 @@
 		return
 	}
 	b := s.Behaviour()
+	setStatements(w.Header(), b)
 	if b.Hung {
 		<-r.Context().Done()
 		return
@@ -94,6 +96,10 @@
 		return
 	}
 	s.ledger.end(run)
+	if rand.Float64() < b.EndlessRate {
+		sendEndlessly(w)
+		return
+	}
 	if b.Echo {
 		_, _ = w.Write(body)
 		return
@@ -101,6 +107,24 @@
 	_, _ = fmt.Fprintf(w, "%s ran %s %s\n", s.config.Service, r.Method, r.URL.Path)
 }
 
+// setStatements sets the headers that say something about the server itself.
+func setStatements(h http.Header, b Behaviour) {
+	if b.RateLimit > 0 {
+		h.Set(backend.RateLimitHeader, strconv.FormatFloat(b.RateLimit, 'f', -1, 64))
+	}
+	if b.StatesLeaving {
+		h.Set(backend.LeavingHeader, "1")
+	}
+}
+
+// sendEndlessly sends the body of a response until its connection is closed.
+func sendEndlessly(w http.ResponseWriter) {
+	block := make([]byte, 32<<10)
+	for err := error(nil); err == nil; {
+		_, err = w.Write(block)
+	}
+}
+
 // acquireSlot waits for a slot, in the queue if none is free. It reports false if the queue is full or the context
 // ends.
 func (s *Server) acquireSlot(ctx context.Context, b Behaviour) bool {
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -66,6 +66,12 @@
 	Hung bool `json:"hung"`
 	// Leaving makes the server announce that it leaves.
 	Leaving bool `json:"leaving"`
+	// StatesLeaving makes the server say so in its responses.
+	StatesLeaving bool `json:"states_leaving"`
+	// RateLimit is the rate limit that responses state, in requests per second; 0 for none.
+	RateLimit float64 `json:"rate_limit"`
+	// EndlessRate is the fraction of requests, from 0 to 1, whose response has a body without end.
+	EndlessRate float64 `json:"endless_rate"`
 	// Endpoints holds the faults of the health and load endpoints.
 	Endpoints EndpointFaults `json:"endpoints"`
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -101,8 +101,14 @@
 func (n *Node) buildReceiver(s *settings.Settings) {
 	n.gate = backend.NewGate(parts.GateConfig(s))
 	liveness := backend.NewLiveness()
-	n.client = backend.NewClient(backend.ClientConfig{MaxBody: s.Caller.MaxBody, Liveness: liveness}, n.runningRequests)
-	n.localServer = local.New(local.Config{Board: n.loop, Gate: n.gate, Client: n.client, Liveness: liveness, Log: n.config.Log})
+	n.client = backend.NewClient(backend.ClientConfig{
+		MaxBody:  s.Caller.MaxBody,
+		Liveness: liveness,
+		Stated:   func(s backend.Statement) { n.localServer.HandleStatement(s) },
+	}, n.runningRequests)
+	n.localServer = local.New(local.Config{
+		Board: n.loop, Gate: n.gate, Client: n.client, Liveness: liveness, Log: n.config.Log, Limiter: n.limiter,
+	})
 	n.pool = peer.NewPool(parts.PoolConfig(s))
 	n.controlPool = peer.NewPool(parts.PoolConfig(s))
 	n.peerClient = peer.NewClient(n.pool, s.Node.Name)
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -40,6 +40,12 @@
 	KeyHeader      = "Idempotency-Key"
 )
 
+// Headers that the backend server may set on each response, about itself.
+const (
+	RateLimitHeader = "Comfreyhoist-Rate-Limit"
+	LeavingHeader   = "Comfreyhoist-Leaving"
+)
+
 // Headers holds the names of the headers between a node and its backend server. A header with an empty name isn't used.
 type Headers struct {
 	// Chain, Rank and Key are set on each request.
@@ -60,7 +66,10 @@
 }
 
 // DefaultHeaders are the headers of comfreyhoist's own backend interface.
-var DefaultHeaders = Headers{Chain: ChainHeader, Rank: RankHeader, Key: KeyHeader, TimeLeft: DeadlineHeader}
+var DefaultHeaders = Headers{
+	Chain: ChainHeader, Rank: RankHeader, Key: KeyHeader, TimeLeft: DeadlineHeader,
+	RateLimit: RateLimitHeader, Leaving: LeavingHeader,
+}
 
 // ClientConfig configures a Client.
 type ClientConfig struct {
