A dial that its request gives up still counts as a connection

Cause: a dial was aborted with its request, and its place given to the next one; the backend server may have accepted that connection already and holds it until it sees the end. Ruled out: the count of the simulated server, which ends before the other side can see the close; the waiting for the close of a canceled request's connection, which held. Fix: a dial goes on in the background when its request ends; its connection is then closed like any other and counts until the backend server has closed it. The request itself returns at once.

--- a/internal/traffic/backend/connections.go
+++ b/internal/traffic/backend/connections.go
@@ -58,19 +58,51 @@
 	return d.limiter
 }
 
-// dial waits until the limit allows another connection and opens it.
+// dialTimeout limits the time to open a connection.
+const dialTimeout = 2 * time.Second
+
+// dial waits until the limit allows another connection and opens it. If the context ends first, the connection is opened
+// and closed in the background, and counts against the limit until the backend server has closed it too: the backend
+// server may have accepted it.
 func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	limiter := d.limiterFor(address)
 	if err := limiter.acquire(ctx); err != nil {
 		return nil, err
 	}
-	var netDialer net.Dialer
+	results := make(chan dialResult)
+	d.group.Go(func() {
+		r := d.open(context.WithoutCancel(ctx), network, address, limiter)
+		select {
+		case results <- r:
+		case <-ctx.Done():
+			if r.err == nil {
+				_ = r.conn.Close()
+			}
+		}
+	})
+	select {
+	case r := <-results:
+		return r.conn, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// dialResult is a connection, or the error of its dial.
+type dialResult struct {
+	conn net.Conn
+	err  error
+}
+
+// open opens a connection that the limiter has counted.
+func (d *dialer) open(ctx context.Context, network, address string, limiter *connectionLimiter) dialResult {
+	netDialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := netDialer.DialContext(ctx, network, address)
 	if err != nil {
 		limiter.release()
-		return nil, err
+		return dialResult{err: err}
 	}
-	return &connection{Conn: conn, dialer: d, limiter: limiter}, nil
+	return dialResult{conn: &connection{Conn: conn, dialer: d, limiter: limiter}}
 }
 
 func (c *connectionLimiter) acquire(ctx context.Context) error {
