Test of the rate limit waits until requests arrive

Cause: the time to get going was fixed; with the race detector, beside four parallel cases, half a second is not always enough for it. Ruled out: the bound itself; the cases ended before it was checked, and the two others passed in the same run. Change: the test waits up to 5 s until more than 20 requests have arrived in 4 s. What must hold then, and after the limit, is as before.

--- a/internal/process/routed/ratelimit_test.go
+++ b/internal/process/routed/ratelimit_test.go
@@ -67,6 +67,9 @@
 	learnTime  = 3 * time.Second
 )
 
+// startTimeout is how long the test waits until the backend server gets requests without a limit.
+const startTimeout = 5 * time.Second
+
 // sendSteadily sends requests to the node until the context ends, each at the interval after the one before.
 func sendSteadily(ctx context.Context, t *testing.T, n *testNode, interval time.Duration) {
 	var group conc.WaitGroup
@@ -103,7 +106,9 @@
 			for _, entry := range entries {
 				load.Go(func() { sendSteadily(ctx, t, entry, 20*time.Millisecond) })
 			}
-			time.Sleep(500 * time.Millisecond)
+			for begin := time.Now(); limited.most(time.Time{}, rateWindow) <= 20 && time.Since(begin) < startTimeout; {
+				time.Sleep(20 * time.Millisecond)
+			}
 			is.True(limited.most(time.Time{}, rateWindow) > 20) // without a limit, it gets what is sent
 			limited.setRate(test.rate)
 			stated := time.Now()
