A refusal that is written once more is not believed

What callers saw: "not run, try again" for a request that its backend server was running. A faulty backend server wrote an earlier refusal once more on a kept connection, without the ID, or after the node had offered the same request again on that connection (Receiver.requeue). The caller or an entry then runs the request a second time.

Cause: a response was matched to a request, not to one sending of it. An ID that was sent twice on a connection identifies neither sending, and a response without an ID was taken for the current one. The head of a response that broke off is continued by the next response, and the two were taken for one.

Ruled out: closing the connection after each refusal. It costs a new connection for each shed request; remembering the IDs that a connection has carried costs one only where all idle connections have carried the request.

On a connection that has carried another request, a response without the ID is skipped like one with another ID; a connection whose response has no ID isn't kept. A head that contains a status line, or repeats the ID, the signature or the refusal, fails. A successful response doesn't say "not run".

--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -183,8 +183,10 @@
 }
 
 var (
-	// errOtherRequest is returned for a response with the ID of another request.
-	errOtherRequest = errors.New("response belongs to another request")
+	// errOtherRequest is returned if the responses on the connection belong, or may belong, to other requests.
+	errOtherRequest = errors.New("response isn't identified as the request's own")
+	// errContradiction is returned for a successful response that says that the request was not run.
+	errContradiction = errors.New("successful response says that the request was not run")
 	// errUnsigned is returned for a successful response that the backend server did not produce.
 	errUnsigned = errors.New("response has no signature header")
 )
@@ -209,13 +211,14 @@
 	if err != nil {
 		return call.Reply{}, &exchangeError{cause: err}
 	}
-	conn, err := c.transport.get(ctx, target.Address)
+	id := c.identityOf(r)
+	conn, err := c.transport.get(ctx, target.Address, id)
 	if err != nil {
 		c.config.Liveness.recordError(ctx, err)
 		return call.Reply{}, &exchangeError{cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
-	reply, response, err := c.roundTrip(conn, request, target, r)
+	reply, response, err := c.roundTrip(conn, request, target, id)
 	notCanceled := stop()
 	if err != nil {
 		_ = conn.Close()
@@ -224,7 +227,7 @@
 		}
 		return call.Reply{}, &exchangeError{sent: true, cause: err}
 	}
-	if notCanceled && conn.prepareReuse(time.Now(), response) {
+	if notCanceled && id.isIdentified(response) && conn.prepareReuse(time.Now(), response) {
 		c.transport.put(target.Address, conn)
 	} else {
 		_ = conn.Close()
@@ -232,14 +235,22 @@
 	return reply, nil
 }
 
-// maxStaleResponses is how many responses to earlier requests are skipped on one connection.
+// identityOf returns how a response to the request is identified.
+func (c *Client) identityOf(r *call.Request) identity {
+	name := c.config.Headers.RequestID
+	return identity{header: name, value: r.Header.Get(name)}
+}
+
+// maxStaleResponses is how many responses that aren't identified as the request's own are skipped while it waits for its
+// response.
 const maxStaleResponses = 2
 
 // roundTrip sends the request on the connection and returns the reply. The HTTP response is nil if no response header was
 // received. Late responses to earlier requests on the connection are skipped.
-func (c *Client) roundTrip(conn *persistentConn, request *http.Request, target Target, r *call.Request) (call.Reply, *http.Response, error) {
-	sentAt := time.Now()
+func (c *Client) roundTrip(conn *persistentConn, request *http.Request, target Target, id identity) (call.Reply, *http.Response, error) {
+	sentAt, isFirst := time.Now(), conn.carried.isEmpty()
 	c.sent.Add(1)
+	conn.carried.add(id.value)
 	if err := conn.send(&c.transport, request); err != nil {
 		return call.Reply{}, nil, err
 	}
@@ -249,18 +260,21 @@
 			return call.Reply{}, nil, err
 		}
 		c.config.Liveness.recordResponse()
-		isStale := c.isForOtherRequest(r, response)
+		if err := c.config.Headers.checkHead(response); err != nil {
+			return call.Reply{}, response, err
+		}
+		isStale := id.ownerOf(response, isFirst) != ownResponse
 		if !isStale {
 			c.reportStatement(target, response, sentAt)
 		}
 		body, err := c.readBody(response)
 		switch {
-		case isStale && err == nil && conn.served && staleCount < maxStaleResponses:
+		case isStale && err == nil && !isFirst && staleCount < maxStaleResponses:
 			continue
 		case isStale:
 			err = errOtherRequest
 		case err == nil:
-			err = c.checkSignature(response)
+			err = c.checkClaims(response)
 		}
 		if err != nil {
 			return call.Reply{}, response, err
@@ -300,10 +314,12 @@
 	return request, nil
 }
 
-// isForOtherRequest reports whether the response carries the ID of another request.
-func (c *Client) isForOtherRequest(r *call.Request, response *http.Response) bool {
-	name := c.config.Headers.RequestID
-	return name != "" && response.Header.Get(name) != "" && response.Header.Get(name) != r.Header.Get(name)
+// checkClaims returns an error for a response that contradicts itself, or that the backend server didn't produce.
+func (c *Client) checkClaims(response *http.Response) error {
+	if c.isNotRun(response) && response.StatusCode < http.StatusBadRequest {
+		return errContradiction
+	}
+	return c.checkSignature(response)
 }
 
 // checkSignature returns errUnsigned for a successful response that the backend server didn't produce.
--- a/internal/traffic/backend/transport.go
+++ b/internal/traffic/backend/transport.go
@@ -37,10 +37,11 @@
 	sweep *time.Timer
 }
 
-// get returns a connection to the address for the exclusive use of one request.
-func (t *transport) get(ctx context.Context, address string) (*persistentConn, error) {
-	for {
-		idle := t.pop(address)
+// get returns a connection to the address for the exclusive use of one request. It has carried no request with the same
+// ID. A request without an ID gets a new connection if its response could be identified otherwise.
+func (t *transport) get(ctx context.Context, address string, id identity) (*persistentConn, error) {
+	for id.header == "" || id.value != "" {
+		idle := t.pop(address, id.value)
 		if idle == nil {
 			break
 		}
@@ -56,22 +57,24 @@
 	return newPersistentConn(conn), nil
 }
 
-// pop removes and returns the most recently used idle connection, or nil. Idle connections to another address belong to
-// an earlier backend server and are closed.
-func (t *transport) pop(address string) *persistentConn {
+// pop removes and returns the most recently used idle connection that hasn't carried the request, or nil. If all have
+// carried it, one is closed in favor of a new one. Idle connections to another address belong to an earlier backend
+// server and are closed.
+func (t *transport) pop(address, id string) *persistentConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.address != address {
 		t.closeIdle(len(t.idle))
 		t.address = address
 	}
-	last := len(t.idle) - 1
-	if last < 0 {
-		return nil
+	for i, conn := range slices.Backward(t.idle) {
+		if !conn.carried.contains(id) {
+			t.idle = slices.Delete(t.idle, i, i+1)
+			return conn
+		}
 	}
-	conn := t.idle[last]
-	t.idle = t.idle[:last]
-	return conn
+	t.closeIdle(min(len(t.idle), 1))
+	return nil
 }
 
 // put keeps the connection for another request, and closes the idle connections that have expired.
@@ -133,8 +136,8 @@
 	reader *bufio.Reader
 	header *headerLimiter
 	writer *bufio.Writer
-	// served reports whether the connection has carried a request before, so that a late response to it may arrive.
-	served bool
+	// carried holds the requests that the connection has carried. Late responses to them may arrive.
+	carried carriedRequests
 	// idleTimeout is how long the connection may be idle, according to the last response. idleDeadline is when the
 	// current idle period ends.
 	idleTimeout  time.Duration
@@ -221,9 +224,8 @@
 	default:
 		return false // the backend server responded before it read the whole request
 	}
-	c.served = true
 	c.idleDeadline = now.Add(c.idleTimeout)
-	return c.writeSucceeded && !response.Close && c.reader.Buffered() == 0
+	return c.writeSucceeded && !response.Close && c.reader.Buffered() == 0 && !c.carried.isFull()
 }
 
 // parseIdleTimeout returns how long an idle connection is kept: idleMargin less than the timeout in the Keep-Alive
