A status that promises "not run" is passed on only if the backend server says so

What callers saw: 503, 429, 421 or 408 for a request that had run, if the backend server responded with that status but didn't say that it had refused the request. To callers these statuses promise that the request was not run and never will be.

Cause: RoutedHandler passed every status of the backend server on. A request with such a response counts as run.

Change: the caller gets 502, which promises nothing. 500 and 504 are passed on as before.

Evidence: four cases of TestStatusOfReplies failed before (503, 429, 421, 408 instead of 502) and pass now.

--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -204,6 +204,9 @@
 	if reply.Outcome == call.Ran && (reply.Status < http.StatusOK || reply.Status > maxStatus || !areHeadersValid(reply.Header)) {
 		reply = call.Refused(call.Unknown, call.ReasonCorrupt, 0)
 	}
+	if reply.Outcome == call.Ran && isPromise(reply.Status) {
+		reply = call.Refused(call.Unknown, call.ReasonBackendFailed, 0)
+	}
 	header := w.Header()
 	if reply.Outcome != call.Ran {
 		setRefusalHeaders(header, &reply)
@@ -218,6 +221,16 @@
 	_, _ = w.Write(reply.Body)
 }
 
+// isPromise reports whether the status promises callers that the request was not run and never will be. A backend server
+// that doesn't say so may have run the request, so its status must not be passed on.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // minRetryAfter prevents callers from retrying immediately.
 const minRetryAfter = 50 * time.Millisecond
 
--- a/internal/traffic/caller/routed_test.go
+++ b/internal/traffic/caller/routed_test.go
@@ -68,7 +68,8 @@
 	is.Equal(w.Code, http.StatusServiceUnavailable)
 }
 
-// Callers retry after a 503, so a request that may have run must get another status.
+// Guards against telling callers "not run, try again" for a request that ran: callers retry after a 408, 421, 429 or 503,
+// so a request that may have run must get another status, also if the backend server itself responded with one of these.
 func TestStatusOfReplies(t *testing.T) {
 	for name, test := range map[string]struct {
 		reply call.Reply
@@ -82,6 +83,11 @@
 		"silent":                         {call.Refused(call.Unknown, call.ReasonPeerSilent, 0), 504},
 		"deadline while it ran":          {call.Refused(call.Unknown, call.ReasonDeadline, 0), 504},
 		"no status":                      {call.Reply{Outcome: call.Ran}, 502},
+		"ran, and failed with 503":       {call.Reply{Outcome: call.Ran, Status: 503}, 502},
+		"ran, and failed with 429":       {call.Reply{Outcome: call.Ran, Status: 429}, 502},
+		"ran, and failed with 421":       {call.Reply{Outcome: call.Ran, Status: 421}, 502},
+		"ran, and failed with 408":       {call.Reply{Outcome: call.Ran, Status: 408}, 502},
+		"ran, and failed with 500":       {call.Reply{Outcome: call.Ran, Status: 500}, 500},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
