A late second response is told from the next one on the product's own interface, too

What callers saw: the response to another request. A backend server without request IDs that writes a response once more while the next request runs on the same connection; only a copy that arrives before the next request was noticed.

Cause: without a request ID nothing in a response told which sending it belongs to.

Change: a backend server may repeat the header of the call chain, whose token is new for each sending. If a response on a connection has repeated it, each further one there must. The lab's backend server repeats it.

--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -61,6 +61,7 @@
 	}
 	b := s.Behaviour()
 	setStatements(w.Header(), b)
+	w.Header().Set(backend.ChainHeader, r.Header.Get(backend.ChainHeader)) // identifies the response
 	if b.Hung {
 		<-r.Context().Done()
 		return
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -211,7 +211,7 @@
 	if err != nil {
 		return call.Reply{}, &exchangeError{cause: err}
 	}
-	id := c.identityOf(r)
+	id := c.identityOf(r, token)
 	conn, err := c.transport.get(ctx, target.Address, id)
 	if err != nil {
 		c.config.Liveness.recordError(ctx, err)
@@ -227,7 +227,7 @@
 		}
 		return call.Reply{}, &exchangeError{sent: true, cause: err}
 	}
-	if notCanceled && id.isIdentified(response) && conn.prepareReuse(time.Now(), response) {
+	if notCanceled && id.allowsReuse(response) && conn.prepareReuse(time.Now(), response) {
 		c.transport.put(target.Address, conn)
 	} else {
 		_ = conn.Close()
@@ -235,10 +235,13 @@
 	return reply, nil
 }
 
-// identityOf returns how a response to the request is identified.
-func (c *Client) identityOf(r *call.Request) identity {
-	name := c.config.Headers.RequestID
-	return identity{header: name, value: r.Header.Get(name)}
+// identityOf returns how a response to the request is identified: by the request's ID, or else by the token of this
+// sending, which a backend server repeats if it can.
+func (c *Client) identityOf(r *call.Request, token string) identity {
+	if name := c.config.Headers.RequestID; name != "" {
+		return identity{header: name, value: r.Header.Get(name)}
+	}
+	return identity{header: c.config.Headers.Chain, value: token, isOptional: true}
 }
 
 // maxStaleResponses is how many responses that aren't identified as the request's own are skipped while it waits for its
@@ -263,7 +266,7 @@
 		if err := c.config.Headers.checkHead(response); err != nil {
 			return call.Reply{}, response, err
 		}
-		isStale := id.ownerOf(response, isFirst) != ownResponse
+		isStale := id.ownerOf(response, isFirst, conn.repeatsIDs) != ownResponse
 		if !isStale {
 			c.reportStatement(target, response, sentAt)
 		}
@@ -279,6 +282,7 @@
 		if err != nil {
 			return call.Reply{}, response, err
 		}
+		conn.repeatsIDs = conn.repeatsIDs || id.isIdentified(response)
 		return c.toReply(response, body), response, nil
 	}
 }
--- a/internal/traffic/backend/faulty_test.go
+++ b/internal/traffic/backend/faulty_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -105,6 +106,48 @@
 	}
 }
 
+// Guards against giving a caller the response to another request: a backend server that has no request IDs writes a
+// response once more while the next request runs. It repeats the header of the call chain, which is different for each
+// sending, in all responses or in none. In none, only a copy that arrives before the next request is noticed.
+func TestSecondResponseOnTheProductsOwnInterface(t *testing.T) {
+	for name, test := range map[string]struct {
+		repeats bool
+		copied  func(response string) string
+		want    string
+	}{
+		"copy":                            {true, func(r string) string { return r }, "second"},
+		"copy without the header":         {true, func(r string) string { return strings.Replace(r, backend.ChainHeader, "Other", 1) }, "second"},
+		"no copy, header is not repeated": {false, func(string) string { return "" }, "second"},
+		"no copy, header is repeated":     {true, func(string) string { return "" }, "second"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+				earlier := ""
+				for r, err := http.ReadRequest(requests); err == nil; r, err = http.ReadRequest(requests) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					token := ""
+					if test.repeats {
+						token = backend.ChainHeader + ": " + r.Header.Get(backend.ChainHeader) + "\r\n"
+					}
+					body := r.Header.Get("Request-Name")
+					if earlier != "" {
+						write(conn, test.copied(earlier))
+					}
+					earlier = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", token, len(body), body)
+					write(conn, earlier)
+				}
+			})
+			client := newClient()
+			defer client.SetMaxConnections(1) // closes the idle connections
+			_ = client.Run(t.Context(), backend.Target{Address: server.address}, newRequestWithID("first"))
+			got := client.Run(t.Context(), backend.Target{Address: server.address}, newRequestWithID("second"))
+			is.Equal(string(got.Reply.Body), test.want)
+			is.Equal(server.connections.Load(), int32(1))
+		})
+	}
+}
+
 // Guards against a contradiction: a successful response doesn't say "not run", whatever its header says.
 func TestSuccessDoesNotSayNotRun(t *testing.T) {
 	is := is.New(t)
--- a/internal/traffic/backend/identity.go
+++ b/internal/traffic/backend/identity.go
@@ -47,6 +47,9 @@
 	header string
 	// value is its value in the request. Without one, the request gets a connection of its own.
 	value string
+	// isOptional reports whether a backend server may never repeat the header. One that has repeated it on a connection
+	// does so in all responses there.
+	isOptional bool
 }
 
 // owner tells whose response a response is.
@@ -61,12 +64,13 @@
 )
 
 // ownerOf tells whose response arrived on a connection. isFirst reports whether the connection has carried no other
-// request; a response without an ID can then belong to no other.
-func (i identity) ownerOf(response *http.Response, isFirst bool) owner {
+// request; a response without an ID can then belong to no other. repeats reports whether an earlier response on the
+// connection had an ID.
+func (i identity) ownerOf(response *http.Response, isFirst, repeats bool) owner {
 	switch repeated := response.Header.Get(i.header); {
 	case i.header == "":
 		return ownResponse
-	case repeated == "" && isFirst:
+	case repeated == "" && (isFirst || i.isOptional && !repeats):
 		return ownResponse
 	case repeated == "":
 		return unknownResponse
@@ -76,9 +80,14 @@
 	return ownResponse
 }
 
-// isIdentified reports whether the response repeats the ID, if responses can be identified.
+// isIdentified reports whether the response repeats the ID.
 func (i identity) isIdentified(response *http.Response) bool {
-	return i.header == "" || response.Header.Get(i.header) != ""
+	return i.header != "" && response.Header.Get(i.header) != ""
+}
+
+// allowsReuse reports whether the connection of the response may carry another request.
+func (i identity) allowsReuse(response *http.Response) bool {
+	return i.header == "" || i.isOptional || i.isIdentified(response)
 }
 
 // statusLinePrefix begins each response.
--- a/internal/traffic/backend/transport.go
+++ b/internal/traffic/backend/transport.go
@@ -138,6 +138,8 @@
 	writer *bufio.Writer
 	// carried holds the requests that the connection has carried. Late responses to them may arrive.
 	carried carriedRequests
+	// repeatsIDs reports whether a response on the connection had the ID of its request.
+	repeatsIDs bool
 	// idleTimeout is how long the connection may be idle, according to the last response. idleDeadline is when the
 	// current idle period ends.
 	idleTimeout  time.Duration
