Members are read by lists that may be seconds old while they change

Every node waits for every change of a member, and each response is a call at the full price, so that calls grow with nodes times changes.

Weighed: one reader in each zone (a reader that freezes holds back its zone, and the others need the entries from it); longer pauses between two waits (changes become known later, and each still costs a whole call); serializable lists, which cost a tenth and don't count in the store's limit, but have the size of all entries and may be old. A node that leaves refuses requests itself and says so in its replies, and a new one may be learned of some seconds later, so that a list that is seconds old is enough. Routes, the first list and the list after a failure stay as they were.

Change: after a change, a node reads serializable lists at the interval at which it waited before, and waits for changes again after ten lists without one: as much as one waiting call costs. Up to 400 members; above, it waits as before. A list that is older than what is known is ignored, and a deleted entry doesn't come back with it. A wait goes on from the newest revision among the items, so that no change is missed even where lists stay old for good.

--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -116,6 +116,7 @@
 		Prefix:        Prefix,
 		WatchTimeout:  watchTimeout,
 		CoalesceDelay: func() time.Duration { return roster.CoalesceDelay(len(c.config.Board.Snapshot().Members.ByNode)) },
+		Plan:          roster.NewReadPlan(roster.DefaultReadPlan),
 		OnList: func(ctx context.Context, s store.Snapshot) {
 			send(ctx, rosterUpdate{isSnapshot: true, position: position{s.Era, s.Revision}, entries: c.parseEntries(s.Items)})
 		},
--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -5,10 +5,11 @@
 	"errors"
 	"time"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/roster"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 )
 
-// FollowerConfig configures a Follower. All fields but CoalesceDelay are required.
+// FollowerConfig configures a Follower. All fields but CoalesceDelay and Plan are required.
 type FollowerConfig struct {
 	Store  Store
 	Prefix string
@@ -17,6 +18,8 @@
 	// CoalesceDelay returns the pause after a change before the next watch, so that changes in quick succession cost
 	// one call; nil means no pause.
 	CoalesceDelay func() time.Duration
+	// Plan decides between lists, stale lists and watches; nil means a watch after the first list.
+	Plan *roster.ReadPlan
 	// OnList gets the result of a list, OnChange the events of a watch. Both run on the follower's goroutine.
 	OnList   func(ctx context.Context, s Snapshot)
 	OnChange func(ctx context.Context, c Changes)
@@ -62,7 +65,7 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrCompacted):
-			f.listed = false
+			f.relist()
 		case err != nil:
 			f.recordFailure(ctx, err)
 		default:
@@ -73,28 +76,77 @@
 
 // step makes one call to the store.
 func (f *Follower) step(ctx context.Context) error {
-	if !f.listed {
+	switch {
+	case !f.listed:
 		return f.list(ctx)
+	case f.config.Plan != nil && f.config.Plan.Next() == roster.ReadStale:
+		return f.listStale(ctx)
 	}
 	return f.watch(ctx)
 }
 
+// relist makes the next call a list.
+func (f *Follower) relist() {
+	f.listed = false
+	if f.config.Plan != nil {
+		f.config.Plan.Failed()
+	}
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	snapshot, err := f.config.Store.List(ctx, f.config.Prefix)
 	if err != nil {
 		return err
 	}
 	f.revision, f.era, f.listed = snapshot.Revision, snapshot.Era, true
+	f.planAfter(snapshot)
 	f.config.OnList(ctx, snapshot)
 	return nil
 }
 
+// listStale lists the keys as they were up to some seconds ago, and pauses. A watch goes on from the newest revision among
+// the items, because the store may name a revision that is newer than what it lists. A list that is older than what is
+// known already, or from before a restore of the store, is ignored.
+func (f *Follower) listStale(ctx context.Context) error {
+	snapshot, err := f.config.Store.ListStale(ctx, f.config.Prefix)
+	if err != nil {
+		return err
+	}
+	if era, _ := f.config.Store.Era(); era != f.era || snapshot.Era != f.era {
+		f.relist()
+		return nil
+	}
+	if snapshot.Revision >= f.revision {
+		f.revision = max(f.revision, newestRevision(snapshot.Items))
+		f.planAfter(snapshot)
+		f.config.OnList(ctx, snapshot)
+	}
+	pause.For(ctx, f.config.CoalesceDelay())
+	return nil
+}
+
+// planAfter tells the plan about a list.
+func (f *Follower) planAfter(snapshot Snapshot) {
+	if f.config.Plan != nil {
+		f.config.Plan.Listed(len(snapshot.Items), newestRevision(snapshot.Items))
+	}
+}
+
+// newestRevision returns the highest revision among the items.
+func newestRevision(items []Item) uint64 {
+	newest := uint64(0)
+	for _, item := range items {
+		newest = max(newest, item.Revision)
+	}
+	return newest
+}
+
 // watch waits for changes. If the store has been restored since the list, a watch after the revision could miss changes,
 // and the next call is a list instead. A watch that waits meanwhile is broken off as soon as any call shows the restore.
 func (f *Follower) watch(ctx context.Context) error {
 	era, ended := f.config.Store.Era()
 	if era != f.era {
-		f.listed = false
+		f.relist()
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -102,7 +154,7 @@
 	defer context.AfterFunc(ended, cancel)()
 	changes, err := f.config.Store.Watch(ctx, f.config.Prefix, f.revision, f.config.WatchTimeout)
 	if ended.Err() != nil {
-		f.listed = false
+		f.relist()
 		return nil
 	}
 	if err != nil {
@@ -113,6 +165,9 @@
 		return nil
 	}
 	f.config.OnChange(ctx, changes)
+	if f.config.Plan != nil {
+		f.config.Plan.Changed()
+	}
 	if f.config.CoalesceDelay != nil {
 		pause.For(ctx, f.config.CoalesceDelay())
 	}
@@ -122,7 +177,7 @@
 // recordFailure pauses after a failed call and makes the next call a list. After a broken watch everything must be
 // listed, because the store may have compacted the history meanwhile, and reports that only with the next change.
 func (f *Follower) recordFailure(ctx context.Context, err error) {
-	f.listed = false
+	f.relist()
 	if !f.unreachable {
 		f.unreachable = true
 		f.config.OnLost(err)
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -88,6 +88,8 @@
 	Get(ctx context.Context, key string) (Item, error)
 	// List reads all keys with the prefix.
 	List(ctx context.Context, prefix string) (Snapshot, error)
+	// ListStale is like List, but the result may be some seconds old. It costs the store less.
+	ListStale(ctx context.Context, prefix string) (Snapshot, error)
 	// Watch waits up to the given time for changes after the revision. It returns no error if nothing changed.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
 	// Put carries out one write and returns the key's new revision. It returns ErrConflict or ErrNoLease if the store
--- /dev/null
+++ b/internal/decide/roster/readplan_test.go
@@ -0,0 +1,129 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/roster"
+)
+
+// staleCost is the cost of a stale list; any other call costs 1.
+const staleCost = 0.1
+
+// simulateReads returns what the reads of one node cost while an entry changes at each of the times, and how late the
+// latest change was read. Stale lists are as old as the given age.
+func simulateReads(members int, changes []time.Duration, age, end time.Duration) (cost float64, latest time.Duration) {
+	plan := roster.NewReadPlan(roster.DefaultReadPlan)
+	delay := roster.CoalesceDelay(members)
+	known := 0
+	changesUntil := func(t time.Duration) int {
+		n := 0
+		for n < len(changes) && changes[n] <= t {
+			n++
+		}
+		return n
+	}
+	for now := time.Duration(0); now < end; now += delay {
+		seen := known
+		switch plan.Next() {
+		case roster.ReadStale:
+			cost += staleCost
+			seen = max(known, changesUntil(now-age))
+			plan.Listed(members, uint64(seen))
+		case roster.ReadLatest:
+			cost++
+			seen = changesUntil(now)
+			plan.Listed(members, uint64(seen))
+		case roster.ReadChanges:
+			if known == len(changes) {
+				return cost, latest
+			}
+			cost++
+			now = max(now, changes[known])
+			seen = changesUntil(now)
+			plan.Changed()
+		}
+		for ; known < seen; known++ {
+			latest = max(latest, now-changes[known])
+		}
+	}
+	return cost, latest
+}
+
+// every returns the times of changes at the interval, from start to end.
+func every(interval, start, end time.Duration) []time.Duration {
+	var times []time.Duration
+	for t := start; t < end; t += interval {
+		times = append(times, t)
+	}
+	return times
+}
+
+// Pattern: all nodes of a fleet read each change of an entry, while instances are replaced one after the other. Guards
+// against calls to the store that grow with nodes times changes, and against changes that are read too late.
+func TestReadsWhileEntriesChange(t *testing.T) {
+	const minute = time.Minute
+	for name, test := range map[string]struct {
+		changes []time.Duration
+		maxCost float64
+	}{
+		"nothing changes":                        {nil, 1},
+		"one change":                             {every(minute, time.Second, minute), 4},
+		"instances are replaced for a minute":    {every(500*time.Millisecond, time.Second, minute), 8},
+		"a change every five seconds":            {every(5*time.Second, time.Second, minute), 8},
+		"instances start together, then nothing": {every(20*time.Millisecond, time.Second, 3*time.Second), 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const members, age = 96, 2 * time.Second
+			cost, latest := simulateReads(members, test.changes, age, 2*minute)
+			is.True(cost <= test.maxCost)
+			is.True(latest <= age+2*roster.CoalesceDelay(members))
+		})
+	}
+}
+
+// Guards against stale lists in a fleet whose entries are too many to be listed again and again.
+func TestLargeFleetsWaitForChanges(t *testing.T) {
+	is := is.New(t)
+	plan := roster.NewReadPlan(roster.DefaultReadPlan)
+	plan.Listed(2114, 1)
+	for range 5 {
+		is.Equal(plan.Next(), roster.ReadChanges)
+		plan.Changed()
+	}
+}
+
+// Guards against waiting for changes after a failed read, which may have missed some.
+func TestFailedReadIsFollowedByALatestList(t *testing.T) {
+	is := is.New(t)
+	plan := roster.NewReadPlan(roster.DefaultReadPlan)
+	plan.Listed(96, 1)
+	plan.Changed()
+	is.Equal(plan.Next(), roster.ReadStale)
+	plan.Failed()
+	is.Equal(plan.Next(), roster.ReadLatest)
+}
+
+// Guards against an entry that is used again after it was deleted, because a list that is some seconds old still holds it.
+func TestStaleListDoesNotRestoreADeletedEntry(t *testing.T) {
+	is := is.New(t)
+	r := roster.New(roster.DefaultConfig)
+	entry := func(revision uint64) roster.Entry {
+		e := roster.Entry{Key: "members/node_1", Revision: revision}
+		e.Member.Node, e.Member.PeerAddress = "node_1", "127.0.0.1:1"
+		return e
+	}
+	now := time.Unix(1000, 0)
+	leaving := entry(5)
+	leaving.Member.State = "leaving"
+	r.Replace(now, []roster.Entry{leaving})
+	r.Apply(now, roster.Change{Entry: roster.Entry{Key: "members/node_1", Revision: 7}, Deleted: true})
+	is.Equal(len(r.Members(now)), 0)
+	r.Replace(now.Add(time.Second), []roster.Entry{entry(4)})
+	is.Equal(len(r.Members(now)), 0) // the list is older than the deletion
+	r.Replace(now.Add(2*time.Second), []roster.Entry{entry(9)})
+	is.Equal(len(r.Members(now)), 1) // the node has started again
+}
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -64,6 +64,14 @@
 	entries map[string]*trackedMember
 	// departures holds the backend servers that have said that they leave, by the key of the entry.
 	departures map[string]departure
+	// deletions holds the deleted entries, by their key. A list that is some seconds old may still hold them.
+	deletions map[string]deletion
+}
+
+// deletion is the revision at which an entry was deleted.
+type deletion struct {
+	revision  uint64
+	learnedAt time.Time
 }
 
 // departure is the start of a backend server that has said that it leaves.
@@ -81,7 +89,7 @@
 
 // New returns an empty roster.
 func New(config Config) *Roster {
-	return &Roster{config: config, entries: map[string]*trackedMember{}, departures: map[string]departure{}}
+	return &Roster{config: config, entries: map[string]*trackedMember{}, departures: map[string]departure{}, deletions: map[string]deletion{}}
 }
 
 // Replace replaces the known entries by those that the store holds now. A member without an entry becomes unconfirmed,
@@ -105,6 +113,7 @@
 	for _, k := range r.entries {
 		k.Revision = 0
 	}
+	clear(r.deletions)
 }
 
 // Apply applies one change. A change that is older than the known entry has no effect.
@@ -113,6 +122,7 @@
 		return
 	}
 	if c.Deleted {
+		r.deletions[c.Key] = deletion{revision: c.Revision, learnedAt: now}
 		r.markLapsed(now, c.Key)
 		return
 	}
@@ -121,9 +131,10 @@
 
 func (r *Roster) put(now time.Time, e Entry) {
 	before, ok := r.entries[e.Key]
-	if ok && e.Revision < before.Revision {
+	if ok && e.Revision < before.Revision || e.Revision < r.deletions[e.Key].revision {
 		return
 	}
+	delete(r.deletions, e.Key)
 	r.keepDeparture(now, &e)
 	r.dropReplacedAt(e)
 	r.entries[e.Key] = &trackedMember{Entry: e}
@@ -172,6 +183,11 @@
 			delete(r.departures, key)
 		}
 	}
+	for key, d := range r.deletions {
+		if now.Sub(d.learnedAt) > r.config.KeepUnconfirmed {
+			delete(r.deletions, key)
+		}
+	}
 	var members []membership.Member
 	for key, k := range r.entries {
 		if !k.lapsedAt.IsZero() && now.Sub(k.lapsedAt) > r.config.KeepUnconfirmed {
--- a/internal/lab/kv/kv.go
+++ b/internal/lab/kv/kv.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -33,6 +34,8 @@
 	StallWatches bool
 	// LoseAnswers carries writes out and reports them as failed.
 	LoseAnswers bool
+	// StaleLists makes ListStale return the items as they were when the fault was set.
+	StaleLists bool
 	// LateWrites fails writes and carries them out when CompleteLateWrites is called, if their condition still holds
 	// then.
 	LateWrites bool
@@ -60,10 +63,13 @@
 	compacted  uint64
 	leases     map[uint64]*lease
 	lateWrites []store.Write
+	// stale holds the items that ListStale returns while the fault StaleLists is set.
+	stale store.Snapshot
 	// changed is closed by each change, and cut by each call of Compact.
 	changed     chan struct{}
 	interrupted chan struct{}
 	calls       int
+	staleLists  int
 }
 
 // New returns an empty store.
@@ -85,6 +91,9 @@
 	if s.faults.Down && !s.faults.ExpireLeases {
 		s.resumeLeases()
 	}
+	if f.StaleLists && !s.faults.StaleLists {
+		s.stale = s.snapshot()
+	}
 	s.faults = f
 }
 
@@ -136,6 +145,13 @@
 	return s.calls
 }
 
+// StaleLists returns the number of calls of ListStale made so far, which Calls counts too.
+func (s *Store) StaleLists() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.staleLists
+}
+
 // Item returns the item of the key, with revision 0 if the key does not exist.
 func (s *Store) Item(key string) store.Item {
 	s.mu.Lock()
@@ -245,13 +261,37 @@
 		return store.Snapshot{}, err
 	}
 	defer c.store.mu.Unlock()
-	snapshot := store.Snapshot{Revision: c.store.revision, Era: c.store.era}
-	for key, item := range c.store.items {
-		if strings.HasPrefix(key, prefix) {
-			snapshot.Items = append(snapshot.Items, item)
+	return withPrefix(c.store.snapshot(), prefix), nil
+}
+
+// ListStale reads all keys with the prefix, as they were some time ago if the fault StaleLists is set.
+func (c *client) ListStale(_ context.Context, prefix string) (store.Snapshot, error) {
+	if err := c.beginCall(); err != nil {
+		return store.Snapshot{}, err
+	}
+	defer c.store.mu.Unlock()
+	c.store.staleLists++
+	if c.store.faults.StaleLists {
+		return withPrefix(c.store.stale, prefix), nil
+	}
+	return withPrefix(c.store.snapshot(), prefix), nil
+}
+
+// snapshot returns all items.
+func (s *Store) snapshot() store.Snapshot {
+	return store.Snapshot{Items: slices.Collect(maps.Values(s.items)), Revision: s.revision, Era: s.era}
+}
+
+// withPrefix returns the items of the snapshot whose keys have the prefix.
+func withPrefix(s store.Snapshot, prefix string) store.Snapshot {
+	var items []store.Item
+	for _, item := range s.Items {
+		if strings.HasPrefix(item.Key, prefix) {
+			items = append(items, item)
 		}
 	}
-	return snapshot, nil
+	s.Items = items
+	return s
 }
 
 // Watch waits for changes. A watch from before the compacted revision waits for the next change and then fails with
