A request that waited is checked once more before it is sent to the backend server

What callers and operators saw: a request could reach a backend server long after its node had acknowledged that it leaves, or one that had taken its place at the address. The permission was looked at once, before the request waited for a slot and then for a connection; a process that was slow or paused meanwhile acted on it afterwards.

Ruled out: checking after the slot was granted only. A dial waits while all connections are in use.

Change: right before a request is written, its node checks that the same start of the same backend server is still there and doesn't leave, and that the deadline has not passed; otherwise the request is refused as not run and may go elsewhere. While the node itself is stopped, admitted requests are sent as before.

--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -141,6 +141,17 @@
 	Address string
 	// Instance identifies the start of the backend server; empty if it announced no ID.
 	Instance string
+	// Refuse is called right before the request is sent, and returns its refusal if it must not be sent any more: the
+	// request may have waited for a slot and a connection since it was admitted. It may be nil.
+	Refuse func() (call.Reply, bool)
+}
+
+// refuse returns the refusal of a request that must not be sent any more.
+func (t *Target) refuse() (call.Reply, bool) {
+	if t.Refuse == nil {
+		return call.Reply{}, false
+	}
+	return t.Refuse()
 }
 
 // Run sends the request to the backend server and reads the whole response.
@@ -217,6 +228,10 @@
 		c.config.Liveness.recordError(ctx, err)
 		return call.Reply{}, &exchangeError{cause: err}
 	}
+	if refusal, refused := target.refuse(); refused {
+		c.transport.giveBack(target.Address, conn)
+		return refusal, nil
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
 	reply, response, err := c.roundTrip(conn, request, target, id)
 	notCanceled := stop()
--- a/internal/traffic/backend/transport.go
+++ b/internal/traffic/backend/transport.go
@@ -92,6 +92,14 @@
 	}
 }
 
+// giveBack keeps a connection on which nothing was sent.
+func (t *transport) giveBack(address string, conn *persistentConn) {
+	if conn.carried.isEmpty() {
+		conn.idleDeadline = time.Now().Add(maxIdleTime)
+	}
+	t.put(address, conn)
+}
+
 // sweepIdle closes the idle connections that have expired, and runs again while there are others. A backend server may
 // send on an idle connection until it is closed.
 func (t *transport) sweepIdle() {
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -112,6 +112,23 @@
 	return call.Reply{}, false
 }
 
+// lateRefusalFor returns the reply to a request that was admitted and has waited since, if it must not be passed to the
+// backend server any more: another one is here now, it leaves, or the deadline has passed. Admitted requests are passed on
+// while the node itself leaves.
+func lateRefusalFor(now, admitted *board.Board, r *call.Request) (call.Reply, bool) {
+	isSame := now.Backend.Service == admitted.Backend.Service && now.Backend.Address == admitted.Backend.Address &&
+		now.Backend.StartID() == admitted.Backend.StartID()
+	switch {
+	case !isSame:
+		return call.Refused(call.NotRun, call.ReasonNoInstance, noInstanceRetryAfter), true
+	case now.Backend.Leaving:
+		return call.Refused(call.NotRun, call.ReasonDraining, 0), true
+	case !time.Now().Before(r.Deadline):
+		return call.Refused(call.NotRun, call.ReasonDeadline, 0), true
+	}
+	return call.Reply{}, false
+}
+
 // run admits the request and runs it on the backend server.
 func (v *Receiver) run(ctx context.Context, b *board.Board, r *call.Request) call.Reply {
 	started, refusal, admitted := v.config.CallTreeLimits.begin(r, b.Backend.Slots)
@@ -149,7 +166,11 @@
 
 // runAdmitted runs a request on the backend server in the slot that the gate granted.
 func (v *Receiver) runAdmitted(ctx context.Context, b *board.Board, r *call.Request, slot backend.Slot) backend.Result {
-	result := v.config.Backend.Run(ctx, backend.Target{Address: b.Backend.Address, Instance: b.Backend.Instance}, r)
+	result := v.config.Backend.Run(ctx, backend.Target{
+		Address:  b.Backend.Address,
+		Instance: b.Backend.Instance,
+		Refuse:   func() (call.Reply, bool) { return lateRefusalFor(v.config.Board.Snapshot(), b, r) },
+	}, r)
 	v.config.Gate.Release(gateSample(r, slot, result))
 	return result
 }
