Attempts to reach the store again are lists that may be old

Change: after a failure a node lists what may be seconds old, as it does while members change, and ten such lists without a change follow before it waits for changes again. By then they show what the store dropped from its history meanwhile. A dropped history or another era is still followed by a latest list.

Evidence: TestReadsAfterAFailure, TestFollowerReadsStaleLists with an outage in which the history is dropped.

--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -89,7 +89,7 @@
 func (f *Follower) relist() {
 	f.listed = false
 	if f.config.Plan != nil {
-		f.config.Plan.Failed()
+		f.config.Plan.Restarted()
 	}
 }
 
@@ -174,10 +174,14 @@
 	return nil
 }
 
-// recordFailure pauses after a failed call and makes the next call a list. After a broken watch everything must be
-// listed, because the store may have compacted the history meanwhile, and reports that only with the next change.
+// recordFailure pauses after a failed call and makes the next call a list, or a stale one if the plan says so. After a
+// broken watch everything must be listed, because the store may have compacted the history meanwhile, and reports that only
+// with the next change.
 func (f *Follower) recordFailure(ctx context.Context, err error) {
-	f.relist()
+	if f.config.Plan != nil {
+		f.config.Plan.Failed()
+	}
+	f.listed = f.listed && f.config.Plan != nil && f.config.Plan.Next() == roster.ReadStale
 	if !f.unreachable {
 		f.unreachable = true
 		f.config.OnLost(err)
--- a/internal/control/store/stale_test.go
+++ b/internal/control/store/stale_test.go
@@ -100,6 +100,14 @@
 			s.Restore(before)
 			s.ForcePut("members/a", []byte("3"))
 		}, 2 * coalesceDelay},
+		"outage in which the history is dropped": {func(s *kv.Store) {
+			s.SetFaults(kv.Faults{Down: true})
+			s.Compact()
+			s.ForcePut("members/a", []byte("3"))
+			s.Revoke("members/b")
+			time.Sleep(5 * time.Second)
+			s.SetFaults(kv.Faults{})
+		}, time.Second},
 		"outage": {func(s *kv.Store) {
 			s.SetFaults(kv.Faults{Down: true})
 			s.ForcePut("members/a", []byte("3"))
--- a/internal/decide/roster/readplan.go
+++ b/internal/decide/roster/readplan.go
@@ -75,7 +75,17 @@
 	}
 }
 
-// Failed records that a read failed, so that changes may have been missed.
+// Failed records that a read failed, so that changes may have been missed. Until the store answers again, each attempt
+// costs as much as a call that succeeds.
 func (p *ReadPlan) Failed() {
+	p.Restarted()
+	if p.count > 0 && p.count <= p.config.MaxEntries {
+		p.next = ReadStale
+	}
+}
+
+// Restarted records that what was read before can't be continued: the store dropped its history, or was restored from a
+// copy.
+func (p *ReadPlan) Restarted() {
 	p.next, p.quiet = ReadLatest, 0
 }
