A node that lost the store tries to reach it by a list that may be old

What operators saw: an outage or a restore of the store cost each node up to six calls at the full price for each two seconds and follower.

Cause: each attempt was a list. All nodes lose the store together, so attempts grow with nodes times the duration.

--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -77,6 +77,8 @@
 // step makes one call to the store.
 func (f *Follower) step(ctx context.Context) error {
 	switch {
+	case !f.listed && f.unreachable:
+		return f.probe(ctx)
 	case !f.listed:
 		return f.list(ctx)
 	case f.config.Plan != nil && f.config.Plan.Next() == roster.ReadStale:
@@ -93,6 +95,13 @@
 	}
 }
 
+// probe tries to reach the store by a stale list, because the store counts failed calls, too, and all nodes make them during
+// an outage. The list that follows a success is the latest.
+func (f *Follower) probe(ctx context.Context) error {
+	_, err := f.config.Store.ListStale(ctx, f.config.Prefix)
+	return err
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	snapshot, err := f.config.Store.List(ctx, f.config.Prefix)
 	if err != nil {
--- a/internal/control/store/stale_test.go
+++ b/internal/control/store/stale_test.go
@@ -161,3 +161,49 @@
 		is.True(s.StaleLists() <= 65)
 	})
 }
+
+// Pattern: all nodes lose the store at the same time. Guards against attempts to reach it again at the full price, which
+// grow with nodes times the duration of the outage.
+func TestFollowerMakesFewCallsDuringAnOutage(t *testing.T) {
+	for name, plan := range map[string]*roster.ReadPlan{
+		"with stale lists": roster.NewReadPlan(roster.DefaultReadPlan),
+		"without":          nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s, observed := kv.New(), &observedValue{}
+				s.ForcePut("op/config", []byte("1"))
+				ctx, cancel := context.WithCancel(t.Context())
+				var group conc.WaitGroup
+				defer group.Wait()
+				defer cancel()
+				f := store.NewFollower(store.FollowerConfig{
+					Store: s.ForNode("node_1"), Prefix: "op/", WatchTimeout: 30 * time.Second,
+					CoalesceDelay: func() time.Duration { return coalesceDelay },
+					Plan:          plan,
+					OnList: func(_ context.Context, snapshot store.Snapshot) {
+						for _, item := range snapshot.Items {
+							observed.set(item)
+						}
+					},
+					OnChange:    func(context.Context, store.Changes) {},
+					OnLost:      func(error) {},
+					OnRecovered: func() {},
+				})
+				group.Go(func() { f.Run(ctx) })
+				time.Sleep(time.Second)
+				before := s.Calls() - s.StaleLists()
+				s.SetFaults(kv.Faults{Down: true})
+				s.Compact()
+				time.Sleep(20 * time.Second)
+				is.Equal(s.Calls()-s.StaleLists(), before)
+				s.ForcePut("op/config", []byte("2"))
+				s.SetFaults(kv.Faults{})
+				time.Sleep(time.Second)
+				is.Equal(observed.get(), "2")
+				is.True(s.Calls()-s.StaleLists() <= before+2) // a list and a wait for changes
+			})
+		})
+	}
+}
--- a/internal/lab/kv/kv.go
+++ b/internal/lab/kv/kv.go
@@ -185,7 +185,7 @@
 
 func (s *Store) put(w store.Write) (uint64, error) {
 	if s.items[w.Key].Revision != w.Expected {
-		return 0, store.ErrConflict
+		return 0, &store.ConflictError{Revision: s.items[w.Key].Revision}
 	}
 	if _, found := s.leases[w.Lease]; w.Lease != 0 && !found {
 		return 0, store.ErrNoLease
@@ -266,17 +266,23 @@
 
 // ListStale reads all keys with the prefix, as they were some time ago if the fault StaleLists is set.
 func (c *client) ListStale(_ context.Context, prefix string) (store.Snapshot, error) {
+	c.store.countStaleList()
 	if err := c.beginCall(); err != nil {
 		return store.Snapshot{}, err
 	}
 	defer c.store.mu.Unlock()
-	c.store.staleLists++
 	if c.store.faults.StaleLists {
 		return withPrefix(c.store.stale, prefix), nil
 	}
 	return withPrefix(c.store.snapshot(), prefix), nil
 }
 
+func (s *Store) countStaleList() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleLists++
+}
+
 // snapshot returns all items.
 func (s *Store) snapshot() store.Snapshot {
 	return store.Snapshot{Items: slices.Collect(maps.Values(s.items)), Revision: s.revision, Era: s.era}
