A refused write tells the revision of the entry

What operators saw: after a loss of power or a restore of the store, each node that wrote its entry made three calls: a write that conflicts with the entry that is there, a read of its revision, and the write. The response to the first tells the revision.

Change: store.ConflictError carries it; the read is left for stores that don't tell.

--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -377,7 +377,11 @@
 	revision, err := c.config.Store.Put(ctx, store.Write{
 		Key: Prefix + own.Node, Value: value, Expected: c.entry.revision, Lease: c.entry.lease,
 	})
+	var conflict *store.ConflictError
 	switch {
+	case errors.As(err, &conflict):
+		c.entry.revision = conflict.Revision
+		return nil
 	case errors.Is(err, store.ErrConflict):
 		return c.readRevision(ctx, own.Node)
 	case errors.Is(err, store.ErrNoLease):
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -82,6 +83,22 @@
 	ErrNotFound = errors.New("the key does not exist")
 )
 
+// ConflictError is an ErrConflict that tells the present revision of the key.
+type ConflictError struct {
+	// Revision is the revision of the key; 0 means that the key does not exist.
+	Revision uint64
+}
+
+// Error returns the text of the error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%v: it is %d", ErrConflict, e.Revision)
+}
+
+// Unwrap returns ErrConflict.
+func (e *ConflictError) Unwrap() error {
+	return ErrConflict
+}
+
 // Store is the platform's key-value service.
 type Store interface {
 	// Get reads one key. It returns ErrNotFound if the key does not exist.
@@ -92,8 +109,8 @@
 	ListStale(ctx context.Context, prefix string) (Snapshot, error)
 	// Watch waits up to the given time for changes after the revision. It returns no error if nothing changed.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
-	// Put carries out one write and returns the key's new revision. It returns ErrConflict or ErrNoLease if the store
-	// refused the write.
+	// Put carries out one write and returns the key's new revision. It returns an error that wraps ErrConflict, if possible
+	// a *ConflictError, or ErrNoLease if the store refused the write.
 	Put(ctx context.Context, w Write) (uint64, error)
 	// Grant returns a new lease with the given time to live.
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -130,8 +130,9 @@
 	// Overloaded reports whether the backend server itself shed the request. A 503 after it made calls for the request
 	// doesn't count, because one of these calls may have caused it.
 	Overloaded bool
-	// ConnectionBroken reports whether the connection broke after the request was sent.
+	// ConnectionBroken reports whether the connection broke after the request was sent. Err then says how.
 	ConnectionBroken bool
+	Err              error
 	// Downstream summarizes the calls that the backend server made for the request.
 	Downstream call.DownstreamSummary
 }
@@ -167,6 +168,7 @@
 	if err != nil {
 		result.Reply = failedReply(ctx, err)
 		result.ConnectionBroken = ctx.Err() == nil && err.sent && !errors.Is(err.cause, errResponseTooLarge)
+		result.Err = err
 	}
 	result.Overloaded = err == nil && isOverloaded(&result.Reply) && childTime == 0
 	running.CompleteReply(&result.Reply)
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -209,7 +209,9 @@
 	result.Reply.QueueingDelay += queueingDelay
 	v.counters.count(*result)
 	if result.ConnectionBroken {
-		v.config.Events.Emit(time.Now(), events.BackendFailed, events.Fields{"service": r.Service, "kind": r.Kind})
+		v.config.Events.Emit(time.Now(), events.BackendFailed, events.Fields{
+			"service": r.Service, "kind": r.Kind, "attempt": r.AttemptID, "error": result.Err.Error(),
+		})
 	}
 }
 
