The pool forgets nodes that are gone

What operators saw: nothing yet; found by reading. A node kept an entry, and the connections that were idle when it last called, for each address that it had ever called.

Cause: connections were pruned only when another to the same address was put back.

Change: when a node is called for the first time, connections that have been idle too long are closed at all nodes, and nodes without a connection are removed.

Evidence: TestPoolForgetsNodesThatAreGone failed before (5 nodes instead of 1).

--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -229,18 +229,34 @@
 func (p *Pool) releaseConn(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peer(address).open--
+	peer := p.peer(address)
+	peer.open--
+	if peer.open == 0 {
+		delete(p.peers, address)
+	}
 }
 
+// peer returns the connections to a node. When a node is added, those that are gone are removed.
 func (p *Pool) peer(address string) *peerConns {
 	peer, ok := p.peers[address]
 	if !ok {
+		p.removeUnused(time.Now())
 		peer = &peerConns{}
 		p.peers[address] = peer
 	}
 	return peer
 }
 
+// removeUnused closes the connections that have been idle for at least MaxIdle, and removes the nodes without any.
+func (p *Pool) removeUnused(now time.Time) {
+	for address, peer := range p.peers {
+		peer.prune(now, p.config.MaxIdle)
+		if peer.open == 0 {
+			delete(p.peers, address)
+		}
+	}
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	dialer := net.Dialer{Timeout: p.config.DialTimeout, LocalAddr: &net.TCPAddr{IP: p.config.LocalIP}}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
--- a/internal/traffic/peer/reuse_test.go
+++ b/internal/traffic/peer/reuse_test.go
@@ -207,3 +207,22 @@
 	}
 	is.Equal(pool.OpenCounts()[address], 1)
 }
+
+// Guards against memory that grows with every node that was ever called, in a fleet that replaces its nodes.
+func TestPoolForgetsNodesThatAreGone(t *testing.T) {
+	is := is.New(t)
+	const maxIdle = 50 * time.Millisecond
+	refuse := receiverFunc(func(*call.Request) call.Reply { return call.Refused(call.NotRun, call.ReasonOverload, time.Second) })
+	pool := peer.NewPool(peer.PoolConfig{MaxPerPeer: 30, MaxIdle: maxIdle, DialTimeout: time.Second})
+	defer pool.Close()
+	client := peer.NewClient(pool, "node_1")
+	for range 5 {
+		_, _, address := startNode(t, refuse, time.Minute, nil)
+		sendCall(t, client, address, 0)
+		time.Sleep(2 * maxIdle)
+	}
+	is.Equal(len(pool.OpenCounts()), 1)
+	_, err := client.Call(t.Context(), "127.0.0.1:1", &call.Request{AttemptID: "a", Deadline: time.Now().Add(time.Second)})
+	is.True(err != nil)
+	is.Equal(len(pool.OpenCounts()), 0) // the idle one has expired, and the other has no connection
+}
