A drain doesn't offer its keys again to a node that refused them

What callers saw: keys under which nothing was remembered any more after a planned stop, where the best successor was leaving, too.

Cause: the node that refused was passed over once, and then chosen again, since nothing remembered that it had refused; the others were not asked before the drain timed out.

Change: the drain remembers the processes that refused.

--- a/internal/process/node/drain.go
+++ b/internal/process/node/drain.go
@@ -73,7 +73,7 @@
 	n.traffic.closing.Store(true)
 	n.loop.Do(ctx, func(b *board.Board) {
 		b.Self.Draining, b.Self.Leaving = true, true
-		if successor, ok := flow.ChooseSuccessor(b); ok {
+		if successor, ok := flow.ChooseSuccessor(b, nil); ok {
 			b.Self.Successor = successor.Node
 		}
 	})
@@ -86,17 +86,22 @@
 }
 
 // handOver hands the keys over to the successor. It chooses another successor if the current one is unknown or does not
-// accept the keys.
+// accept the keys. If all have refused, it waits for a node that starts.
 func (n *Node) handOver(ctx context.Context) {
+	refused := map[string]uint64{}
 	for ctx.Err() == nil {
 		b := n.loop.Snapshot()
 		successor, ok := b.Members.ByNode[b.Self.Successor]
 		if !ok {
-			successor, ok = flow.ChooseSuccessor(b)
+			successor, ok = flow.ChooseSuccessor(b, refused)
 		}
-		if !ok {
+		if !ok && len(refused) == 0 {
 			return
 		}
+		if !ok {
+			pause.For(ctx, leavePollInterval)
+			continue
+		}
 		keys, result := n.keyOwner.HandOver(ctx, n.peerClient, successor)
 		fields := events.Fields{"successor": successor.Node, "keys": keys}
 		switch result {
@@ -108,15 +113,16 @@
 			n.config.Log.Emit(events.KeysLost, fields)
 			return
 		}
-		n.chooseSuccessor(ctx, successor.Node)
+		refused[successor.Node] = successor.Incarnation
+		n.chooseSuccessor(ctx, refused)
 	}
 }
 
-// chooseSuccessor chooses a successor other than the node that did not accept the keys.
-func (n *Node) chooseSuccessor(ctx context.Context, rejecting string) {
+// chooseSuccessor chooses a successor other than the nodes that have refused the keys.
+func (n *Node) chooseSuccessor(ctx context.Context, refused map[string]uint64) {
 	n.loop.Do(ctx, func(b *board.Board) {
 		b.Self.Successor = ""
-		if next, ok := flow.ChooseSuccessor(b); ok && next.Node != rejecting {
+		if next, ok := flow.ChooseSuccessor(b, refused); ok {
 			b.Self.Successor = next.Node
 		}
 	})
--- a/internal/traffic/flow/handover.go
+++ b/internal/traffic/flow/handover.go
@@ -147,13 +147,13 @@
 )
 
 // ChooseSuccessor returns the node that should take over the keys. It prefers the same service, then the same
-// availability zone.
-func ChooseSuccessor(b *board.Board) (membership.Member, bool) {
+// availability zone. Processes that have refused the keys, given by node and incarnation, are not chosen.
+func ChooseSuccessor(b *board.Board, refused map[string]uint64) (membership.Member, bool) {
 	var best membership.Member
 	bestScore := -1
 	for _, name := range slices.Sorted(maps.Keys(b.Members.ByNode)) {
 		m := b.Members.ByNode[name]
-		if m.Node == b.Self.Node || m.State != membership.Up {
+		if m.Node == b.Self.Node || m.State != membership.Up || hasRefused(refused, m) {
 			continue
 		}
 		if score := successorScore(b, m); score > bestScore {
@@ -163,6 +163,11 @@
 	return best, bestScore >= 0
 }
 
+func hasRefused(refused map[string]uint64, m membership.Member) bool {
+	incarnation, found := refused[m.Node]
+	return found && incarnation == m.Incarnation
+}
+
 // successorScore returns a number that is higher for a better successor.
 func successorScore(b *board.Board, m membership.Member) int {
 	score := 0
