Requests that are open when a drain ends are answered

What callers saw: a connection that was closed without an answer, when their request was still open at the end of a planned stop.

Cause: at the end of the drain the contexts of all requests ended and their connections were closed at the same time.

Change: the open requests are given up first, and answered: 503 if no backend server got them, 502 if one may have run them. For that, 0.3 s are left before connections are closed; both together stay within the time that the platform grants.

Evidence: TestOpenRequestIsAnsweredAtTheEndOfADrain failed before (no answer instead of 502), TestGivenUpRequestIsAnswered is new.

--- a/internal/process/routed/reports_test.go
+++ b/internal/process/routed/reports_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,36 +14,38 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/kv"
 )
 
-// runLedger records the requests that the backend servers of a test ran, by ID.
+// runLedger counts the runs of the requests that the backend servers of a test got, by path.
 type runLedger struct {
 	mu   sync.Mutex
 	runs map[string]int
 }
 
+func newRunLedger() *runLedger {
+	return &runLedger{runs: map[string]int{}}
+}
+
 func (l *runLedger) record(r *http.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.runs == nil {
-		l.runs = map[string]int{}
-	}
-	l.runs[r.Header.Get("Request-Name")]++
+	l.runs[r.URL.Path]++
 }
 
-// mostRuns returns how often the request that ran most often ran; 0 if none ran.
-func (l *runLedger) mostRuns() int {
+// count returns how often a request with the path ran.
+func (l *runLedger) count(path string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	most := 0
-	for _, n := range l.runs {
-		most = max(most, n)
-	}
-	return most
+	return l.runs[path]
 }
 
-func (l *runLedger) count() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.runs)
+// checkAnswer checks the status that a caller of a non-idempotent request got, 0 for none, against the ledger: it ran at
+// most once, not at all if a refusal promised that, and it was answered if it ran.
+func (l *runLedger) checkAnswer(is *is.I, path string, status int) {
+	is.Helper()
+	runs := l.count(path)
+	is.True(runs <= 1)
+	if status == 0 || slices.Contains(promises, status) {
+		is.Equal(runs, 0) // the request ran, but was cut off, or called "not run"
+	}
 }
 
 // promises lists the statuses that promise that a request was not run.
@@ -56,7 +57,7 @@
 	const callers = 40
 	is := is.New(t)
 	f := newFleet(t, twoServices(1))
-	ledger := &runLedger{}
+	ledger := newRunLedger()
 	crew := f.add(t, "zone_1", "crew", hello)
 	f.add(t, "zone_1", "bookings", func(w http.ResponseWriter, r *http.Request) {
 		ledger.record(r)
@@ -64,19 +65,19 @@
 		hello(w, r)
 	})
 	f.waitReady(t)
-	var answered, refused, unanswered atomic.Int64
+	var mu sync.Mutex
+	statuses := map[string]int{}
 	var group conc.WaitGroup
 	for n := range callers {
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: n%2 == 0}}
 		group.Go(func() {
-			for ended := false; !ended; {
-				switch status := crew.call(t, client, "POST", "deposits.example", "/b").status; {
-				case status == http.StatusOK:
-					answered.Add(1)
-				case slices.Contains(promises, status):
-					refused.Add(1)
-				default:
-					unanswered.Add(1)
+			for number, ended := 0, false; !ended; number++ {
+				path := fmt.Sprintf("/%d/%d", n, number)
+				status := crew.call(t, client, "POST", "deposits.example", path).status
+				mu.Lock()
+				statuses[path] = status
+				mu.Unlock()
+				if status != http.StatusOK {
 					time.Sleep(5 * time.Millisecond)
 				}
 				select {
@@ -90,9 +91,38 @@
 	time.Sleep(500 * time.Millisecond)
 	crew.stop()
 	group.Wait()
-	is.True(answered.Load() > callers)
-	is.Equal(ledger.mostRuns(), 1)
-	is.Equal(int64(ledger.count()), answered.Load()) // a request that ran was cut off; refused ones didn't run
+	byStatus := map[int]int{}
+	for path, status := range statuses {
+		ledger.checkAnswer(is, path, status)
+		byStatus[status]++
+	}
+	t.Log("answers by status, 0 for none:", byStatus)
+	is.True(byStatus[http.StatusOK] > callers)
+}
+
+// Guards against cutting off a request that is still open when the drain of its node ends. It must be answered as
+// one that may have run.
+func TestOpenRequestIsAnsweredAtTheEndOfADrain(t *testing.T) {
+	is := is.New(t)
+	configuration := twoServices(1)
+	for n := range configuration.Routes {
+		configuration.Routes[n].Timeout = 20 * time.Second
+	}
+	f := newFleet(t, configuration)
+	release := make(chan struct{})
+	crew := f.add(t, "zone_1", "crew", hello)
+	f.add(t, "zone_1", "bookings", func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	f.waitReady(t)
+	results := make(chan int, 1)
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		results <- crew.callWithin(t, &http.Client{}, "POST", "deposits.example", "/b", "20000").status
+	})
+	time.Sleep(200 * time.Millisecond)
+	crew.stop()
+	is.Equal(<-results, http.StatusBadGateway)
 }
 
 // Guards against running a request again, or saying that it was not run, after its answer was lost between the backend
@@ -117,7 +147,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFleet(t, twoServices(1))
-			ledger := &runLedger{}
+			ledger := newRunLedger()
 			handler := func(w http.ResponseWriter, r *http.Request) {
 				ledger.record(r)
 				lose(w)
@@ -128,16 +158,15 @@
 			f.waitReady(t)
 			unknown := 0
 			for n := range 10 { // on different paths, because requests like one that broke a connection are held back
-				switch status := crew.call(t, &http.Client{}, "POST", "deposits.example", fmt.Sprintf("/%d", n)).status; status {
-				case http.StatusBadGateway:
+				path := fmt.Sprintf("/%d", n)
+				status := crew.call(t, &http.Client{}, "POST", "deposits.example", path).status
+				ledger.checkAnswer(is, path, status)
+				is.True(status == http.StatusBadGateway || slices.Contains(promises, status))
+				if status == http.StatusBadGateway {
 					unknown++
-				default:
-					is.True(slices.Contains(promises, status))
 				}
 			}
 			is.True(unknown > 0)
-			is.Equal(ledger.mostRuns(), 1)
-			is.Equal(ledger.count(), unknown) // those that ran, and no other, are told so
 		})
 	}
 }
@@ -147,7 +176,7 @@
 func TestSilentNodeKeepsItsWork(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, twoServices(1))
-	ledger := &runLedger{}
+	ledger := newRunLedger()
 	started, release := make(chan struct{}, 2), make(chan struct{})
 	crew := f.add(t, "zone_1", "crew", hello)
 	work := func(w http.ResponseWriter, r *http.Request) {
@@ -162,8 +191,8 @@
 	results := make(chan int, 2)
 	var group conc.WaitGroup
 	defer group.Wait()
-	for range 2 {
-		group.Go(func() { results <- crew.call(t, &http.Client{}, "POST", "deposits.example", "/b").status })
+	for _, path := range []string{"/1", "/2"} {
+		group.Go(func() { results <- crew.call(t, &http.Client{}, "POST", "deposits.example", path).status })
 		<-started
 	}
 	f.store.SetFaults(kv.Faults{RefuseNodes: map[string]bool{"node_2": true, "node_3": true}})
@@ -173,5 +202,6 @@
 	close(release)
 	is.Equal(<-results, http.StatusOK)
 	is.Equal(<-results, http.StatusOK)
-	is.Equal(ledger.mostRuns(), 1)
+	is.Equal(ledger.count("/1"), 1)
+	is.Equal(ledger.count("/2"), 1)
 }
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -48,8 +48,10 @@
 	quietPeriod = 200 * time.Millisecond
 	// lastResponsesTimeout limits the time for the last responses to callers.
 	lastResponsesTimeout = 1900 * time.Millisecond
-	// drainTimeout limits the whole drain. It is shorter than the time after which the process is killed.
-	drainTimeout = 5100 * time.Millisecond
+	// drainTimeout limits the drain until requests are given up, and giveUpTimeout the time for their responses. Both
+	// together are shorter than the time after which the process is killed.
+	drainTimeout  = 5100 * time.Millisecond
+	giveUpTimeout = 300 * time.Millisecond
 )
 
 // drain serves callers until they have left, and only then takes the backend server out of use. The backend server
@@ -69,6 +71,18 @@
 	n.withdrawBackend(ctx)
 	waitQuiet(ctx, func() bool { return n.traffic.callerRequests.Load() == 0 && n.traffic.peerRequests.Load() == 0 })
 	n.config.Log.Emit(events.DrainFinished, events.Fields{"calls": n.traffic.callerRequests.Load(), "rpcs": n.traffic.peerRequests.Load()})
+	n.giveUpRequests(context.WithoutCancel(ctx))
+}
+
+// giveUpRequests answers the requests of callers that are left when the drain ends. Those that no backend server runs are
+// refused as not run.
+func (n *Node) giveUpRequests(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, giveUpTimeout)
+	defer cancel()
+	n.callerServer.GiveUp()
+	for ctx.Err() == nil && n.callerServer.OpenRequests() > 0 {
+		pause.For(ctx, parts.GatePollInterval)
+	}
 }
 
 // withdrawBackend announces that the backend server is out of use, so that it gets no new requests.
--- a/internal/traffic/caller/server.go
+++ b/internal/traffic/caller/server.go
@@ -47,6 +47,9 @@
 type Server struct {
 	config ServerConfig
 	group  conc.WaitGroup
+	// handling ends when the open requests are given up.
+	handling context.Context
+	giveUp   context.CancelCauseFunc
 
 	mu    sync.Mutex
 	conns map[*serverConn]bool
@@ -54,7 +57,9 @@
 
 // NewServer returns a server that has no connections yet.
 func NewServer(config ServerConfig) *Server {
-	return &Server{config: config, conns: map[*serverConn]bool{}}
+	s := &Server{config: config, conns: map[*serverConn]bool{}}
+	s.handling, s.giveUp = context.WithCancelCause(context.Background())
+	return s
 }
 
 // Serve accepts connections until the listener is closed, and returns when all connections have ended.
@@ -91,6 +96,28 @@
 	}
 }
 
+// GiveUp cancels the open requests and those that are read later. Their connections stay open for the responses.
+func (s *Server) GiveUp() {
+	s.giveUp(errGivenUp)
+}
+
+// errGivenUp is the cause of the end of requests that are given up and still answered.
+var errGivenUp = errors.New("the server has given up the request")
+
+// OpenRequests returns the number of requests of which at least the first byte was read and whose responses are not
+// written yet.
+func (s *Server) OpenRequests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := 0
+	for c := range s.conns {
+		c.mu.Lock()
+		open += c.openRequests
+		c.mu.Unlock()
+	}
+	return open
+}
+
 // Close closes all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
@@ -182,7 +209,9 @@
 // serve handles requests until the caller disconnects or the last request is answered. If the caller disconnects, the
 // requests that are still running are canceled.
 func (c *serverConn) serve(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	cancel := func() { cancelCause(nil) }
+	defer context.AfterFunc(c.server.handling, func() { cancelCause(errGivenUp) })()
 	defer func() { _ = c.conn.Close() }()
 	var group conc.WaitGroup
 	defer group.Wait()
@@ -369,8 +398,8 @@
 
 func (c *serverConn) send(x *exchange) error {
 	_ = c.conn.SetWriteDeadline(time.Now().Add(c.server.config.WriteTimeout))
-	if x.request.Context().Err() != nil {
-		return x.request.Context().Err()
+	if err := context.Cause(x.request.Context()); err != nil && !errors.Is(err, errGivenUp) {
+		return err
 	}
 	response := http.Response{
 		StatusCode:    x.response.status,
--- a/internal/traffic/caller/server_test.go
+++ b/internal/traffic/caller/server_test.go
@@ -208,3 +208,27 @@
 	body, _ := receive(t, r)
 	is.Equal(body, "well")
 }
+
+// Guards against closing the connection of a request that is given up at the end of a planned stop: the caller must get
+// the response that says whether it may have run.
+func TestGivenUpRequestIsAnswered(t *testing.T) {
+	is := is.New(t)
+	conn, reader, s := startServer(t, &atomic.Bool{}, func(w http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(r.URL.Path))
+	})
+	send(t, conn, getRequest("/a"), getRequest("/b"))
+	for s.OpenRequests() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	s.GiveUp()
+	for _, path := range []string{"/a", "/b"} {
+		body, response := receive(t, reader)
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(body, path)
+	}
+	for deadline := time.Now().Add(5 * time.Second); s.OpenRequests() > 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline))
+	}
+}
