Lists that stay older than what is known are not read forever

What operators would see: a node that learns of no further change of a member, if the store's lists that may be old stay older than what a watch had shown before.

Cause: a list that is older than what is known was ignored, and didn't count as one without a change, so that the node never waited for changes again.

Change: it counts. A nil ReadPlan waits for changes, which spares its user the checks.

Evidence: TestFollowerReadsStaleLists/lists_stay_older_than_what_is_known failed without the count and passes with it.

--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -81,7 +81,7 @@
 		return f.probe(ctx)
 	case !f.listed:
 		return f.list(ctx)
-	case f.config.Plan != nil && f.config.Plan.Next() == roster.ReadStale:
+	case f.config.Plan.Next() == roster.ReadStale:
 		return f.listStale(ctx)
 	}
 	return f.watch(ctx)
@@ -90,9 +90,7 @@
 // relist makes the next call a list.
 func (f *Follower) relist() {
 	f.listed = false
-	if f.config.Plan != nil {
-		f.config.Plan.Restarted()
-	}
+	f.config.Plan.Restarted()
 }
 
 // probe tries to reach the store by a stale list, because the store counts failed calls, too, and all nodes make them during
@@ -108,7 +106,7 @@
 		return err
 	}
 	f.revision, f.era, f.listed = snapshot.Revision, snapshot.Era, true
-	f.planAfter(snapshot)
+	f.config.Plan.Listed(len(snapshot.Items), newestRevision(snapshot.Items))
 	f.config.OnList(ctx, snapshot)
 	return nil
 }
@@ -125,22 +123,18 @@
 		f.relist()
 		return nil
 	}
-	if snapshot.Revision >= f.revision {
-		f.revision = max(f.revision, newestRevision(snapshot.Items))
-		f.planAfter(snapshot)
+	newest := newestRevision(snapshot.Items)
+	if snapshot.Revision < f.revision {
+		f.config.Plan.Outdated()
+	} else {
+		f.revision = max(f.revision, newest)
+		f.config.Plan.Listed(len(snapshot.Items), newest)
 		f.config.OnList(ctx, snapshot)
 	}
 	pause.For(ctx, f.config.CoalesceDelay())
 	return nil
 }
 
-// planAfter tells the plan about a list.
-func (f *Follower) planAfter(snapshot Snapshot) {
-	if f.config.Plan != nil {
-		f.config.Plan.Listed(len(snapshot.Items), newestRevision(snapshot.Items))
-	}
-}
-
 // newestRevision returns the highest revision among the items.
 func newestRevision(items []Item) uint64 {
 	newest := uint64(0)
@@ -174,9 +168,7 @@
 		return nil
 	}
 	f.config.OnChange(ctx, changes)
-	if f.config.Plan != nil {
-		f.config.Plan.Changed()
-	}
+	f.config.Plan.Changed()
 	if f.config.CoalesceDelay != nil {
 		pause.For(ctx, f.config.CoalesceDelay())
 	}
@@ -187,10 +179,8 @@
 // broken watch everything must be listed, because the store may have compacted the history meanwhile, and reports that only
 // with the next change.
 func (f *Follower) recordFailure(ctx context.Context, err error) {
-	if f.config.Plan != nil {
-		f.config.Plan.Failed()
-	}
-	f.listed = f.listed && f.config.Plan != nil && f.config.Plan.Next() == roster.ReadStale
+	f.config.Plan.Failed()
+	f.listed = f.listed && f.config.Plan.Next() == roster.ReadStale
 	if !f.unreachable {
 		f.unreachable = true
 		f.config.OnLost(err)
--- a/internal/control/store/stale_test.go
+++ b/internal/control/store/stale_test.go
@@ -86,6 +86,13 @@
 			s.SetFaults(kv.Faults{StaleLists: true})
 			s.ForcePut("members/a", []byte("3"))
 		}, time.Duration(roster.DefaultReadPlan.QuietReads+2) * coalesceDelay},
+		"lists stay older than what is known": {func(s *kv.Store) {
+			s.SetFaults(kv.Faults{StaleLists: true})
+			time.Sleep(time.Duration(roster.DefaultReadPlan.QuietReads+2) * coalesceDelay) // the follower waits for changes again
+			s.ForcePut("members/a", []byte("2 and a half"))
+			time.Sleep(coalesceDelay)
+			s.ForcePut("members/a", []byte("3"))
+		}, time.Duration(roster.DefaultReadPlan.QuietReads+2) * coalesceDelay},
 		"a key is deleted": {func(s *kv.Store) {
 			s.ForcePut("members/a", []byte("3"))
 			s.Revoke("members/b")
--- a/internal/decide/roster/readplan.go
+++ b/internal/decide/roster/readplan.go
@@ -28,7 +28,7 @@
 // ReadPlan decides how the entries are read next. Every node reads every change of an entry, so the cost of the reads
 // grows with the product of nodes and changes. Waiting for changes costs nothing while there are none. While entries
 // change, a list that may be seconds old costs a tenth of a wait, and is sufficient: a node that leaves refuses requests by
-// itself, and a new one may be learned of a little later.
+// itself, and a new one may be learned of a little later. A nil ReadPlan always waits for changes.
 type ReadPlan struct {
 	config ReadPlanConfig
 	next   Read
@@ -46,29 +46,47 @@
 
 // Next returns how to read next.
 func (p *ReadPlan) Next() Read {
+	if p == nil {
+		return ReadChanges
+	}
 	return p.next
 }
 
 // Listed records a list of the given number of entries, with the highest revision among them.
 func (p *ReadPlan) Listed(count int, newest uint64) {
+	if p == nil {
+		return
+	}
 	isChanged := count != p.count || newest != p.newest
-	wasStale := p.next == ReadStale
 	p.count, p.newest = count, newest
-	switch {
-	case !wasStale:
+	if p.next != ReadStale {
 		p.next = ReadChanges
-	case isChanged:
+		return
+	}
+	if isChanged {
 		p.quiet = 0
-	default:
-		p.quiet++
+		return
 	}
-	if wasStale && (p.quiet >= p.config.QuietReads || count > p.config.MaxEntries) {
+	p.Outdated()
+}
+
+// Outdated records a stale list that shows nothing new, perhaps because it is older than what is known already. Lists that
+// stay old for good are not read forever.
+func (p *ReadPlan) Outdated() {
+	if p == nil {
+		return
+	}
+	p.quiet++
+	if p.quiet >= p.config.QuietReads || p.count > p.config.MaxEntries {
 		p.next = ReadChanges
 	}
 }
 
 // Changed records that waiting for changes has returned some.
 func (p *ReadPlan) Changed() {
+	if p == nil {
+		return
+	}
 	p.quiet = 0
 	if p.count <= p.config.MaxEntries {
 		p.next = ReadStale
@@ -78,6 +96,9 @@
 // Failed records that a read failed, so that changes may have been missed. Until the store answers again, each attempt
 // costs as much as a call that succeeds.
 func (p *ReadPlan) Failed() {
+	if p == nil {
+		return
+	}
 	p.Restarted()
 	if p.count > 0 && p.count <= p.config.MaxEntries {
 		p.next = ReadStale
@@ -87,5 +108,8 @@
 // Restarted records that what was read before can't be continued: the store dropped its history, or was restored from a
 // copy.
 func (p *ReadPlan) Restarted() {
+	if p == nil {
+		return
+	}
 	p.next, p.quiet = ReadLatest, 0
 }
