--- a/internal/traffic/backend/identity.go
+++ b/internal/traffic/backend/identity.go
@@ -19,6 +19,7 @@
 	hashes []uint64
 }
 
+// idSeed seeds the hashes of IDs.
 var idSeed = maphash.MakeSeed()
 
 // contains reports whether the connection has carried a request with the ID. It may be wrong for an ID that the
