backend: one question instead of three kinds of owners of a response

Read as a newcomer: the three kinds were only ever compared with one of them. isOwn asks what is needed. No change of behavior; the tests of the package pass.

--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -283,7 +283,7 @@
 		if err := c.config.Headers.checkHead(response); err != nil {
 			return call.Reply{}, response, err
 		}
-		isStale := id.ownerOf(response, isFirst, conn.repeatsIDs) != ownResponse
+		isStale := !id.isOwn(response, isFirst, conn.repeatsIDs)
 		if !isStale {
 			c.reportStatement(target, response, sentAt)
 		}
--- a/internal/traffic/backend/identity.go
+++ b/internal/traffic/backend/identity.go
@@ -53,32 +53,17 @@
 	isOptional bool
 }
 
-// owner tells whose response a response is.
-type owner int
-
-const (
-	ownResponse owner = iota
-	// otherResponse is a response with the ID of another request.
-	otherResponse
-	// unknownResponse is a response without an ID on a connection that has carried other requests.
-	unknownResponse
-)
-
-// ownerOf tells whose response arrived on a connection. isFirst reports whether the connection has carried no other
-// request; a response without an ID can then belong to no other. repeats reports whether an earlier response on the
-// connection had an ID.
-func (i identity) ownerOf(response *http.Response, isFirst, repeats bool) owner {
-	switch repeated := response.Header.Get(i.header); {
-	case i.header == "":
-		return ownResponse
-	case repeated == "" && (isFirst || i.isOptional && !repeats):
-		return ownResponse
-	case repeated == "":
-		return unknownResponse
-	case repeated != i.value:
-		return otherResponse
+// isOwn reports whether a response that arrived on a connection belongs to the request. isFirst reports whether the
+// connection has carried no other request; a response without an ID can then belong to no other. repeats reports whether
+// an earlier response on the connection had an ID.
+func (i identity) isOwn(response *http.Response, isFirst, repeats bool) bool {
+	if i.header == "" {
+		return true
+	}
+	if i.isIdentified(response) {
+		return response.Header.Get(i.header) == i.value
 	}
-	return ownResponse
+	return isFirst || i.isOptional && !repeats
 }
 
 // isIdentified reports whether the response repeats the ID.
