Small fleets wait for changes of members, as before

A fleet of 16 reads changes each 0.24 s; lists that may be seconds old show departures and arrivals later, and so more requests are refused once before they find an instance.

Change: such lists are used from 50 members on, where changes are read each 0.75 s or less often anyway, and where their price matters.

--- a/internal/control/store/stale_test.go
+++ b/internal/control/store/stale_test.go
@@ -16,6 +16,9 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/kv"
 )
 
+// planConfig allows stale lists of the few keys of these tests.
+var planConfig = roster.ReadPlanConfig{MaxEntries: 10, QuietReads: roster.DefaultReadPlan.QuietReads}
+
 // coalesceDelay is the delay between two reads of the followers in these tests.
 const coalesceDelay = 500 * time.Millisecond
 
@@ -57,7 +60,7 @@
 	f := store.NewFollower(store.FollowerConfig{
 		Store: s, Prefix: "members/", WatchTimeout: 30 * time.Second,
 		CoalesceDelay: func() time.Duration { return coalesceDelay },
-		Plan:          roster.NewReadPlan(roster.DefaultReadPlan),
+		Plan:          roster.NewReadPlan(planConfig),
 		OnList:        func(_ context.Context, s store.Snapshot) { observed.replace(s.Items) },
 		OnChange:      func(_ context.Context, c store.Changes) { observed.apply(c.Events) },
 		OnLost:        func(error) {},
@@ -173,7 +176,7 @@
 // grow with nodes times the duration of the outage.
 func TestFollowerMakesFewCallsDuringAnOutage(t *testing.T) {
 	for name, plan := range map[string]*roster.ReadPlan{
-		"with stale lists": roster.NewReadPlan(roster.DefaultReadPlan),
+		"with stale lists": roster.NewReadPlan(planConfig),
 		"without":          nil,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/decide/roster/readplan.go
+++ b/internal/decide/roster/readplan.go
@@ -15,15 +15,16 @@
 
 // ReadPlanConfig configures a ReadPlan.
 type ReadPlanConfig struct {
-	// MaxEntries is the number of entries up to which stale lists are used: each has the size of all entries.
-	MaxEntries int
+	// MinEntries and MaxEntries are the numbers of entries from and up to which stale lists are used. A small fleet reads
+	// changes so often that stale lists would delay them, and in a large one each list is long.
+	MinEntries, MaxEntries int
 	// QuietReads is how many stale lists without a change follow each other before changes are waited for again.
 	QuietReads int
 }
 
 // DefaultReadPlan is the configuration used unless another is set. QuietReads stale lists cost as much as the one
 // response to a wait for changes that they save.
-var DefaultReadPlan = ReadPlanConfig{MaxEntries: 400, QuietReads: 10}
+var DefaultReadPlan = ReadPlanConfig{MinEntries: 50, MaxEntries: 400, QuietReads: 10}
 
 // ReadPlan decides how the entries are read next. Every node reads every change of an entry, so the cost of the reads
 // grows with the product of nodes and changes. Waiting for changes costs nothing while there are none. While entries
@@ -77,18 +78,23 @@
 		return
 	}
 	p.quiet++
-	if p.quiet >= p.config.QuietReads || p.count > p.config.MaxEntries {
+	if p.quiet >= p.config.QuietReads || !p.allowsStale() {
 		p.next = ReadChanges
 	}
 }
 
+// allowsStale reports whether the number of entries allows stale lists.
+func (p *ReadPlan) allowsStale() bool {
+	return p.count >= p.config.MinEntries && p.count <= p.config.MaxEntries
+}
+
 // Changed records that waiting for changes has returned some.
 func (p *ReadPlan) Changed() {
 	if p == nil {
 		return
 	}
 	p.quiet = 0
-	if p.count <= p.config.MaxEntries {
+	if p.allowsStale() {
 		p.next = ReadStale
 	}
 }
@@ -100,7 +106,7 @@
 		return
 	}
 	p.Restarted()
-	if p.count > 0 && p.count <= p.config.MaxEntries {
+	if p.allowsStale() {
 		p.next = ReadStale
 	}
 }
--- a/internal/decide/roster/readplan_test.go
+++ b/internal/decide/roster/readplan_test.go
@@ -85,14 +85,17 @@
 	}
 }
 
-// Guards against stale lists in a fleet whose entries are too many to be listed again and again.
-func TestLargeFleetsWaitForChanges(t *testing.T) {
-	is := is.New(t)
-	plan := roster.NewReadPlan(roster.DefaultReadPlan)
-	plan.Listed(2114, 1)
-	for range 5 {
-		is.Equal(plan.Next(), roster.ReadChanges)
-		plan.Changed()
+// Guards against stale lists in a fleet whose entries are too many to be listed again and again, and in a small one, which
+// would learn of its changes some seconds later than without.
+func TestLargeAndSmallFleetsWaitForChanges(t *testing.T) {
+	for _, members := range []int{2114, 16} {
+		is := is.New(t)
+		plan := roster.NewReadPlan(roster.DefaultReadPlan)
+		plan.Listed(members, 1)
+		for range 5 {
+			is.Equal(plan.Next(), roster.ReadChanges)
+			plan.Changed()
+		}
 	}
 }
 
@@ -106,6 +109,7 @@
 	}{
 		"failed":                          {96, (*roster.ReadPlan).Failed, roster.ReadStale},
 		"failed before the first list":    {0, (*roster.ReadPlan).Failed, roster.ReadLatest},
+		"failed, few members":             {16, (*roster.ReadPlan).Failed, roster.ReadLatest},
 		"failed, many members":            {2114, (*roster.ReadPlan).Failed, roster.ReadLatest},
 		"history dropped, or era changed": {96, (*roster.ReadPlan).Restarted, roster.ReadLatest},
 	} {
