A node of a fleet that starts reads its members by lists that may be old

Cause: whether lists that may be old are used goes by the number of members in the last list. A node that starts with its fleet lists two or three, learns the others by waiting, and each response is a call at the full price. Since small fleets wait for changes the start of a large one cost as much as before lists that may be old.

Ruled out: counting the members that are known by now. 50 are known after about seven of the ten waits. A longer pause between two waits at the start: it also delays a node that starts alone.

Change: while most of the known members have been added since the last list, lists that may be old are used in a fleet of any size. One of them ends that, since the number of the last list is then that of the fleet.

--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -115,8 +115,9 @@
 		Store:         c.config.Store,
 		Prefix:        Prefix,
 		WatchTimeout:  watchTimeout,
-		CoalesceDelay: func() time.Duration { return roster.CoalesceDelay(len(c.config.Board.Snapshot().Members.ByNode)) },
+		CoalesceDelay: func() time.Duration { return roster.CoalesceDelay(c.knownMembers()) },
 		Plan:          roster.NewReadPlan(roster.DefaultReadPlan),
+		Known:         c.knownMembers,
 		OnList: func(ctx context.Context, s store.Snapshot) {
 			send(ctx, rosterUpdate{isSnapshot: true, position: position{s.Era, s.Revision}, entries: c.parseEntries(s.Items)})
 		},
@@ -143,6 +144,11 @@
 	}
 }
 
+// knownMembers returns the number of members on the board.
+func (c *Controller) knownMembers() int {
+	return len(c.config.Board.Snapshot().Members.ByNode)
+}
+
 func (c *Controller) applyUpdate(update rosterUpdate) {
 	now := time.Now()
 	own := Prefix + c.config.Board.Snapshot().Self.Node
--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -9,7 +9,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 )
 
-// FollowerConfig configures a Follower. All fields but CoalesceDelay and Plan are required.
+// FollowerConfig configures a Follower. All fields but CoalesceDelay, Plan and Known are required.
 type FollowerConfig struct {
 	Store  Store
 	Prefix string
@@ -20,6 +20,8 @@
 	CoalesceDelay func() time.Duration
 	// Plan decides between lists, stale lists and watches; nil means a watch after the first list.
 	Plan *roster.ReadPlan
+	// Known returns how many keys under the prefix are known. It is required with a Plan.
+	Known func() int
 	// OnList gets the result of a list, OnChange the events of a watch. Both run on the follower's goroutine.
 	OnList   func(ctx context.Context, s Snapshot)
 	OnChange func(ctx context.Context, c Changes)
@@ -168,7 +170,9 @@
 		return nil
 	}
 	f.config.OnChange(ctx, changes)
-	f.config.Plan.Changed()
+	if f.config.Plan != nil {
+		f.config.Plan.Changed(f.config.Known())
+	}
 	if f.config.CoalesceDelay != nil {
 		pause.For(ctx, f.config.CoalesceDelay())
 	}
--- a/internal/control/store/stale_test.go
+++ b/internal/control/store/stale_test.go
@@ -34,6 +34,12 @@
 	return k.values[key]
 }
 
+func (k *observedKeys) count() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.values)
+}
+
 func (k *observedKeys) replace(items []store.Item) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -61,6 +67,7 @@
 		Store: s, Prefix: "members/", WatchTimeout: 30 * time.Second,
 		CoalesceDelay: func() time.Duration { return coalesceDelay },
 		Plan:          roster.NewReadPlan(planConfig),
+		Known:         observed.count,
 		OnList:        func(_ context.Context, s store.Snapshot) { observed.replace(s.Items) },
 		OnChange:      func(_ context.Context, c store.Changes) { observed.apply(c.Events) },
 		OnLost:        func(error) {},
@@ -192,6 +199,7 @@
 					Store: s.ForNode("node_1"), Prefix: "op/", WatchTimeout: 30 * time.Second,
 					CoalesceDelay: func() time.Duration { return coalesceDelay },
 					Plan:          plan,
+					Known:         func() int { return 1 },
 					OnList: func(_ context.Context, snapshot store.Snapshot) {
 						for _, item := range snapshot.Items {
 							observed.set(item)
--- a/internal/decide/roster/readplan.go
+++ b/internal/decide/roster/readplan.go
@@ -16,7 +16,8 @@
 // ReadPlanConfig configures a ReadPlan.
 type ReadPlanConfig struct {
 	// MinEntries and MaxEntries are the numbers of entries from and up to which stale lists are used. A small fleet reads
-	// changes so often that stale lists would delay them, and in a large one each list is long.
+	// changes so often that stale lists would delay them, and in a large one each list is long. While a fleet starts, its
+	// size is not known yet, and MinEntries doesn't apply.
 	MinEntries, MaxEntries int
 	// QuietReads is how many stale lists without a change follow each other before changes are waited for again.
 	QuietReads int
@@ -38,6 +39,8 @@
 	// same in two lists only if no entry changed in between.
 	count  int
 	newest uint64
+	// known is the number of entries that are known from the last list and the changes since.
+	known int
 }
 
 // NewReadPlan returns a plan that begins with ReadLatest.
@@ -59,7 +62,7 @@
 		return
 	}
 	isChanged := count != p.count || newest != p.newest
-	p.count, p.newest = count, newest
+	p.count, p.newest, p.known = count, newest, count
 	if p.next != ReadStale {
 		p.next = ReadChanges
 		return
@@ -85,15 +88,20 @@
 
 // allowsStale reports whether the number of entries allows stale lists.
 func (p *ReadPlan) allowsStale() bool {
-	return p.count >= p.config.MinEntries && p.count <= p.config.MaxEntries
+	return p.known <= p.config.MaxEntries && (p.known >= p.config.MinEntries || p.isStarting())
 }
 
-// Changed records that waiting for changes has returned some.
-func (p *ReadPlan) Changed() {
+// isStarting reports whether most of the known entries have been added since the last list, as while a fleet starts.
+func (p *ReadPlan) isStarting() bool {
+	return p.known > 2*p.count
+}
+
+// Changed records that waiting for changes has returned some, and how many entries are known with them.
+func (p *ReadPlan) Changed(known int) {
 	if p == nil {
 		return
 	}
-	p.quiet = 0
+	p.quiet, p.known = 0, known
 	if p.allowsStale() {
 		p.next = ReadStale
 	}
--- a/internal/decide/roster/readplan_test.go
+++ b/internal/decide/roster/readplan_test.go
@@ -43,7 +43,7 @@
 			cost++
 			now = max(now, changes[known])
 			seen = changesUntil(now)
-			plan.Changed()
+			plan.Changed(members)
 		}
 		for ; known < seen; known++ {
 			latest = max(latest, now-changes[known])
@@ -94,11 +94,58 @@
 		plan.Listed(members, 1)
 		for range 5 {
 			is.Equal(plan.Next(), roster.ReadChanges)
-			plan.Changed()
+			plan.Changed(members)
 		}
 	}
 }
 
+// Pattern: all nodes of a fleet start within seconds and write their entries, and each reads the entries of all. Guards
+// against calls to the store that grow with the square of the nodes, and against entries that are read too late.
+func TestReadsWhileAFleetStarts(t *testing.T) {
+	for name, test := range map[string]struct {
+		members int
+		maxCost float64
+	}{
+		"96 members": {96, 4},
+		"16 members": {16, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const interval, end = 35 * time.Millisecond, 10 * time.Second
+			plan := roster.NewReadPlan(roster.DefaultReadPlan)
+			cost, known, readAt := 0.0, 0, time.Duration(0)
+			for now := time.Duration(0); now < end; now += roster.CoalesceDelay(known) {
+				if plan.Next() == roster.ReadChanges {
+					now = max(now, time.Duration(known+1)*interval)
+				}
+				if plan.Next() == roster.ReadChanges && known == test.members {
+					break
+				}
+				before := known
+				known = min(int(now/interval), test.members)
+				if known > before {
+					readAt = now
+				}
+				switch plan.Next() {
+				case roster.ReadStale:
+					cost += staleCost
+					plan.Listed(known, uint64(known))
+				case roster.ReadLatest:
+					cost++
+					plan.Listed(known, uint64(known))
+				case roster.ReadChanges:
+					cost++
+					plan.Changed(known)
+				}
+			}
+			t.Logf("cost %.1f, all entries read after %v", cost, readAt)
+			is.Equal(known, test.members)
+			is.True(cost <= test.maxCost)
+			is.True(readAt <= time.Duration(test.members)*interval+roster.CoalesceDelay(test.members))
+		})
+	}
+}
+
 // Guards against waiting for changes after a failed read, which may have missed some: the store may have dropped its history
 // meanwhile, and says so with the next change only. Lists that follow the failure become newer until they show all.
 func TestReadsAfterAFailure(t *testing.T) {
