The demo sends its load from a process of its own, and says whether that process was short

Cause: the generator shared a process with the simulated servers and the proxy, and its flood of 6,000 requests a second, each up to four times without a pause, took the processors; calls of 10 ms made the processors and not the slots short. Nothing told the generator's own shortage from that of the nodes.

The demo prints the processor time of generator, nodes and simulated servers.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -101,6 +101,17 @@
 	f.Network.Wait()
 }
 
+// ProcessorTime returns the processor time that the processes of all nodes used. It counts only those that have ended.
+func (f *Fleet) ProcessorTime() time.Duration {
+	total := time.Duration(0)
+	for _, n := range f.Nodes {
+		n.mu.Lock()
+		total += n.processorTime
+		n.mu.Unlock()
+	}
+	return total
+}
+
 // Callers returns the caller addresses of all nodes.
 func (f *Fleet) Callers() []string {
 	var addresses []string
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"os/exec"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -32,6 +34,8 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
+	// processorTime is the processor time of the processes that have ended.
+	processorTime time.Duration
 	// serverErr is the error that ended the backend server, if any.
 	serverErr error
 }
@@ -117,5 +121,15 @@
 	n.mu.Unlock()
 	if process != nil && process.Process != nil {
 		_ = process.Wait()
+		n.addProcessorTime(process.ProcessState)
 	}
 }
+
+func (n *Node) addProcessorTime(state *os.ProcessState) {
+	if state == nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.processorTime += state.UserTime() + state.SystemTime()
+}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -13,6 +13,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -41,6 +42,9 @@
 	Stop time.Duration
 	// Resends is how often a caller resends a failed request.
 	Resends int
+	// HonorsRetryAfter makes the callers wait before they resend as long as the response says, and not resend if that is
+	// after their timeout. Other callers resend at once.
+	HonorsRetryAfter bool
 	// Direct sends the requests directly to the backend servers at Targets, bypassing the nodes.
 	Direct bool
 	// Targets, if set, replace those of the Config.
@@ -80,13 +84,14 @@
 	Path    string `json:"path"`
 	Rank    int    `json:"rank"`
 	ID      string `json:"id"`
-	// Sent is the time from the start of the run to the first send. Latency is the time from the first send to the end
-	// of the last.
-	Sent    time.Duration `json:"sent"`
-	Latency time.Duration `json:"took"`
-	Status  int           `json:"status"`
-	Outcome string        `json:"outcome"`
-	Reason  string        `json:"reason"`
+	// Sent is the time from the start of the run to the first send, and Lateness that from when it was due to then.
+	// Latency is the time from the first send to the end of the last.
+	Sent     time.Duration `json:"sent"`
+	Lateness time.Duration `json:"lateness"`
+	Latency  time.Duration `json:"took"`
+	Status   int           `json:"status"`
+	Outcome  string        `json:"outcome"`
+	Reason   string        `json:"reason"`
 	// RetryAfter is the Retry-After header of the last response.
 	RetryAfter string `json:"retry_after,omitempty"`
 	Sends      int    `json:"sends"`
@@ -153,12 +158,14 @@
 		}
 		target := targets[random.IntN(len(targets))]
 		id := fmt.Sprintf("%s-%d-%d", s.Name, s.Start.Milliseconds(), number)
-		group.Go(func() { g.request(ctx, s, limiter, target, id) })
+		due := next
+		group.Go(func() { g.request(ctx, s, limiter, target, id, due) })
 		next += time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))
 	}
 }
 
-func (g *generator) request(ctx context.Context, s Stream, limiter connectionLimiter, target, id string) {
+// request sends one request that is due at a time from the start of the run, and resends it if it fails.
+func (g *generator) request(ctx context.Context, s Stream, limiter connectionLimiter, target, id string, due time.Duration) {
 	result := Result{
 		Stream:  s.Name,
 		Added:   s.Added,
@@ -168,11 +175,12 @@
 		ID:      id,
 		Sent:    time.Since(g.start),
 	}
+	result.Lateness = result.Sent - due
 	begin := time.Now()
 	for result.Sends <= s.Resends && ctx.Err() == nil {
 		result.Sends++
 		g.sendOnce(ctx, s, limiter, target, &result)
-		if result.OK() || time.Since(begin) > s.Timeout {
+		if result.OK() || time.Since(begin) > s.Timeout || !s.waitToResend(ctx, begin.Add(s.Timeout), result.RetryAfter) {
 			break
 		}
 	}
@@ -182,6 +190,17 @@
 	g.results = append(g.results, result)
 }
 
+// waitToResend waits as long as the Retry-After of a response says, if the stream's callers do. It reports false if that is
+// after their timeout.
+func (s Stream) waitToResend(ctx context.Context, timeout time.Time, retryAfter string) bool {
+	if !s.HonorsRetryAfter || retryAfter == "" {
+		return true
+	}
+	seconds, err := strconv.ParseFloat(retryAfter, 64)
+	at := time.Now().Add(time.Duration(seconds * float64(time.Second)))
+	return err == nil && at.Before(timeout) && pause.Until(ctx, at)
+}
+
 func (g *generator) sendOnce(ctx context.Context, s Stream, limiter connectionLimiter, target string, result *Result) {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
