Nodes tell each other the version of their routes, and log that they are behind

The log could not tell a node whose watch is silent, or that the store refuses, from a node for which nothing has changed.

A node that a peer is ahead of for more than an eighth of the bound logs routes_behind (1607) with both versions and the age of the store's last response. routes_in_force names its source, and /metrics has routes_newest and routes_confirmed_ms. What a node serves is unchanged: it still learns routes from the store only. The bound comes from the platform's settings (platform.bounds), not from a constant. The follower of the routes moved from process/routed to control/routefeed.

Tests: go test ./platform ./internal/control/... ./internal/process/... ./internal/traffic/peer pass.

--- a/cmd/comfreyhoist/node.go
+++ b/cmd/comfreyhoist/node.go
@@ -68,7 +68,11 @@
 	defer stop()
 	reload.New(reload.Config{Arguments: []string{"-config", config}, Log: log}).Run(reloadCtx, &group)
 	if s.Platform.Source == settings.SourceRoutes {
-		return trace.Wrap(routed.Run(ctx, routed.Config{Settings: s, Log: log, Adapter: platform.NewAdapter(s)}))
+		adapter, err := platform.NewAdapter(s)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		return trace.Wrap(routed.Run(ctx, routed.Config{Settings: s, Log: log, Adapter: adapter}))
 	}
 	return trace.Wrap(node.Run(ctx, node.Config{Settings: s, Log: log}))
 }
--- a/internal/control/settings/settings.go
+++ b/internal/control/settings/settings.go
@@ -121,6 +121,9 @@
 	Timeout time.Duration
 	// Source is SourceDocuments or SourceRoutes.
 	Source string
+	// Bounds are the bounds that the platform states, as name=value pairs separated by commas. It is used only on a node
+	// configured by routes.
+	Bounds string
 }
 
 // Keys limits the memory for the idempotency keys of requests that are not idempotent.
@@ -200,6 +203,7 @@
 	flags.StringVar(&s.Ready.Address, "ready.address", "", "IP and port that report whether the node accepts new requests; only with platform.source = routes")
 	flags.StringVar(&s.Metrics.Address, "metrics.address", "", "IP and port of metrics and the dump; only with platform.source = routes; if empty, it is disabled")
 	flags.StringVar(&s.Platform.Source, "platform.source", SourceDocuments, "source of the node's configuration: documents (written by teams) or routes (written by operators)")
+	flags.StringVar(&s.Platform.Bounds, "platform.bounds", "", "bounds that the platform states, as name=value pairs separated by commas; only with platform.source = routes")
 	flags.StringVar(&s.Platform.URL, "platform.url", "", "URL of the platform's key-value service")
 	flags.DurationVar(&s.Platform.Timeout, "platform.timeout", defaultPlatformTimeout, "timeout of one call to the platform")
 	flags.DurationVar(&s.Keys.Window, "keys.window", defaultKeysWindow, "time for which callers may send a key again; the same on every node")
@@ -386,6 +390,9 @@
 		if s.Ready.Address != "" {
 			c.fault("ready.address", "is used only with platform.source = routes")
 		}
+		if s.Platform.Bounds != "" {
+			c.fault("platform.bounds", "is used only with platform.source = routes")
+		}
 	case SourceRoutes:
 		c.name("node.service", s.Node.Service)
 		c.address("ready.address", s.Ready.Address)
--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -9,7 +9,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 )
 
-// FollowerConfig configures a Follower. All fields but CoalesceDelay, Plan and Known are required.
+// FollowerConfig configures a Follower. All fields but CoalesceDelay, Plan, Known and OnRead are required.
 type FollowerConfig struct {
 	Store  Store
 	Prefix string
@@ -25,6 +25,8 @@
 	// OnList gets the result of a list, OnChange the events of a watch. Both run on the follower's goroutine.
 	OnList   func(ctx context.Context, s Snapshot)
 	OnChange func(ctx context.Context, c Changes)
+	// OnRead is called after each response to a list or a watch; nil if it isn't needed.
+	OnRead func()
 	// OnLost is called when the store stops answering, and OnRecovered when it answers again.
 	OnLost      func(err error)
 	OnRecovered func()
@@ -195,6 +197,9 @@
 // recordSuccess resets the backoff after a call that succeeded.
 func (f *Follower) recordSuccess() {
 	f.backoff.Reset()
+	if f.config.OnRead != nil && f.listed {
+		f.config.OnRead()
+	}
 	if f.unreachable {
 		f.unreachable = false
 		f.config.OnRecovered()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -111,7 +111,7 @@
 	})
 	n.pool = peer.NewPool(parts.PoolConfig(s))
 	n.controlPool = peer.NewPool(parts.PoolConfig(s))
-	n.peerClient = peer.NewClient(n.pool, s.Node.Name)
+	n.peerClient = peer.NewClient(peer.ClientConfig{Pool: n.pool, Node: s.Node.Name})
 	n.quarantine = flow.NewQuarantine(flow.QuarantineConfig{
 		Table: parts.QuarantineConfig(s),
 		Board: n.loop,
@@ -284,7 +284,7 @@
 
 func (n *Node) servePeers(ctx context.Context) {
 	mux := drpcmux.New()
-	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.keyOwner, n.keyOwner, n.ownerController))
+	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(peer.ServerConfig{Receiver: n.keyOwner, Outcomes: n.keyOwner, Promiser: n.ownerController}))
 	if err == nil {
 		err = peerpb.DRPCRegisterQuarantine(mux, peer.NewQuarantineServer(n.quarantine))
 	}
--- a/internal/process/routed/fleet_test.go
+++ b/internal/process/routed/fleet_test.go
@@ -42,6 +42,9 @@
 
 const routesKey = "op/routes"
 
+// routesBound is the time by which a change of the routes must be in force.
+const routesBound = 2 * time.Second
+
 // fleet holds a store and nodes on loopback addresses, each beside a backend server of the test.
 type fleet struct {
 	store *kv.Store
@@ -161,6 +164,8 @@
 	adapter := routed.Adapter{
 		Store:     f.store.ForNode(s.Node.Name),
 		RoutesKey: routesKey,
+
+		RoutesBound: routesBound,
 		DecodeRoutes: func(value []byte) (*routes.Table, error) {
 			var c routes.Configuration
 			if err := json.Unmarshal(value, &c); err != nil {
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -25,6 +25,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/members"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/routefeed"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/routes"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/store"
@@ -47,6 +48,8 @@
 	// RoutesKey is the key of the routes in the store. DecodeRoutes decodes its value.
 	RoutesKey    string
 	DecodeRoutes func(value []byte) (*routes.Table, error)
+	// RoutesBound is the time after a change of the routes in the store by which every node must use it.
+	RoutesBound time.Duration
 	// RegisterAnnouncements adds the HTTP routes by which the local backend server announces itself.
 	RegisterAnnouncements func(router *httprouter.Router, l AnnouncementHandlers)
 	// RegisterReady adds the HTTP route that reports whether the node is ready for new requests.
@@ -93,7 +96,7 @@
 	runningRequests *call.RunningRequests
 	reachability    *flow.ReachabilityMonitor
 	members         *members.Controller
-	routes          *routesFollower
+	routes          *routefeed.Controller
 	// quarantine refuses requests that crash backend servers.
 	quarantine *flow.Quarantine
 	limiter    *events.Limiter
@@ -153,10 +156,17 @@
 		CallerAddress: s.Caller.Address,
 		Incarnation:   incarnation,
 	}})
+	n.routes = routefeed.NewController(routefeed.Config{
+		Board:  n.loop,
+		Store:  config.Adapter.Store,
+		Key:    config.Adapter.RoutesKey,
+		Decode: config.Adapter.DecodeRoutes,
+		Bound:  config.Adapter.RoutesBound,
+		Log:    config.Log,
+	})
 	n.buildReceiver(s, incarnation)
 	n.buildSender(s)
 	n.members = members.NewController(members.Config{Board: n.loop, Store: config.Adapter.Store, Log: n.limiter})
-	n.routes = newRoutesFollower(n.loop, config)
 	return n, nil
 }
 
@@ -169,7 +179,7 @@
 	pool := parts.PoolConfig(s)
 	pool.Compressor = n.compressor
 	n.pool = peer.NewPool(pool)
-	n.peerClient = peer.NewClient(n.pool, s.Node.Name)
+	n.peerClient = peer.NewClient(peer.ClientConfig{Pool: n.pool, Node: s.Node.Name, Versions: n.routes})
 	client := backend.NewClient(backend.ClientConfig{
 		MaxBody:  s.Caller.MaxBody,
 		Liveness: liveness,
@@ -272,7 +282,7 @@
 func (n *Node) start(ctx context.Context, group *conc.WaitGroup) {
 	group.Go(func() { n.loop.Run(ctx) })
 	group.Go(func() { n.members.Run(ctx) })
-	group.Go(func() { n.routes.run(ctx) })
+	group.Go(func() { n.routes.Run(ctx) })
 	group.Go(func() { n.gate.Run(ctx, parts.GatePollInterval) })
 	group.Go(func() { n.localServer.Watch(ctx) })
 	group.Go(func() { n.quarantine.Run(ctx) })
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -113,7 +113,9 @@
 
 func (n *Node) servePeers(ctx context.Context) {
 	mux := drpcmux.New()
-	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(n.fencedRunner, n.fencedRunner, n.fencedRunner))
+	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(peer.ServerConfig{
+		Receiver: n.fencedRunner, Outcomes: n.fencedRunner, Promiser: n.fencedRunner, Versions: n.routes,
+	}))
 	if err == nil {
 		err = peerpb.DRPCRegisterQuarantine(mux, peer.NewQuarantineServer(n.quarantine))
 	}
--- a/internal/process/routed/state.go
+++ b/internal/process/routed/state.go
@@ -34,8 +34,13 @@
 
 // Metrics holds the counters of a node since its start and the latencies of the requests of its callers.
 type Metrics struct {
-	Members           int                `json:"members"`
-	RoutesVersion     uint64             `json:"routes_version"`
+	Members       int    `json:"members"`
+	RoutesVersion uint64 `json:"routes_version"`
+	// RoutesNewest is the newest version of the routes that any node was heard to have.
+	RoutesNewest uint64 `json:"routes_newest"`
+	// RoutesConfirmedMs is how long ago the store responded last with the routes, or that they haven't changed, in
+	// milliseconds; -1 if it never did.
+	RoutesConfirmedMs int64              `json:"routes_confirmed_ms"`
 	PlatformReachable bool               `json:"platform_reachable"`
 	Load              call.Load          `json:"load"`
 	Admission         admission.Totals   `json:"admission"`
@@ -48,17 +53,16 @@
 
 func (n *Node) metrics() Metrics {
 	b := n.loop.Snapshot()
-	m := Metrics{
+	return Metrics{
 		Members:           len(b.Members.ByNode),
 		PlatformReachable: b.Platform.Reachable,
+		RoutesVersion:     n.routes.InForce(),
+		RoutesNewest:      n.routes.NewestHeard(),
+		RoutesConfirmedMs: n.routes.ConfirmedMs(),
 		Load:              n.gate.Load(),
 		Admission:         n.gate.Totals(),
 		Receiver:          n.receiver.Stats(),
 		BackendSent:       n.client.Sent(),
 		Requests:          n.requestStats.snapshot(),
 	}
-	if b.Routes != nil {
-		m.RoutesVersion = b.Routes.Version
-	}
-	return m
 }
--- a/internal/traffic/peer/client.go
+++ b/internal/traffic/peer/client.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	client := peer.NewClient(pool, "node_1")
+//	client := peer.NewClient(peer.ClientConfig{Pool: pool, Node: "node_1"})
 //	reply, err := client.Call(ctx, address, request)
 //
 // The *Error returned by Call reports whether the other node may have started the request.
@@ -42,15 +42,25 @@
 	return e.Cause
 }
 
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Pool *Pool
+	// Node is the name of this node, which requests hold as their source.
+	Node string
+	// Versions tells other nodes the version of the routes, and learns theirs. With nil, no versions are exchanged.
+	Versions Versions
+}
+
 // Client sends requests to other nodes.
 type Client struct {
-	pool *Pool
-	node string
+	pool     *Pool
+	node     string
+	versions Versions
 }
 
-// NewClient returns a client that sends requests with node as their source node.
-func NewClient(pool *Pool, node string) *Client {
-	return &Client{pool: pool, node: node}
+// NewClient returns a client with the configuration.
+func NewClient(config ClientConfig) *Client {
+	return &Client{pool: config.Pool, node: config.Node, versions: versionsOrNone(config.Versions)}
 }
 
 // use runs f on a pooled connection, or on a new one if the request asks for that.
@@ -63,7 +73,7 @@
 
 // Call sends one attempt to the node at the address and returns its reply.
 func (c *Client) Call(ctx context.Context, address string, r *call.Request) (call.Reply, error) {
-	message := requestMessage(r, c.node, time.Now())
+	message := requestMessage(r, c.node, c.versions.InForce(), time.Now())
 	var response *peerpb.CallReply
 	sent := false
 	err := c.use(ctx, address, r, func(conn drpc.Conn) error {
@@ -82,6 +92,7 @@
 	if err != nil {
 		return call.Reply{}, &Error{Address: address, Sent: true, Reason: call.ReasonCorrupt, Cause: err}
 	}
+	c.versions.HeardAt(address, response.GetRoutesVersion())
 	return reply, nil
 }
 
--- a/internal/traffic/peer/fuzz_test.go
+++ b/internal/traffic/peer/fuzz_test.go
@@ -21,7 +21,7 @@
 		Method:    "POST",
 		Path:      "/bookings",
 		Body:      []byte("a ballroom"),
-	}, "node_1", time.UnixMilli(0)))
+	}, "node_1", 0, time.UnixMilli(0)))
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -23,7 +23,8 @@
 	peerpb.Outcome_OUTCOME_NOT_ADMITTED: call.NotAdmitted,
 }
 
-func requestMessage(r *call.Request, node string, now time.Time) *peerpb.CallRequest {
+// requestMessage returns the message of a request that the node sends while the version of the routes is in force there.
+func requestMessage(r *call.Request, node string, routesVersion uint64, now time.Time) *peerpb.CallRequest {
 	return &peerpb.CallRequest{
 		AttemptId:           r.AttemptID,
 		RootId:              r.Root.ID,
@@ -50,6 +51,7 @@
 		Resent:              r.Resent,
 		TargetIncarnation:   r.TargetIncarnation,
 		Spilled:             r.Spilled,
+		RoutesVersion:       routesVersion,
 	}
 }
 
--- a/internal/traffic/peer/messages_test.go
+++ b/internal/traffic/peer/messages_test.go
@@ -27,7 +27,7 @@
 
 func exchange(b *testing.B, enc messageEncoding, r *call.Request, reply call.Reply) {
 	now := time.UnixMilli(0)
-	sent, err := enc.Marshal(requestMessage(r, "node_1", now))
+	sent, err := enc.Marshal(requestMessage(r, "node_1", 0, now))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/traffic/peer/reuse_test.go
+++ b/internal/traffic/peer/reuse_test.go
@@ -132,7 +132,7 @@
 		counter.Listener, l = l, counter
 	}
 	mux := drpcmux.New()
-	is.NoErr(peerpb.DRPCRegisterPeer(mux, peer.NewServer(receiver, runningStore{}, nil)))
+	is.NoErr(peerpb.DRPCRegisterPeer(mux, peer.NewServer(peer.ServerConfig{Receiver: receiver, Outcomes: runningStore{}})))
 	ctx, cancel := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	group.Go(func() { _ = drpcserver.New(peer.NewHandler(mux, nil)).Serve(ctx, l) })
@@ -142,7 +142,7 @@
 		cancel()
 		group.Wait()
 	})
-	return peer.NewClient(pool, "node_1"), pool, address
+	return peer.NewClient(peer.ClientConfig{Pool: pool, Node: "node_1"}), pool, address
 }
 
 // sendCall sends one request, whose context ends as soon as the reply has arrived.
@@ -215,7 +215,7 @@
 	refuse := receiverFunc(func(*call.Request) call.Reply { return call.Refused(call.NotRun, call.ReasonOverload, time.Second) })
 	pool := peer.NewPool(peer.PoolConfig{MaxPerPeer: 30, MaxIdle: maxIdle, DialTimeout: time.Second})
 	defer pool.Close()
-	client := peer.NewClient(pool, "node_1")
+	client := peer.NewClient(peer.ClientConfig{Pool: pool, Node: "node_1"})
 	for range 5 {
 		_, _, address := startNode(t, refuse, time.Minute, nil)
 		sendCall(t, client, address, 0)
--- a/internal/traffic/peer/server.go
+++ b/internal/traffic/peer/server.go
@@ -27,6 +27,18 @@
 	Promise(q PromiseQuery) PromiseResult
 }
 
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	// Receiver handles requests.
+	Receiver Receiver
+	// Outcomes handles queries about attempts, and handovers of keys.
+	Outcomes OutcomeStore
+	// Promiser handles queries about shards.
+	Promiser Promiser
+	// Versions tells other nodes the version of the routes, and learns theirs. With nil, no versions are exchanged.
+	Versions Versions
+}
+
 // Server serves the RPCs of other nodes.
 type Server struct {
 	peerpb.DRPCPeerUnimplementedServer
@@ -34,12 +46,14 @@
 	receiver Receiver
 	outcomes OutcomeStore
 	promiser Promiser
+	versions Versions
 }
 
-// NewServer returns a server that passes requests to the receiver, queries about attempts and handovers to outcomes,
-// and queries about shards to the promiser.
-func NewServer(receiver Receiver, outcomes OutcomeStore, promiser Promiser) *Server {
-	return &Server{receiver: receiver, outcomes: outcomes, promiser: promiser}
+// NewServer returns a server with the configuration.
+func NewServer(config ServerConfig) *Server {
+	return &Server{
+		receiver: config.Receiver, outcomes: config.Outcomes, promiser: config.Promiser, versions: versionsOrNone(config.Versions),
+	}
 }
 
 // Call passes one attempt to the receiver and returns its reply. A malformed request is refused as not admitted.
@@ -50,7 +64,10 @@
 		refusal.Body = []byte(err.Error())
 		return replyMessage(m.GetAttemptId(), refusal), nil
 	}
+	s.versions.Heard(r.SourceNode, m.GetRoutesVersion())
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	return replyMessage(r.AttemptID, s.receiver.Receive(ctx, r)), nil
+	reply := replyMessage(r.AttemptID, s.receiver.Receive(ctx, r))
+	reply.RoutesVersion = s.versions.InForce()
+	return reply, nil
 }
