--- a/internal/lab/kv/kv.go
+++ b/internal/lab/kv/kv.go
@@ -30,6 +30,8 @@
 	ExpireLeases bool
 	// RefuseNodes fails the calls of single nodes.
 	RefuseNodes map[string]bool
+	// SilentWatches keeps watches of single nodes open without ever answering them. It holds for watches that wait, too.
+	SilentWatches map[string]bool
 	// StallWatches makes watches report no changes, not even earlier ones.
 	StallWatches bool
 	// LoseAnswers carries writes out and reports them as failed.
@@ -310,6 +312,12 @@
 	}
 	defer c.store.mu.Unlock()
 	for {
+		if c.store.faults.SilentWatches[c.node] {
+			c.store.mu.Unlock()
+			<-ctx.Done()
+			c.store.mu.Lock()
+			return store.Changes{}, ctx.Err()
+		}
 		changes, err := c.changes(prefix, after)
 		if err != nil || len(changes.Events) > 0 {
 			return changes, err
@@ -325,6 +333,9 @@
 			endErr = ctx.Err()
 		case <-timer.C:
 			c.store.mu.Lock()
+			if c.store.faults.SilentWatches[c.node] {
+				continue
+			}
 			return c.empty(), nil
 		}
 		c.store.mu.Lock()
