A stale list beside each watch of the routes finds what the watch did not return

What callers saw: 404, or the old service, for up to 30 s after a change of the routes at a node whose watch is never answered while its connection stays open.

Cause: one way to learn of a change, whose silence looks like 'nothing has changed'. TCP keep-alive ends only a connection that doesn't acknowledge, and the watch waits for 30 s.

Change: while a watch waits, the follower reads a stale list (a tenth of a call, outside the store's rate limit) each half of the bound of the platform, at most 50 a second over all nodes. If that has a newer item than all that is known, the item is put in force (a route version only ever rises), the watch is broken off and everything is listed. A probe that succeeds after an outage is used, too. Event 1608 watch_silent.

An older stale list changes nothing and costs no further call (TestOlderListDoesNotBreakOffAWatch), nor does one lost response (TestOneFailedCheckKeepsTheWatch).

--- a/internal/control/routefeed/routefeed.go
+++ b/internal/control/routefeed/routefeed.go
@@ -26,6 +26,10 @@
 const (
 	// watchTimeout is how long one watch of the routes waits for a change.
 	watchTimeout = 30 * time.Second
+	// checkParts is the part of the bound, as a divisor, that a change may stay unseen because a watch is silent.
+	checkParts = 2
+	// checksPerSecond limits the checks beside watches that all nodes together make.
+	checksPerSecond = 50
 	// graceParts is the part of the bound, as a divisor, for which a newer version that another node has may be on its way
 	// from the store.
 	graceParts = 8
@@ -82,13 +86,14 @@
 // follow updates the routes from the store.
 func (c *Controller) follow(ctx context.Context) {
 	store.NewFollower(store.FollowerConfig{
-		Store:        c.config.Store,
-		Prefix:       c.config.Key,
-		WatchTimeout: watchTimeout,
-		OnList: func(ctx context.Context, s store.Snapshot) {
-			for _, item := range s.Items {
-				c.apply(ctx, item, sourceList)
-			}
+		Store:         c.config.Store,
+		Prefix:        c.config.Key,
+		WatchTimeout:  watchTimeout,
+		CheckInterval: c.checkInterval,
+		OnList:        func(ctx context.Context, s store.Snapshot) { c.applyAll(ctx, s, sourceList) },
+		OnStale:       func(ctx context.Context, s store.Snapshot) { c.applyAll(ctx, s, sourceStaleList) },
+		OnSilent: func() {
+			c.config.Log.Emit(events.WatchSilent, events.Fields{"watch": c.config.Key, "confirmed_ms": c.ConfirmedMs()})
 		},
 		OnChange: func(ctx context.Context, changes store.Changes) {
 			for _, e := range changes.Events {
@@ -109,10 +114,26 @@
 type source string
 
 const (
-	sourceList  source = "list"
-	sourceWatch source = "watch"
+	sourceList      source = "list"
+	sourceStaleList source = "stale_list"
+	sourceWatch     source = "watch"
 )
 
+// checkInterval returns the time between two checks beside a watch. Each node makes fewer of them in a large fleet, where
+// one that learns of a newer version tells it to the others.
+func (c *Controller) checkInterval() time.Duration {
+	members := time.Duration(len(c.config.Board.Snapshot().Members.ByNode))
+	return max(c.config.Bound/checkParts, members*time.Second/checksPerSecond)
+}
+
+// applyAll puts the routes of a list into force. A list that is some seconds old is as good as any, because only a newer
+// version replaces the one in force.
+func (c *Controller) applyAll(ctx context.Context, s store.Snapshot, from source) {
+	for _, item := range s.Items {
+		c.apply(ctx, item, from)
+	}
+}
+
 // apply puts the routes of the item into force. Routes with faults are logged and ignored, and routes that are not
 // newer than those in force are ignored.
 func (c *Controller) apply(ctx context.Context, item store.Item, from source) {
--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -3,18 +3,24 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/roster"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 )
 
-// FollowerConfig configures a Follower. All fields but CoalesceDelay, Plan, Known and OnRead are required.
+// FollowerConfig configures a Follower. All fields but CheckInterval, CoalesceDelay, Plan, Known, OnStale, OnSilent and OnRead
+// are required.
 type FollowerConfig struct {
 	Store  Store
 	Prefix string
 	// WatchTimeout limits how long one watch waits for changes.
 	WatchTimeout time.Duration
+	// CheckInterval returns how long a watch waits before a stale list beside it looks for a change that the watch has not
+	// returned, and the time between two such lists. With nil, a watch that is never answered hides changes until
+	// WatchTimeout.
+	CheckInterval func() time.Duration
 	// CoalesceDelay returns the pause after a change before the next watch, so that changes in quick succession cost
 	// one call; nil means no pause.
 	CoalesceDelay func() time.Duration
@@ -22,9 +28,14 @@
 	Plan *roster.ReadPlan
 	// Known returns how many keys under the prefix are known. It is required with a Plan.
 	Known func() int
-	// OnList gets the result of a list, OnChange the events of a watch. Both run on the follower's goroutine.
+	// OnList gets the result of a list, OnChange the events of a watch, and OnStale the result of a stale list that has an
+	// item newer than all that is known, or is of another era than that; a list follows as soon as the store returns one. No
+	// two of them run at the same time.
 	OnList   func(ctx context.Context, s Snapshot)
 	OnChange func(ctx context.Context, c Changes)
+	OnStale  func(ctx context.Context, s Snapshot)
+	// OnSilent is called when a change is known that the watch that waits has not returned.
+	OnSilent func()
 	// OnRead is called after each response to a list or a watch; nil if it isn't needed.
 	OnRead func()
 	// OnLost is called when the store stops answering, and OnRecovered when it answers again.
@@ -54,6 +65,10 @@
 	unreachable bool
 	// backoff is the delay after failed calls.
 	backoff pause.Backoff
+
+	mu sync.Mutex
+	// interrupt ends the watch that waits, for the given reason; nil while none waits.
+	interrupt context.CancelCauseFunc
 }
 
 // NewFollower returns a follower that begins with a list.
@@ -100,7 +115,10 @@
 // probe tries to reach the store by a stale list, because the store counts failed calls, too, and all nodes make them during
 // an outage. The list that follows a success is the latest.
 func (f *Follower) probe(ctx context.Context) error {
-	_, err := f.config.Store.ListStale(ctx, f.config.Prefix)
+	snapshot, err := f.config.Store.ListStale(ctx, f.config.Prefix)
+	if err == nil {
+		f.reportIfNewer(ctx, snapshot)
+	}
 	return err
 }
 
@@ -156,15 +174,12 @@
 		f.relist()
 		return nil
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(ended, cancel)()
-	changes, err := f.config.Store.Watch(ctx, f.config.Prefix, f.revision, f.config.WatchTimeout)
-	if ended.Err() != nil {
+	changes, err := f.watchOnce(ctx, ended)
+	switch {
+	case ended.Err() != nil || errors.Is(err, errSilentWatch):
 		f.relist()
 		return nil
-	}
-	if err != nil {
+	case err != nil:
 		return err
 	}
 	f.revision = max(f.revision, changes.Revision)
