Checks beside the watch of the members, too

What callers would see: a node that never sends to new backend servers, or goes on sending to ones that have said that they leave, for up to 30 s.

Evidence: TestSilentWatchHidesNoMember fails without the change (node_2 is unknown to node_1 after 5 s).

Change: the follower's check, each 4 s (the lease of an entry), or 50 ms for each member in a large fleet, because each check lists all of them.

--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -46,6 +46,10 @@
 	maxWriteBackoff = 600 * time.Millisecond
 	// watchTimeout is how long one watch request waits for a change.
 	watchTimeout = 30 * time.Second
+	// watchCheckInterval is the least time between two checks beside a watch, and memberCheckInterval the least time for each
+	// member, because each check lists all of them.
+	watchCheckInterval  = leaseDuration
+	memberCheckInterval = 50 * time.Millisecond
 	// refreshInterval is the time between checks for unconfirmed members whose retention has ended.
 	refreshInterval = time.Second
 )
@@ -112,9 +116,15 @@
 		}
 	}
 	follower := store.NewFollower(store.FollowerConfig{
-		Store:         c.config.Store,
-		Prefix:        Prefix,
-		WatchTimeout:  watchTimeout,
+		Store:        c.config.Store,
+		Prefix:       Prefix,
+		WatchTimeout: watchTimeout,
+		CheckInterval: func() time.Duration {
+			return max(watchCheckInterval, time.Duration(c.knownMembers())*memberCheckInterval)
+		},
+		OnSilent: func() {
+			c.config.Log.Emit(time.Now(), events.WatchSilent, events.Fields{"watch": Prefix})
+		},
 		CoalesceDelay: func() time.Duration { return roster.CoalesceDelay(c.knownMembers()) },
 		Plan:          roster.NewReadPlan(roster.DefaultReadPlan),
 		Known:         c.knownMembers,
--- a/internal/control/members/members_test.go
+++ b/internal/control/members/members_test.go
@@ -194,3 +194,25 @@
 		})
 	}
 }
+
+// Guards against a node that never uses new members, because one of its watches is never answered while its connection
+// stays open.
+func TestSilentWatchHidesNoMember(t *testing.T) {
+	// maxDelay is the lease of an entry, and the time to write and read it.
+	const maxDelay = 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := kv.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		defer group.Wait()
+		defer cancel()
+		one := startController(ctx, &group, s, "node_1", 1)
+		time.Sleep(10 * time.Second)
+		s.SetFaults(kv.Faults{SilentWatches: map[string]bool{"node_1": true}})
+		startController(ctx, &group, s, "node_2", 1)
+		time.Sleep(maxDelay)
+		_, known := findMember(one, "node_2")
+		is.True(known)
+	})
+}
