Hosts are matched in any case, with a port and with the dot of the root

What callers would see: 404 for h.example:80, H.Example and h.example. where the route names h.example. Not reported.

Cause: Table.Match compared the header with the route byte by byte.

Change: both are brought into one form, without an allocation where the header is in it already. The header that the backend server gets is unchanged.

--- a/internal/control/routes/routes.go
+++ b/internal/control/routes/routes.go
@@ -132,7 +132,8 @@
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
-		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		host := canonicalHost(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
 	}
 	for _, list := range t.byHost {
 		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -145,7 +146,7 @@
 
 func (t *Table) check(r *Route) error {
 	switch {
-	case r.Host == "":
+	case canonicalHost(r.Host) == "":
 		return trace.BadParameter("route %q has no host", r.Name)
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return trace.BadParameter("route %q: prefix %q must begin and end with a slash", r.Name, r.Prefix)
@@ -171,9 +172,17 @@
 	return nil
 }
 
+// canonicalHost returns the host in small letters, without a port and without the dot of the root.
+func canonicalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
 // Match returns the route for the host with the longest prefix that matches the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
-	for _, r := range t.byHost[host] {
+	for _, r := range t.byHost[canonicalHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
