An odd entry among those of the members harms no member

What callers would see: requests sent to an address that doesn't exist, or no longer to a live node, because another writer left one odd entry in the store.

Cause: an entry was checked for a name and an address only. A port out of range, no port, slots of -5 or 2^63-1 became members; an entry under another key that bears a live node's name replaced its address, depending on the order of a map; one at a live node's address took that node out of use whatever its state and start; an entry that can't be read left the earlier one in use by a watch and dropped it by a list.

An entry that is invalid counts as deleted, by a watch and by a list: its node, if it was up, is unconfirmed and writes its entry again at the first event of its key that is not its own write; if it was leaving it stays away. Only a node that started later replaces a member at its address.

A write that is refused because of another revision makes the own entry count as not stored: before, an overwritten entry was taken for the own one.

--- a/internal/control/members/members.go
+++ b/internal/control/members/members.go
@@ -68,7 +68,8 @@
 	// rosterEra is the era of the store that the roster's revisions belong to; 0 before the first list.
 	rosterEra uint64
 	entry     ownEntry
-	// missing is the latest position at which the store was observed without the own entry; nil if never.
+	// missing is the latest position of the own entry's deletion, or of a write of it; nil if none was observed. It is after
+	// that of this node's own last write if the entry is gone or was overwritten.
 	missing atomic.Pointer[position]
 }
 
@@ -165,18 +166,42 @@
 	if update.isSnapshot {
 		c.enterEra(update.position.era)
 		c.roster.Replace(now, update.entries)
-		if !slices.ContainsFunc(update.entries, func(e roster.Entry) bool { return e.Key == own }) {
-			c.missing.Store(&update.position)
-		}
+		c.observeOwn(update.position, update.entries)
 	}
 	for _, change := range update.changes {
 		c.roster.Apply(now, change)
-		if change.Deleted && change.Key == own {
-			c.missing.Store(&position{update.position.era, change.Revision})
+		if change.Key == own && !c.isLaterStart(change.Entry) {
+			c.observeMissing(position{update.position.era, change.Revision})
 		}
 	}
 }
 
+// observeOwn records whether a list lacks the own entry, or has one that was written by somebody else.
+func (c *Controller) observeOwn(listed position, entries []roster.Entry) {
+	own := Prefix + c.config.Board.Snapshot().Self.Node
+	i := slices.IndexFunc(entries, func(e roster.Entry) bool { return e.Key == own })
+	if i < 0 {
+		c.observeMissing(listed)
+		return
+	}
+	if !c.isLaterStart(entries[i]) {
+		c.observeMissing(position{listed.era, entries[i].Revision})
+	}
+}
+
+// isLaterStart reports whether the entry under this node's key is that of a process that started later. This process leaves
+// it to the other one: two that overwrite each other would never end.
+func (c *Controller) isLaterStart(e roster.Entry) bool {
+	return e.Member.Incarnation > c.config.Board.Snapshot().Self.Incarnation
+}
+
+// observeMissing records a position at which the own entry may not be as it was last written.
+func (c *Controller) observeMissing(p position) {
+	if missing := c.missing.Load(); missing == nil || p.isAfter(*missing) {
+		c.missing.Store(&p)
+	}
+}
+
 // enterEra prepares the roster for entries of the era. The first list of the process begins an era, too.
 func (c *Controller) enterEra(era uint64) {
 	if era == c.rosterEra {
@@ -189,7 +214,7 @@
 	c.roster.ForgetRevisions()
 }
 
-// parseEntries parses items and skips those that are invalid.
+// parseEntries parses items and skips those that are invalid, as if they were deleted.
 func (c *Controller) parseEntries(items []store.Item) []roster.Entry {
 	var entries []roster.Entry
 	for _, item := range items {
@@ -201,32 +226,26 @@
 }
 
 func (c *Controller) parseEntry(item store.Item) (roster.Entry, bool) {
-	e := roster.Entry{Key: item.Key, Revision: item.Revision}
-	err := json.Unmarshal(item.Value, &e.Member)
-	if err != nil || e.Member.Node == "" || e.Member.PeerAddress == "" {
-		c.config.Log.Emit(time.Now(), events.EntryUnread, events.Fields{"key": item.Key, "revision": item.Revision, "error": entryErrorText(err)})
-		return e, false
+	e, err := decodeEntry(item)
+	if err != nil {
+		c.config.Log.Emit(time.Now(), events.EntryUnread, events.Fields{"key": item.Key, "revision": item.Revision, "error": err.Error()})
+		return roster.Entry{}, false
 	}
 	return e, true
 }
 
-func entryErrorText(err error) string {
-	if err == nil {
-		return "node or peer_address is empty"
-	}
-	return err.Error()
-}
-
+// parseChanges parses events. An invalid entry counts as deleted, like in a list: its node, if it lives, becomes unconfirmed
+// and writes it again.
 func (c *Controller) parseChanges(changed []store.Event) []roster.Change {
 	var changes []roster.Change
 	for _, event := range changed {
-		if event.Deleted {
-			changes = append(changes, roster.Change{Entry: roster.Entry{Key: event.Key, Revision: event.Revision}, Deleted: true})
-			continue
-		}
-		if e, ok := c.parseEntry(event.Item); ok {
-			changes = append(changes, roster.Change{Entry: e})
+		change := roster.Change{Entry: roster.Entry{Key: event.Key, Revision: event.Revision}, Deleted: true}
+		if !event.Deleted {
+			if e, ok := c.parseEntry(event.Item); ok {
+				change = roster.Change{Entry: e}
+			}
 		}
+		changes = append(changes, change)
 	}
 	return changes
 }
@@ -355,7 +374,7 @@
 	return false, c.writeEntry(ctx, own)
 }
 
-// isMissing reports whether the store was observed without the own entry after its last write.
+// isMissing reports whether the store was observed without the own entry as it was last written.
 func (c *Controller) isMissing() bool {
 	missing := c.missing.Load()
 	return missing != nil && missing.isAfter(position{c.entry.era, c.entry.revision})
@@ -396,7 +415,7 @@
 	var conflict *store.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		c.entry.revision = conflict.Revision
+		c.entry.revision, c.entry.isStored = conflict.Revision, false
 		return nil
 	case errors.Is(err, store.ErrConflict):
 		return c.readRevision(ctx, own.Node)
@@ -417,7 +436,7 @@
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
-	c.entry.revision = item.Revision
+	c.entry.revision, c.entry.isStored = item.Revision, false
 	return nil
 }
 
--- a/internal/control/members/members_test.go
+++ b/internal/control/members/members_test.go
@@ -30,6 +30,17 @@
 	return loop
 }
 
+// startReader runs the controller of a node without a backend server, which writes no entry.
+func startReader(ctx context.Context, group *conc.WaitGroup, s *kv.Store) *board.Loop {
+	loop := board.NewLoop(board.Board{Self: board.Self{Node: "reader", Zone: "zone_1", PeerAddress: "reader:1", Incarnation: 1}})
+	log := events.NewLimiter(events.NewLog(io.Discard, zerolog.InfoLevel, "reader"), time.Second)
+	group.Go(func() { loop.Run(ctx) })
+	group.Go(func() {
+		members.NewController(members.Config{Board: loop, Store: s.ForNode("reader"), Log: log}).Run(ctx)
+	})
+	return loop
+}
+
 func findMember(loop *board.Loop, node string) (membership.Member, bool) {
 	m, ok := loop.Snapshot().Members.ByNode[node]
 	return m, ok
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -8,6 +8,10 @@
 // MemberPrefix is the prefix of the keys of member records.
 const MemberPrefix = "member/"
 
+// MaxSlots is the largest number of slots of one backend server. Sums and products of slots over a fleet stay far below the
+// range of an int.
+const MaxSlots = 1 << 20
+
 // State is the state of a member, as set by itself or by a leader.
 type State string
 
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -156,10 +156,10 @@
 }
 
 // dropReplacedAt drops the members whose peer address now belongs to the entry's node, even before their own entries
-// are deleted.
+// are deleted. A node that started earlier than a member replaces no member.
 func (r *Roster) dropReplacedAt(e Entry) {
 	for key, k := range r.entries {
-		if key != e.Key && k.Member.PeerAddress == e.Member.PeerAddress && k.Revision < e.Revision {
+		if key != e.Key && k.Member.PeerAddress == e.Member.PeerAddress && k.Revision < e.Revision && k.Member.Incarnation <= e.Member.Incarnation {
 			delete(r.entries, key)
 		}
 	}
