Announcements are checked for bounds before they are passed on

What callers would see: a node that offers an address that can't be dialed, or slots of 2^63-1, to every other node, because another writer sent it one announcement.

Cause: an announcement needed a service, an address and a number of slots above 0. The entry that follows from it would now be refused by the other nodes as a whole.

--- a/internal/control/members/entry.go
+++ b/internal/control/members/entry.go
@@ -2,14 +2,13 @@
 
 import (
 	"encoding/json"
-	"net"
-	"strconv"
 
 	"github.com/gravitational/trace"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/store"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/roster"
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/address"
 )
 
 // decodeEntry decodes an entry. Anybody may have written it: one that no node writes is a trace.BadParameter that names the
@@ -32,16 +31,5 @@
 	case m.State != membership.Up && m.State != membership.Leaving:
 		return roster.Entry{}, trace.BadParameter("state %q is neither %s nor %s", m.State, membership.Up, membership.Leaving)
 	}
-	return e, checkAddress(m.PeerAddress)
-}
-
-func checkAddress(address string) error {
-	host, port, err := net.SplitHostPort(address)
-	if err != nil || host == "" {
-		return trace.BadParameter("peer address %q is not a host and a port", address)
-	}
-	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
-		return trace.BadParameter("port of peer address %q is not from 1 to 65535", address)
-	}
-	return nil
+	return e, trace.Wrap(address.Check(m.PeerAddress), "peer address")
 }
--- a/internal/control/members/fuzz_test.go
+++ b/internal/control/members/fuzz_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/store"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/address"
 )
 
 // FuzzDecodeEntry checks that no value in the store makes decodeEntry panic, and that accepted entries are within bounds.
@@ -18,7 +19,7 @@
 		}
 		m := e.Member
 		isUsable := m.Node == node && m.Service != "" && (m.State == membership.Up || m.State == membership.Leaving)
-		if !isUsable || m.Slots < 1 || m.Slots > membership.MaxSlots || checkAddress(m.PeerAddress) != nil {
+		if !isUsable || m.Slots < 1 || m.Slots > membership.MaxSlots || address.Check(m.PeerAddress) != nil {
 			t.Errorf("accepted an entry that is out of bounds: %+v", m)
 		}
 	})
--- a/internal/traffic/backend/announcement.go
+++ b/internal/traffic/backend/announcement.go
@@ -4,7 +4,11 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/gravitational/trace"
 	"github.com/julienschmidt/httprouter"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/address"
 )
 
 // AnnouncePath is the path to which a backend server posts its periodic announcements on its local node.
@@ -27,6 +31,21 @@
 	Leaving bool `json:"leaving"`
 }
 
+// Check returns a trace.BadParameter that names a value that no backend server announces.
+func (a Announcement) Check() error {
+	switch {
+	case a.Service == "":
+		return trace.BadParameter("the service is missing")
+	case a.Slots < 1 || a.Slots > membership.MaxSlots:
+		return trace.BadParameter("slots are %d, not from 1 to %d", a.Slots, membership.MaxSlots)
+	case a.Connections < 0:
+		return trace.BadParameter("connections are %d, less than 0", a.Connections)
+	case a.Started < 0:
+		return trace.BadParameter("the start is %d, before 1970", a.Started)
+	}
+	return trace.Wrap(address.Check(a.Address))
+}
+
 // maxAnnouncement is the maximum size of an announcement, in bytes.
 const maxAnnouncement = 4 << 10
 
@@ -39,8 +58,12 @@
 			http.Error(w, "announcement is not JSON: "+err.Error(), http.StatusBadRequest)
 			return
 		}
-		if a.Service == "" || a.Address == "" || a.Slots <= 0 || a.Connections <= 0 {
-			http.Error(w, "service, address, slots or connections is missing", http.StatusBadRequest)
+		if err := a.Check(); err != nil {
+			http.Error(w, trace.UserMessage(err), http.StatusBadRequest)
+			return
+		}
+		if a.Connections <= 0 {
+			http.Error(w, "connections is missing", http.StatusBadRequest)
 			return
 		}
 		announce(a)
