--- a/internal/process/routed/fleet_test.go
+++ b/internal/process/routed/fleet_test.go
@@ -48,8 +48,10 @@
 // fleet holds a store and nodes on loopback addresses, each beside a backend server of the test.
 type fleet struct {
 	store *kv.Store
-	group conc.WaitGroup
-	nodes []*testNode
+	// stopGrace is the grace time of the nodes that are started.
+	stopGrace time.Duration
+	group     conc.WaitGroup
+	nodes     []*testNode
 }
 
 // testNode holds one node and its backend server.
@@ -86,7 +88,7 @@
 }
 
 func newFleet(tb testing.TB, configuration routes.Configuration) *fleet {
-	f := &fleet{store: kv.New()}
+	f := &fleet{store: kv.New(), stopGrace: 6 * time.Second}
 	f.setRoutes(tb, configuration)
 	tb.Cleanup(f.stop)
 	return f
@@ -166,6 +168,7 @@
 		RoutesKey: routesKey,
 
 		RoutesBound: routesBound,
+		StopGrace:   f.stopGrace,
 		DecodeRoutes: func(value []byte) (*routes.Table, error) {
 			var c routes.Configuration
 			if err := json.Unmarshal(value, &c); err != nil {
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -50,6 +50,8 @@
 	DecodeRoutes func(value []byte) (*routes.Table, error)
 	// RoutesBound is the time after a change of the routes in the store by which every node must use it.
 	RoutesBound time.Duration
+	// StopGrace is the time from the end of Run's context until the process is killed.
+	StopGrace time.Duration
 	// RegisterAnnouncements adds the HTTP routes by which the local backend server announces itself.
 	RegisterAnnouncements func(router *httprouter.Router, l AnnouncementHandlers)
 	// RegisterReady adds the HTTP route that reports whether the node is ready for new requests.
