A planned stop takes no request that can't end, and uses its grace time

What callers saw (an operator of a similar system): requests that came late in the grace time of a planned stop, in calm, were passed on and cut, among them requests that may not be repeated.

Cause: three. A connection that a long request kept open took a further request as late as 4 s after the stop, because a response says 'close' only if its request was read after the stop. The backend server beside the node got requests from other nodes until the node's own callers were done, up to 4.5 s. And all times were constants for a grace time of 6 s; the stated one is 10 s on some deployments. Besides, the calls of requests that still ran were refused from 2.6 s on, because the listener was closed.

Change: while the node drains, a response is the last of its connection unless a further request was read already. From 2.6 s on requests of callers are refused as not run, and the backend server is out of use for other nodes; calls of its running requests go on, so the listener stays open until nothing is in flight. Before that, a request is refused if requests of its kind usually take longer than is left. The drain ends after 85% of the stated grace time.

--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -20,12 +20,27 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/wire/peerpb"
 )
 
-// trafficState counts the requests in flight from callers and from other nodes. closing reports whether the node
-// drains, so that callers' connections are closed after their next response.
+// trafficState counts the requests in flight from callers and from other nodes, and holds the state of the drain.
 type trafficState struct {
 	callerRequests atomic.Int64
 	peerRequests   atomic.Int64
-	closing        atomic.Bool
+	// closing is whether the node drains, so that callers' connections are closed after their next response.
+	closing atomic.Bool
+	// refusing is whether requests are refused that are not calls of the backend server.
+	refusing atomic.Bool
+	// drainEnd is when requests are given up, in Unix nanoseconds. It is set before closing is.
+	drainEnd atomic.Int64
+}
+
+// accepts reports whether a request that typically takes the given time, 0 if that is unknown, may begin.
+func (s *trafficState) accepts(typical time.Duration) bool {
+	switch {
+	case !s.closing.Load():
+		return true
+	case s.refusing.Load():
+		return false
+	}
+	return time.Now().Add(typical).Before(time.Unix(0, s.drainEnd.Load()))
 }
 
 // countRequests counts the requests of callers in flight.
@@ -42,24 +57,30 @@
 	// every second and leave after two failed checks. The last requests have to end before the process is killed.
 	acceptTime = 2600 * time.Millisecond
 	// backendWorkTime is how long a backend server whose requests make calls gets new requests after the start of the
-	// drain. The calls go through this node and have the rest of acceptTime to finish.
+	// drain. The calls go through this node and have the rest of the drain to finish.
 	backendWorkTime = 1100 * time.Millisecond
 	// quietPeriod is how long no request may be in flight before the next step of the drain.
 	quietPeriod = 200 * time.Millisecond
-	// lastResponsesTimeout limits the time for the last responses to callers.
-	lastResponsesTimeout = 1900 * time.Millisecond
-	// drainTimeout limits the drain until requests are given up, and giveUpTimeout the time for their responses. Both
-	// together are shorter than the time after which the process is killed.
-	drainTimeout  = 5100 * time.Millisecond
-	giveUpTimeout = 300 * time.Millisecond
+	// drainRatio is the ratio of the grace time after which requests are given up, and giveUpRatio that for their
+	// responses. What is left is for the end of the process.
+	drainRatio  = 0.85
+	giveUpRatio = 0.05
 )
 
-// drain serves callers until they have left, and only then takes the backend server out of use. The backend server
-// keeps running, and gets requests again from the next node process beside it.
+// partOf returns the part of the grace time with the given ratio.
+func (n *Node) partOf(ratio float64) time.Duration {
+	return time.Duration(ratio * float64(n.config.Adapter.StopGrace))
+}
+
+// drain serves callers until they have left, and then takes the backend server out of use. What was accepted has the rest of
+// the grace time to end, with the calls that it makes. The backend server keeps running, and gets requests again from the
+// next node process beside it.
 func (n *Node) drain(ctx context.Context) {
 	n.config.Log.Emit(events.DrainStarted, nil)
-	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	end := time.Now().Add(n.partOf(drainRatio))
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	n.traffic.drainEnd.Store(end.UnixNano())
 	n.traffic.closing.Store(true)
 	n.loop.Do(ctx, func(b *board.Board) { b.Self.Draining = true })
 	pause.For(ctx, backendWorkTime)
@@ -67,9 +88,12 @@
 		n.withdrawBackend(ctx)
 	}
 	pause.For(ctx, acceptTime-backendWorkTime)
-	n.stopAcceptingCallers(ctx)
+	n.traffic.refusing.Store(true)
 	n.withdrawBackend(ctx)
+	n.callerServer.CloseIdle()
 	waitQuiet(ctx, func() bool { return n.traffic.callerRequests.Load() == 0 && n.traffic.peerRequests.Load() == 0 })
+	_ = n.listeners.caller.Close()
+	n.callerServer.CloseIdle()
 	n.config.Log.Emit(events.DrainFinished, events.Fields{"calls": n.traffic.callerRequests.Load(), "rpcs": n.traffic.peerRequests.Load()})
 	n.giveUpRequests(context.WithoutCancel(ctx))
 }
@@ -77,7 +101,7 @@
 // giveUpRequests answers the requests of callers that are left when the drain ends. Those that no backend server runs are
 // refused as not run.
 func (n *Node) giveUpRequests(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, giveUpTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.partOf(giveUpRatio))
 	defer cancel()
 	n.callerServer.GiveUp()
 	for ctx.Err() == nil && n.callerServer.OpenRequests() > 0 {
@@ -90,16 +114,6 @@
 	n.loop.Do(ctx, func(b *board.Board) { b.Self.Leaving = true })
 }
 
-// stopAcceptingCallers closes the listener and the idle connections of callers, and waits until the last responses are
-// written.
-func (n *Node) stopAcceptingCallers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, lastResponsesTimeout)
-	defer cancel()
-	_ = n.listeners.caller.Close()
-	n.callerServer.CloseIdle()
-	waitQuiet(ctx, func() bool { return n.traffic.callerRequests.Load() == 0 })
-}
-
 // waitQuiet returns when isIdle has been true for quietPeriod, or when the context ends.
 func waitQuiet(ctx context.Context, isIdle func() bool) {
 	lastActive := time.Now()
--- a/internal/process/routed/stop_test.go
+++ b/internal/process/routed/stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -98,3 +100,60 @@
 	is.Equal(<-results, http.StatusOK)
 	is.Equal(ledger.count("/b"), 1)
 }
+
+// Guards against a running request that fails because its node, in a planned stop, no longer takes the calls that it makes.
+func TestRunningRequestMakesItsCallsUntilTheEndOfADrain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, patientServices())
+	var crew *testNode
+	callAfter := func(wait time.Duration, r *http.Request) int {
+		left, err := strconv.Atoi(r.Header.Get("Time-Left"))
+		if err != nil {
+			return http.StatusBadRequest
+		}
+		deadline := time.Now().Add(time.Duration(left) * time.Millisecond)
+		time.Sleep(wait)
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		remaining := strconv.FormatInt(time.Until(deadline).Milliseconds(), 10)
+		return crew.callWithin(t, client, "POST", "deposits.example", "/called", remaining).status
+	}
+	crew = f.add(t, "zone_1", "crew", func(w http.ResponseWriter, r *http.Request) {
+		wait, err := time.ParseDuration(strings.TrimPrefix(r.URL.Path, "/"))
+		is.NoErr(err)
+		w.WriteHeader(callAfter(wait, r))
+	})
+	other := f.add(t, "zone_1", "bookings", hello)
+	f.waitReady(t)
+	for n := range 10 { // the node learns which requests are calls
+		is.Equal(other.callWithin(t, &http.Client{}, "GET", "sheets.example", fmt.Sprintf("/%dms", 10*n+10), "20000").status, http.StatusOK)
+	}
+	results := make(chan int, 1)
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		results <- other.callWithin(t, &http.Client{}, "GET", "sheets.example", "/3500ms", "20000").status
+	})
+	time.Sleep(200 * time.Millisecond)
+	crew.stop()
+	is.Equal(<-results, http.StatusOK)
+}
+
+// Guards against a request that is taken in a planned stop although requests like it take longer than the node has left.
+func TestLongRequestIsNotTakenInAPlannedStop(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, patientServices())
+	ledger := newRunLedger()
+	crew := f.add(t, "zone_1", "crew", hello)
+	f.add(t, "zone_1", "bookings", func(w http.ResponseWriter, r *http.Request) {
+		ledger.record(r)
+		time.Sleep(4500 * time.Millisecond)
+		hello(w, r)
+	})
+	f.waitReady(t)
+	is.Equal(crew.callWithin(t, &http.Client{}, "POST", "deposits.example", "/before", "20000").status, http.StatusOK)
+	crew.stop()
+	time.Sleep(time.Second)
+	status := crew.callWithin(t, &http.Client{}, "POST", "deposits.example", "/after", "20000").status
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(ledger.count("/after"), 0)
+}
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -37,6 +37,9 @@
 	Service string
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int64
+	// Accepts reports whether a request that typically takes the given time, 0 if that is unknown, may begin. Calls of the
+	// local backend server always may.
+	Accepts func(typical time.Duration) bool
 	// Answered is called for each valid request that matched a route, with its reply and its latency.
 	Answered func(r *call.Request, reply *call.Reply, latency time.Duration)
 	// Rejected is called for each request that matches no route or is malformed.
@@ -47,8 +50,10 @@
 type RoutedHandler struct {
 	config RoutedHandlerConfig
 
-	// typicalDurations holds the typical duration of calls of each kind, without queueing delay.
+	// typicalDurations holds the typical duration of calls of each kind, without queueing delay, and rootDurations that of
+	// requests of callers, with it.
 	typicalDurations *call.TypicalDurations[string]
+	rootDurations    *call.TypicalDurations[string]
 
 	mu sync.Mutex
 	// requestCounts holds the number of requests of each route that has several clusters.
@@ -60,7 +65,12 @@
 
 // NewRoutedHandler returns a RoutedHandler with the configuration.
 func NewRoutedHandler(config RoutedHandlerConfig) *RoutedHandler {
-	return &RoutedHandler{config: config, typicalDurations: call.NewTypicalDurations[string](maxTypicalDurations), requestCounts: map[string]*atomic.Uint64{}}
+	return &RoutedHandler{
+		config:           config,
+		typicalDurations: call.NewTypicalDurations[string](maxTypicalDurations),
+		rootDurations:    call.NewTypicalDurations[string](maxTypicalDurations),
+		requestCounts:    map[string]*atomic.Uint64{},
+	}
 }
 
 // replyGracePeriod is how long to wait after the deadline for the reply of another node. That node gives up the request
@@ -108,9 +118,16 @@
 	if isCall {
 		request.Depth = 1
 	}
+	if !isCall && !h.config.Accepts(h.rootDurations.Of(request.Kind)) {
+		return call.Refused(call.NotRun, call.ReasonDraining, 0)
+	}
 	if parent == nil {
 		request.Attempts = call.NewAttemptAllowance(request.AttemptsLeft)
-		return h.config.Sender.Send(ctx, request)
+		reply := h.config.Sender.Send(ctx, request)
+		if reply.Outcome == call.Ran {
+			h.rootDurations.Observe(request.Kind, time.Since(request.ReceivedAt))
+		}
+		return reply
 	}
 	inheritParent(request, parent)
 	request.Attempts = call.NewAttemptAllowance(request.AttemptsLeft)
--- a/internal/traffic/caller/routed_test.go
+++ b/internal/traffic/caller/routed_test.go
@@ -40,6 +40,7 @@
 		Headers:         caller.RoutedHeaders{RequestID: "Request-Name", Timeout: "Time-Left", CallerService: "Calling-Service"},
 		Service:         "crew",
 		MaxBody:         100,
+		Accepts:         func(time.Duration) bool { return true },
 		Answered:        func(*call.Request, *call.Reply, time.Duration) {},
 		Rejected:        func(*http.Request, call.Reason, string) {},
 	})
--- a/internal/traffic/caller/server.go
+++ b/internal/traffic/caller/server.go
@@ -409,12 +409,38 @@
 		Header:        x.response.header,
 		Body:          io.NopCloser(bytes.NewReader(x.response.body)),
 		ContentLength: int64(len(x.response.body)),
-		Close:         x.last,
+		Close:         x.last || c.closeBehindLast(),
 	}
 	if err := response.Write(c.writer); err != nil {
 		return err
 	}
-	return c.writer.Flush()
+	if err := c.writer.Flush(); err != nil {
+		return err
+	}
+	if response.Close {
+		c.closeWrite()
+	}
+	return nil
+}
+
+// closeWrite tells the caller that no response follows. The connection is read on, because closing it with unread data could
+// take the last response from the caller.
+func (c *serverConn) closeWrite() {
+	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+}
+
+// closeBehindLast reports whether the response that is written now is the last one of the connection: the server closes its
+// connections, and no further request was read. The caller sends again what is still on its way.
+func (c *serverConn) closeBehindLast() bool {
+	if !c.server.config.IsClosing() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = c.closed || c.openRequests == 1
+	return c.closed
 }
 
 // responseRecorder is an http.ResponseWriter that holds a response until the earlier responses are written.
