A follower backs off while the store answers only calls whose result may be old

What operators would see: a node that calls the store 40 times a second, without a change of what it knows, while the store refuses its lists and watches and answers reads that may be old. Each call is priced.

Cause: after an outage the follower probed by a stale list; its success reset the backoff and counted as recovery, and the list that followed was refused again.

Evidence: TestStoreThatRefusesListsIsCalledWithBackoff fails before (more than 70 calls in 20 s).

Change: the probe and the list are one attempt, which succeeds only with the list.

--- a/internal/control/store/follower.go
+++ b/internal/control/store/follower.go
@@ -93,11 +93,11 @@
 	}
 }
 
-// step makes one call to the store.
+// step makes one call to the store, or two after an outage.
 func (f *Follower) step(ctx context.Context) error {
 	switch {
 	case !f.listed && f.unreachable:
-		return f.probe(ctx)
+		return f.probeAndList(ctx)
 	case !f.listed:
 		return f.list(ctx)
 	case f.config.Plan.Next() == roster.ReadStale:
@@ -112,14 +112,15 @@
 	f.config.Plan.Restarted()
 }
 
-// probe tries to reach the store by a stale list, because the store counts failed calls, too, and all nodes make them during
-// an outage. The list that follows a success is the latest.
-func (f *Follower) probe(ctx context.Context) error {
+// probeAndList tries to reach the store by a stale list, because the store counts failed calls, too, and all nodes make them
+// during an outage. After a success it lists what is there now.
+func (f *Follower) probeAndList(ctx context.Context) error {
 	snapshot, err := f.config.Store.ListStale(ctx, f.config.Prefix)
-	if err == nil {
-		f.reportIfNewer(ctx, snapshot)
+	if err != nil {
+		return err
 	}
-	return err
+	f.reportIfNewer(ctx, snapshot)
+	return f.list(ctx)
 }
 
 func (f *Follower) list(ctx context.Context) error {
--- a/internal/control/store/watchcheck_test.go
+++ b/internal/control/store/watchcheck_test.go
@@ -110,3 +110,18 @@
 		is.Equal(f.silent.Load(), int64(1))
 	})
 }
+
+// Guards against a follower that calls the store without pause while it answers only calls whose result may be old.
+func TestStoreThatRefusesListsIsCalledWithBackoff(t *testing.T) {
+	const outage = 20 * time.Second
+	// maxCalls is two calls for each of the longest delays between attempts, and some for the first, shorter ones.
+	const maxCalls = 2*int(outage/(800*time.Millisecond)) + 20
+	runChecked(t, func(is *is.I, s *kv.Store, f *checkedFollower) {
+		before := s.Calls()
+		s.SetFaults(kv.Faults{RefuseLatest: true})
+		s.Compact() // it breaks off the watch that waits
+		time.Sleep(outage)
+		is.True(s.Calls()-before <= maxCalls)
+		is.Equal(f.lost.Load(), int64(1))
+	})
+}
--- a/internal/lab/kv/kv.go
+++ b/internal/lab/kv/kv.go
@@ -30,6 +30,8 @@
 	ExpireLeases bool
 	// RefuseNodes fails the calls of single nodes.
 	RefuseNodes map[string]bool
+	// RefuseLatest fails all calls but ListStale.
+	RefuseLatest bool
 	// SilentWatches keeps watches of single nodes open without ever answering them. It holds for watches that wait, too.
 	SilentWatches map[string]bool
 	// StallWatches makes watches report no changes, not even earlier ones.
@@ -233,10 +235,19 @@
 // beginCall locks the store and counts a call. If a fault makes the call fail, it unlocks the store and returns the
 // error.
 func (c *client) beginCall() error {
+	return c.begin(func(f *Faults) bool { return f.Down || f.RefuseNodes[c.node] || f.RefuseLatest })
+}
+
+// beginStaleCall is like beginCall, for a call that may return what is some seconds old.
+func (c *client) beginStaleCall() error {
+	return c.begin(func(f *Faults) bool { return f.Down || f.RefuseNodes[c.node] })
+}
+
+func (c *client) begin(isRefused func(*Faults) bool) error {
 	c.store.mu.Lock()
 	c.store.calls++
 	c.store.expireLeases()
-	if c.store.faults.Down || c.store.faults.RefuseNodes[c.node] {
+	if isRefused(&c.store.faults) {
 		c.store.mu.Unlock()
 		return errUnavailable
 	}
@@ -269,7 +280,7 @@
 // ListStale reads all keys with the prefix, as they were some time ago if the fault StaleLists is set.
 func (c *client) ListStale(_ context.Context, prefix string) (store.Snapshot, error) {
 	c.store.countStaleList()
-	if err := c.beginCall(); err != nil {
+	if err := c.beginStaleCall(); err != nil {
 		return store.Snapshot{}, err
 	}
 	defer c.store.mu.Unlock()
