A node doesn't begin with routes from a list that may be old

What callers would see: routes that were replaced before a node started, served by it while the store refuses its other calls.

Evidence: TestNodeDoesNotBeginWithOldRoutes fails without the change.

Change: a stale list replaces routes, but is not the first. Until a node has routes it refuses requests as not run, as before.

--- a/internal/control/routefeed/routefeed.go
+++ b/internal/control/routefeed/routefeed.go
@@ -97,7 +97,7 @@
 		WatchTimeout:  watchTimeout,
 		CheckInterval: c.checkInterval,
 		OnList:        func(ctx context.Context, s store.Snapshot) { c.applyAll(ctx, s, sourceList) },
-		OnStale:       func(ctx context.Context, s store.Snapshot) { c.applyAll(ctx, s, sourceStaleList) },
+		OnStale:       c.applyStale,
 		OnSilent: func() {
 			c.config.Log.Emit(events.WatchSilent, events.Fields{"watch": c.config.Key, "confirmed_ms": c.ConfirmedMs()})
 		},
@@ -133,8 +133,16 @@
 	return max(c.config.Bound/checkParts, members*time.Second/checksPerSecond)
 }
 
-// applyAll puts the routes of a list into force. A list that is some seconds old is as good as any, because only a newer
-// version replaces the one in force.
+// applyStale puts the routes of a list that may be some seconds old into force. It is as good as any, because only a newer
+// version replaces the one in force, but a node doesn't begin with it: requests are refused as not run until the node has
+// routes.
+func (c *Controller) applyStale(ctx context.Context, s store.Snapshot) {
+	if c.InForce() > 0 {
+		c.applyAll(ctx, s, sourceStaleList)
+	}
+}
+
+// applyAll puts the routes of a list into force.
 func (c *Controller) applyAll(ctx context.Context, s store.Snapshot, from source) {
 	for _, item := range s.Items {
 		c.applyItem(ctx, item, from)
--- a/internal/control/routefeed/routefeed_test.go
+++ b/internal/control/routefeed/routefeed_test.go
@@ -115,3 +115,36 @@
 		})
 	}
 }
+
+// Guards against a node that begins with routes that were replaced before it started, because only old lists are to be had.
+func TestNodeDoesNotBeginWithOldRoutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := kv.New()
+		putVersion(t, s, 1)
+		s.SetFaults(kv.Faults{StaleLists: true})
+		putVersion(t, s, 2)
+		s.SetFaults(kv.Faults{StaleLists: true, RefuseLatest: true})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		defer group.Wait()
+		defer cancel()
+		n := newNode(s, "node_1", 1)
+		n.start(ctx, &group, noPeers{})
+		time.Sleep(5 * time.Second)
+		is.Equal(n.controller.InForce(), uint64(0))
+		s.SetFaults(kv.Faults{})
+		time.Sleep(bound)
+		is.Equal(n.controller.InForce(), uint64(2))
+	})
+}
+
+// Guards against a change that stays unseen while the store answers only calls whose result may be old.
+func TestOldListsShowAChangeWhileTheStoreRefusesOtherCalls(t *testing.T) {
+	runNode(t, func(is *is.I, s *kv.Store, n *testNode) {
+		s.SetFaults(kv.Faults{RefuseLatest: true, SilentWatches: map[string]bool{"node_1": true}})
+		putVersion(t, s, 3)
+		time.Sleep(bound)
+		is.Equal(n.controller.InForce(), uint64(3))
+	})
+}
