--- a/internal/control/members/entry_test.go
+++ b/internal/control/members/entry_test.go
@@ -1,20 +1,16 @@
 package members_test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sourcegraph/conc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
-	"github.com/comfreyhoist/comfreyhoist/internal/lab/kv"
 )
 
 // entryOf returns the value of an entry as a node writes it, after the change.
@@ -92,23 +88,17 @@
 	for _, key := range []string{"odd", "node_2", "node_1"} {
 		for name, value := range oddEntries {
 			t.Run(fmt.Sprintf("%s under %s", name, key), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					is := is.New(t)
-					s := kv.New()
-					ctx, cancel := context.WithCancel(t.Context())
-					var group conc.WaitGroup
-					defer group.Wait()
-					defer cancel()
-					one := startController(ctx, &group, s, "node_1", 1)
-					startController(ctx, &group, s, "node_2", 2)
+				runStore(t, func(f *storeTest) {
+					one := f.start("node_1", 1)
+					f.start("node_2", 2)
 					time.Sleep(2 * time.Second)
-					checkMembers(is, one)
-					s.ForcePut("members/"+key, []byte(value))
+					checkMembers(f.is, one)
+					f.store.ForcePut("members/"+key, []byte(value))
 					time.Sleep(2 * time.Second)
-					checkMembers(is, one)
-					reader := startReader(ctx, &group, s) // it begins with a list
+					checkMembers(f.is, one)
+					reader := f.startReader() // it begins with a list
 					time.Sleep(2 * time.Second)
-					checkMembers(is, reader)
+					checkMembers(f.is, reader)
 				})
 			})
 		}
@@ -120,23 +110,17 @@
 func TestEntryAtTheAddressOfALiveNode(t *testing.T) {
 	for name, incarnation := range map[string]uint64{"earlier start": 1, "no start": 0} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				s := kv.New()
-				ctx, cancel := context.WithCancel(t.Context())
-				var group conc.WaitGroup
-				defer group.Wait()
-				defer cancel()
-				one := startController(ctx, &group, s, "node_1", 5)
-				startController(ctx, &group, s, "node_2", 6)
+			runStore(t, func(f *storeTest) {
+				one := f.start("node_1", 5)
+				f.start("node_2", 6)
 				time.Sleep(2 * time.Second)
-				s.ForcePut("members/odd", []byte(entryOf(func(m map[string]any) {
+				f.store.ForcePut("members/odd", []byte(entryOf(func(m map[string]any) {
 					m["peer_address"], m["incarnation"] = "node_2:1", incarnation
 				})))
 				time.Sleep(2 * time.Second)
 				m, known := findMember(one, "node_2")
-				is.True(known)
-				is.Equal(m.State, membership.Up)
+				f.is.True(known)
+				f.is.Equal(m.State, membership.Up)
 			})
 		})
 	}
@@ -144,43 +128,31 @@
 
 // Guards against a leaving member that is in use again because its entry was overwritten by one that can't be read.
 func TestOddEntryBringsNoLeavingMemberBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := kv.New()
-		ctx, cancel := context.WithCancel(t.Context())
-		var group conc.WaitGroup
-		defer group.Wait()
-		defer cancel()
-		one := startController(ctx, &group, s, "node_1", 1)
-		s.ForcePut("members/node_2", []byte(entryOf(func(m map[string]any) {
+	runStore(t, func(f *storeTest) {
+		one := f.start("node_1", 1)
+		f.store.ForcePut("members/node_2", []byte(entryOf(func(m map[string]any) {
 			m["node"], m["peer_address"], m["state"] = "node_2", "node_2:1", membership.Leaving
 		})))
 		time.Sleep(time.Second)
-		s.ForcePut("members/node_2", []byte("\xff"))
+		f.store.ForcePut("members/node_2", []byte("\xff"))
 		time.Sleep(time.Second)
-		is.Equal(len(one.Snapshot().Members.ByService["keys"]), 1)
+		f.is.Equal(len(one.Snapshot().Members.ByService["keys"]), 1)
 	})
 }
 
 // Guards against two processes of one name that overwrite each other's entry without end.
 func TestEarlierProcessLeavesTheEntryToALaterOne(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := kv.New()
-		ctx, cancel := context.WithCancel(t.Context())
-		var group conc.WaitGroup
-		defer group.Wait()
-		defer cancel()
-		startController(ctx, &group, s, "node_1", 1)
+	runStore(t, func(f *storeTest) {
+		f.start("node_1", 1)
 		time.Sleep(2 * time.Second)
-		startController(ctx, &group, s, "node_1", 2)
+		f.start("node_1", 2)
 		time.Sleep(2 * time.Second)
-		revision := s.Item("members/node_1").Revision
+		revision := f.store.Item("members/node_1").Revision
 		time.Sleep(10 * time.Second)
-		is.Equal(s.Item("members/node_1").Revision, revision)
-		reader := startReader(ctx, &group, s)
+		f.is.Equal(f.store.Item("members/node_1").Revision, revision)
+		reader := f.startReader()
 		time.Sleep(time.Second)
 		m, _ := findMember(reader, "node_1")
-		is.Equal(m.Incarnation, uint64(2))
+		f.is.Equal(m.Incarnation, uint64(2))
 	})
 }
--- a/internal/control/members/members_test.go
+++ b/internal/control/members/members_test.go
@@ -30,13 +30,37 @@
 	return loop
 }
 
-// startReader runs the controller of a node without a backend server, which writes no entry.
-func startReader(ctx context.Context, group *conc.WaitGroup, s *kv.Store) *board.Loop {
+// storeTest is a store, and the nodes of one test that use it.
+type storeTest struct {
+	is    *is.I
+	store *kv.Store
+	ctx   context.Context
+	group *conc.WaitGroup
+}
+
+// runStore runs the test with an empty store, in simulated time.
+func runStore(t *testing.T, test func(f *storeTest)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		defer group.Wait()
+		defer cancel()
+		test(&storeTest{is: is.New(t), store: kv.New(), ctx: ctx, group: &group})
+	})
+}
+
+// start runs the controller of a node until the test ends and returns the node's board.
+func (f *storeTest) start(node string, incarnation uint64) *board.Loop {
+	return startController(f.ctx, f.group, f.store, node, incarnation)
+}
+
+// startReader is like start, for a node without a backend server, which writes no entry.
+func (f *storeTest) startReader() *board.Loop {
 	loop := board.NewLoop(board.Board{Self: board.Self{Node: "reader", Zone: "zone_1", PeerAddress: "reader:1", Incarnation: 1}})
 	log := events.NewLimiter(events.NewLog(io.Discard, zerolog.InfoLevel, "reader"), time.Second)
-	group.Go(func() { loop.Run(ctx) })
-	group.Go(func() {
-		members.NewController(members.Config{Board: loop, Store: s.ForNode("reader"), Log: log}).Run(ctx)
+	f.group.Go(func() { loop.Run(f.ctx) })
+	f.group.Go(func() {
+		members.NewController(members.Config{Board: loop, Store: f.store.ForNode("reader"), Log: log}).Run(f.ctx)
 	})
 	return loop
 }
@@ -211,19 +235,13 @@
 func TestSilentWatchHidesNoMember(t *testing.T) {
 	// maxDelay is the lease of an entry, and the time to write and read it.
 	const maxDelay = 5 * time.Second
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := kv.New()
-		ctx, cancel := context.WithCancel(t.Context())
-		var group conc.WaitGroup
-		defer group.Wait()
-		defer cancel()
-		one := startController(ctx, &group, s, "node_1", 1)
+	runStore(t, func(f *storeTest) {
+		one := f.start("node_1", 1)
 		time.Sleep(10 * time.Second)
-		s.SetFaults(kv.Faults{SilentWatches: map[string]bool{"node_1": true}})
-		startController(ctx, &group, s, "node_2", 1)
+		f.store.SetFaults(kv.Faults{SilentWatches: map[string]bool{"node_1": true}})
+		f.start("node_2", 1)
 		time.Sleep(maxDelay)
 		_, known := findMember(one, "node_2")
-		is.True(known)
+		f.is.True(known)
 	})
 }
--- a/internal/control/routefeed/peers_test.go
+++ b/internal/control/routefeed/peers_test.go
@@ -57,17 +57,7 @@
 		"none, with the version": {nil, 5},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				s := kv.New()
-				putVersion(t, s, 5)
-				ctx, cancel := context.WithCancel(t.Context())
-				var group conc.WaitGroup
-				defer group.Wait()
-				defer cancel()
-				n := newNode(s, "node_1", 2)
-				n.start(ctx, &group, onePeer{peer.StoredRoutes{Version: 6, Value: test.value}})
-				time.Sleep(bound)
+			runWithPeer(t, test.value, func(is *is.I, n *testNode) {
 				is.Equal(n.controller.InForce(), test.want)
 				is.Equal(n.board.Snapshot().Routes.Version, test.want)
 			})
@@ -75,6 +65,23 @@
 	}
 }
 
+// runWithPeer runs the test with a node that has had version 5 and a peer for the length of the bound. The peer says that it
+// has version 6, with the value.
+func runWithPeer(t *testing.T, value []byte, test func(is *is.I, n *testNode)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := kv.New()
+		putVersion(t, s, 5)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		defer group.Wait()
+		defer cancel()
+		n := newNode(s, "node_1", 2)
+		n.start(ctx, &group, onePeer{peer.StoredRoutes{Version: 6, Value: value}})
+		time.Sleep(bound)
+		test(is.New(t), n)
+	})
+}
+
 // fleetPeers connects nodes of one process.
 type fleetPeers struct {
 	nodes map[string]*testNode
@@ -95,17 +102,7 @@
 
 // Guards against an invalid route in force that another node has passed on.
 func TestInvalidRouteOfAnotherNodeIsLeftOut(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := kv.New()
-		putVersion(t, s, 5)
-		ctx, cancel := context.WithCancel(t.Context())
-		var group conc.WaitGroup
-		defer group.Wait()
-		defer cancel()
-		n := newNode(s, "node_1", 2)
-		n.start(ctx, &group, onePeer{peer.StoredRoutes{Version: 6, Value: versionValue(t, 6, "sheets")}})
-		time.Sleep(bound)
+	runWithPeer(t, versionValue(t, 6, "sheets"), func(is *is.I, n *testNode) {
 		is.Equal(n.controller.InForce(), uint64(6))
 		_, found := n.board.Snapshot().Routes.Match("sheets.example", "/sheets/")
 		is.True(!found)
