A version that nobody has costs few calls to the store

What operators would see: each node lists the routes four times a second for as long as another node claims a version that it doesn't pass on (one of a newer program, say, that this one can't read).

Evidence: TestVersionThatNobodyHasCostsFewCalls fails without the change.

Change: a watch is broken off for such a version once in a bound at most.

--- a/internal/control/routefeed/peers.go
+++ b/internal/control/routefeed/peers.go
@@ -98,7 +98,8 @@
 		"version": c.InForce(), "newer": newest.version, "peer": newest.address, "confirmed_ms": c.ConfirmedMs(),
 	})
 	c.ask(ctx, peers, c.useOptions(c.memberAt(newest.address)))
-	if newest.version > c.InForce() {
+	if newest.version > c.InForce() && time.Since(c.suspectedAt) >= c.config.Bound {
+		c.suspectedAt = time.Now()
 		c.follower.Suspect()
 	}
 }
--- a/internal/control/routefeed/peers_test.go
+++ b/internal/control/routefeed/peers_test.go
@@ -82,6 +82,21 @@
 	})
 }
 
+// Guards against a node that lists the routes again and again, because another one says that it has a version that neither it
+// nor the store has.
+func TestVersionThatNobodyHasCostsFewCalls(t *testing.T) {
+	const claims, interval = 400, 50 * time.Millisecond
+	runWithPeer(t, nil, func(is *is.I, n *testNode) {
+		before := n.store.Calls()
+		for range claims {
+			n.controller.HeardAt("node_0", 1000)
+			time.Sleep(interval)
+		}
+		// a list and a watch for each bound, and the checks beside the watches
+		is.True(n.store.Calls()-before <= 4*int(claims*interval/bound)+2)
+	})
+}
+
 // fleetPeers connects nodes of one process.
 type fleetPeers struct {
 	nodes map[string]*testNode
--- a/internal/control/routefeed/routefeed.go
+++ b/internal/control/routefeed/routefeed.go
@@ -56,6 +56,9 @@
 	follower *store.Follower
 	// inForce holds the routes in force; nil if there are none.
 	inForce atomic.Pointer[peer.StoredRoutes]
+	// suspectedAt is when the watch was last broken off because a version that another node has could not be had from it.
+	// Only the goroutine that asks other nodes uses it.
+	suspectedAt time.Time
 	// confirmedAt is when the store responded last with the routes, or that they haven't changed, in Unix nanoseconds; 0 if
 	// never.
 	confirmedAt atomic.Int64
--- a/internal/control/routefeed/routefeed_test.go
+++ b/internal/control/routefeed/routefeed_test.go
@@ -51,6 +51,7 @@
 
 // testNode is a node that follows the routes.
 type testNode struct {
+	store      *kv.Store
 	controller *routefeed.Controller
 	board      *board.Loop
 }
@@ -62,7 +63,7 @@
 		Board: loop, Store: s.ForNode(name), Key: routesKey, Decode: decode, Bound: bound,
 		Log: events.NewLog(io.Discard, zerolog.DebugLevel, name),
 	})
-	return &testNode{controller: c, board: loop}
+	return &testNode{store: s, controller: c, board: loop}
 }
 
 // start runs the node until the context ends.
