Review: clients that read slowly push nodes over their memory

Answers that wait for a slow client are held whole, up to 16 a connection, without a limit for the process. Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,8 +31,9 @@
 type testCase func(record *recorder, trouble bool) (isBroken bool, err error)
 
 var cases = map[string]testCase{
-	"twice": runTwice,
-	"stop":  runStop,
+	"twice":  runTwice,
+	"stop":   runStop,
+	"memory": runMemory,
 }
 
 func main() {
