Review: requests behind an answer that is read slowly are passed on and never answered

Writing an answer may take 5 s in all, whatever the client takes meanwhile and whatever time it has left. Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]testCase{
 	"twice":  runTwice,
 	"stop":   runStop,
+	"slow":   runSlow,
 	"memory": runMemory,
 }
 
