--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,10 +31,11 @@
 type testCase func(record *recorder, trouble bool) (isBroken bool, err error)
 
 var cases = map[string]testCase{
-	"twice":  runTwice,
-	"stop":   runStop,
-	"slow":   runSlow,
-	"memory": runMemory,
+	"twice":     runTwice,
+	"stop":      runStop,
+	"slow":      runSlow,
+	"memory":    runMemory,
+	"withdrawn": runWithdrawn,
 }
 
 func main() {
