Review: a planned stop takes late orders as calls and cuts them off

Orders whose deadline is that of a running request are guessed to be calls, and calls are taken to the end of the drain. Nothing is fixed.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,7 +6,7 @@
   echo "target/comfreyhoist or target/review-standin is missing"
   exit 2
 fi
-TROUBLE="${TROUBLE:-1}" target/review-standin stop review/2/record.txt
+TROUBLE="${TROUBLE:-1}" target/review-standin late review/2/record.txt
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,6 +36,8 @@
 	"slow":      runSlow,
 	"memory":    runMemory,
 	"withdrawn": runWithdrawn,
+	"leave":     runLeave,
+	"late":      runLate,
 }
 
 func main() {
