--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,7 @@
 	"withdrawn": runWithdrawn,
 	"leave":     runLeave,
 	"late":      runLate,
+	"restarted": runRestarted,
 }
 
 func main() {
