Log the requests that a draining node takes as calls

Event 1706, request_taken_late, names the request, the running request that it is assigned to, how many requests the local backend server runs, and how much of the drain is left.

--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -308,6 +308,7 @@
 		Service:         n.config.Settings.Node.Service,
 		MaxBody:         n.config.Settings.Caller.MaxBody,
 		Accepts:         n.traffic.accepts,
+		TakenLate:       n.logTakenLate,
 		Answered:        n.recordReply,
 		Rejected:        n.logRejected,
 	})
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -40,7 +40,12 @@
 	case s.refusing.Load():
 		return false
 	}
-	return time.Now().Add(typical).Before(time.Unix(0, s.drainEnd.Load()))
+	return time.Now().Add(typical).Before(s.end())
+}
+
+// end returns when the requests that are left are given up. It is known only while the node drains.
+func (s *trafficState) end() time.Time {
+	return time.Unix(0, s.drainEnd.Load())
 }
 
 // countRequests counts the requests of callers in flight.
@@ -242,3 +247,20 @@
 		"instances":      len(b.Members.ByService[r.Service]),
 	})
 }
+
+// logTakenLate logs a call that was taken while the node drains.
+func (n *Node) logTakenLate(r *call.Request, parent *call.RunningRequest) {
+	kind := ""
+	if parent != nil {
+		kind = parent.Kind
+	}
+	n.requestLog.Emit(time.Now(), events.RequestTakenLate, events.Fields{
+		"request":       r.Root.ID,
+		"kind":          r.Kind,
+		"service":       r.Service,
+		"parent":        kind,
+		"running":       n.runningRequests.Count(),
+		"left_ms":       time.Until(r.Deadline).Milliseconds(),
+		"drain_left_ms": time.Until(n.traffic.end()).Milliseconds(),
+	})
+}
--- a/internal/traffic/call/runningrequests.go
+++ b/internal/traffic/call/runningrequests.go
@@ -222,6 +222,13 @@
 	return t.byToken[token]
 }
 
+// Count returns the number of requests that run on the local backend server.
+func (t *RunningRequests) Count() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.byToken)
+}
+
 // Parent returns the running request that most likely made a call without a token, or nil if none matches. It also
 // reports whether the request is likely to be a call of the local backend server at all. Both results are inferred and
 // may be wrong.
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -40,6 +40,9 @@
 	// Accepts reports whether a request that typically takes the given time, 0 if that is unknown, may begin. Calls of the
 	// local backend server always may.
 	Accepts func(typical time.Duration) bool
+	// TakenLate is called for each call that begins although Accepts reports false. parent is the running request that it
+	// is assigned to, or nil.
+	TakenLate func(r *call.Request, parent *call.RunningRequest)
 	// Answered is called for each valid request that matched a route, with its reply and its latency.
 	Answered func(r *call.Request, reply *call.Reply, latency time.Duration)
 	// Rejected is called for each request that matches no route or is malformed.
@@ -118,8 +121,11 @@
 	if isCall {
 		request.Depth = 1
 	}
-	if !isCall && !h.config.Accepts(h.rootDurations.Of(request.Kind)) {
-		return call.Refused(call.NotRun, call.ReasonDraining, 0)
+	if !h.config.Accepts(h.rootDurations.Of(request.Kind)) {
+		if !isCall {
+			return call.Refused(call.NotRun, call.ReasonDraining, 0)
+		}
+		h.config.TakenLate(request, parent)
 	}
 	if parent == nil {
 		request.Attempts = call.NewAttemptAllowance(request.AttemptsLeft)
--- a/internal/traffic/caller/routed_test.go
+++ b/internal/traffic/caller/routed_test.go
@@ -41,6 +41,7 @@
 		Service:         "crew",
 		MaxBody:         100,
 		Accepts:         func(time.Duration) bool { return true },
+		TakenLate:       func(*call.Request, *call.RunningRequest) {},
 		Answered:        func(*call.Request, *call.Reply, time.Duration) {},
 		Rejected:        func(*http.Request, call.Reason, string) {},
 	})
