Backend heads without end are counted in the same memory as bodies

What can happen here: a single response was bounded before (64 KiB of head, the maximum of a body), but heads were not bounded together, and a parsed head takes many times its bytes. A node may have over a thousand connections to its backend server.

Evidence: TestManyEndlessResponsesNeedLittleMemory, 1,000 responses without end with the memory limit of a node on an instance of 184 MB.

Bodies of more than 16 KiB, or without a length, are read into blocks that are counted as they arrive and used again; before, a body with a length took its whole size from the budget before a byte of it had arrived, and one without left twice its size as garbage.

--- a/internal/traffic/backend/body.go
+++ b/internal/traffic/backend/body.go
@@ -4,112 +4,93 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 )
 
-const (
-	// maxResponseHeader is the maximum size of a response header, in bytes, with all informational responses before it.
-	maxResponseHeader = 64 << 10
-	// maxReadingBytes is the maximum size, in bytes, of all response bodies of which a part has been read.
-	maxReadingBytes = 16 << 20
-)
-
-// errHeaderTooLarge is returned when a response header exceeds maxResponseHeader.
-var errHeaderTooLarge = errors.New("response header exceeds the size limit")
-
-// headerLimiter limits how many bytes can be read while a response header is read.
-type headerLimiter struct {
-	io.Reader
-	// left is the number of bytes that may still be read. It applies while limited is true.
-	left    int
-	limited bool
-}
-
-// begin limits the header that is read next. buffered is the number of its bytes that have been read already.
-func (l *headerLimiter) begin(buffered int) {
-	l.left, l.limited = maxResponseHeader-buffered, true
-}
-
-// end lifts the limit for the body.
-func (l *headerLimiter) end() {
-	l.limited = false
-}
-
-// Read reads from the connection, or returns errHeaderTooLarge.
-func (l *headerLimiter) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.Reader.Read(p)
+// readBody reads the body of a response, which may not be larger than MaxBody. A body may never end, or never arrive, and many
+// may do so at the same time. After an error the body isn't closed, because that would read the rest of it; its connection
+// has to be closed instead.
+func (c *Client) readBody(response *http.Response) ([]byte, error) {
+	if response.ContentLength > c.config.MaxBody {
+		return nil, errResponseTooLarge
 	}
-	if l.left <= 0 {
-		return 0, errHeaderTooLarge
+	body, err := c.readCounted(response)
+	if err != nil {
+		return nil, err
 	}
-	n, err := l.Reader.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, err
-}
-
-// readingBytes counts the bytes of the response bodies that are being read.
-type readingBytes struct {
-	total atomic.Int64
+	return body, response.Body.Close()
 }
 
-// reserve counts bytes, and reports false if they are too many.
-func (r *readingBytes) reserve(n int64) bool {
-	return r.total.Add(n) <= maxReadingBytes
+// readCounted reads the body of a response and counts the memory for it in the budget meanwhile.
+func (c *Client) readCounted(response *http.Response) ([]byte, error) {
+	length := response.ContentLength
+	if length < 0 || length > blockSize {
+		reader := blockReader{budget: &c.budget}
+		defer reader.release()
+		return reader.readAll(response.Body, c.config.MaxBody)
+	}
+	defer c.budget.release(length)
+	if !c.budget.reserve(length) {
+		return nil, errResponseTooLarge
+	}
+	return ReadBody(response.Body, length, length)
 }
 
-func (r *readingBytes) release(n int64) {
-	r.total.Add(-n)
+// blockReader reads a body into blocks as it arrives, so that a body takes no more memory than its bytes that have arrived.
+type blockReader struct {
+	budget *readingBudget
+	blocks []*block
+	// size is the number of bytes that were read.
+	size int64
 }
 
-// countedReader reads a body without a length, whose bytes count in readingBytes.
-type countedReader struct {
-	io.Reader
-	reading *readingBytes
-	counted int64
+// readAll reads the body to its end. It returns errResponseTooLarge if it has more than limit bytes, or if the budget is
+// used up.
+func (r *blockReader) readAll(body io.Reader, limit int64) ([]byte, error) {
+	for {
+		free, err := r.free()
+		if err != nil {
+			return nil, err
+		}
+		n, err := body.Read(free)
+		r.size += int64(n)
+		switch {
+		case r.size > limit:
+			return nil, errResponseTooLarge
+		case errors.Is(err, io.EOF):
+			return r.content(), nil
+		case err != nil:
+			return nil, err
+		}
+	}
 }
 
-// Read reads from the body. It returns errResponseTooLarge if all bodies together are too large.
-func (r *countedReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	r.counted += int64(n)
-	if !r.reading.reserve(int64(n)) {
-		return n, errResponseTooLarge
+// free returns the free part of the last block. If that is full, it adds a block.
+func (r *blockReader) free() ([]byte, error) {
+	if r.size == int64(len(r.blocks))*blockSize {
+		if !r.budget.reserve(blockSize) {
+			return nil, errResponseTooLarge
+		}
+		r.blocks = append(r.blocks, blocks.Get().(*block))
 	}
-	return n, err
+	return r.blocks[len(r.blocks)-1][r.size%blockSize:], nil
 }
 
-// readBody reads the body of a response, which may not be larger than MaxBody. A body without a length may never end, and
-// many may do so at the same time. After an error the body isn't closed, because that would read the rest of it; its
-// connection has to be closed instead.
-func (c *Client) readBody(response *http.Response) ([]byte, error) {
-	if response.ContentLength > c.config.MaxBody {
-		return nil, errResponseTooLarge
-	}
-	body, err := c.readCounted(response)
-	if err == nil && int64(len(body)) > c.config.MaxBody {
-		err = errResponseTooLarge
-	}
-	if err != nil {
-		return nil, err
+// content returns a copy of the bytes that were read.
+func (r *blockReader) content() []byte {
+	content := make([]byte, 0, r.size)
+	for _, b := range r.blocks {
+		content = append(content, b[:min(r.size-int64(len(content)), blockSize)]...)
 	}
-	return body, response.Body.Close()
+	return content
 }
 
-// readCounted reads the body of a response and counts it in readingBytes meanwhile. A body with a length counts as a whole
-// from the beginning, because its buffer has that size.
-func (c *Client) readCounted(response *http.Response) ([]byte, error) {
-	limit := c.config.MaxBody + 1
-	if length := response.ContentLength; length >= 0 {
-		defer c.reading.release(length)
-		if !c.reading.reserve(length) {
-			return nil, errResponseTooLarge
-		}
-		return ReadBody(response.Body, length, limit)
+// release returns the blocks.
+func (r *blockReader) release() {
+	for _, b := range r.blocks {
+		blocks.Put(b)
 	}
-	counted := &countedReader{Reader: response.Body, reading: &c.reading}
-	defer func() { c.reading.release(counted.counted) }()
-	return ReadBody(counted, response.ContentLength, limit)
+	r.budget.release(int64(len(r.blocks)) * blockSize)
+	r.blocks = nil
 }
 
 // ReadBody reads a body of the given length, but at most limit bytes. A negative length means that it isn't known.
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -90,7 +90,7 @@
 	transport       transport
 	tokens          atomic.Uint64
 	sent            atomic.Uint64
-	reading         readingBytes
+	budget          readingBudget
 
 	mu             sync.Mutex
 	maxConnections int
@@ -102,6 +102,7 @@
 		config.Headers = DefaultHeaders
 	}
 	c := &Client{config: config, runningRequests: runningRequests}
+	c.transport.budget = &c.budget
 	c.SetMaxConnections(defaultMaxConnections)
 	return c
 }
--- a/internal/traffic/backend/endless_test.go
+++ b/internal/traffic/backend/endless_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"runtime"
+	"runtime/debug"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -108,3 +110,80 @@
 		})
 	}
 }
+
+// Guards against a node that runs out of memory because its backend server sends all requests bytes without end, in a head or
+// in a body, or announces bodies that never arrive.
+func TestManyEndlessResponsesNeedLittleMemory(t *testing.T) {
+	const requests, maxBody, memory = 1000, 1 << 20, 184 << 20
+	previous := debug.SetMemoryLimit(memory * 60 / 100) // as a node sets it
+	defer debug.SetMemoryLimit(previous)
+	block := strings.Repeat("x", 16<<10)
+	for name, test := range map[string]struct {
+		head string
+		// parts are sent one after the other, and then again.
+		parts []string
+		// pauseAfter is after how many parts the server pauses for 500 ms, in which the memory is measured too.
+		pauseAfter int
+	}{
+		"body without length":   {"HTTP/1.1 200 OK\r\n\r\n", []string{block}, 50},
+		"chunks":                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", []string{"4000\r\n" + block + "\r\n"}, 50},
+		"body with a length":    {"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n", []string{block}, 0},
+		"part of a long body":   {"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n", []string{block}, 50},
+		"no response":           {"", []string{block[:4<<10]}, 15},
+		"header line":           {"HTTP/1.1 200 OK\r\nX-Long: ", []string{block[:4<<10]}, 15},
+		"short header lines":    {"HTTP/1.1 200 OK\r\n", headerLines(100), 60},
+		"shortest header lines": {"HTTP/1.1 200 OK\r\n", []string{strings.Repeat("a:\r\n", 1000)}, 15},
+		"informational heads":   {"HTTP/1.1 103 Early Hints\r\n\r\n", []string{"HTTP/1.1 103 Early Hints\r\n" + headerLines(1)[0] + "\r\n"}, 50},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+				if _, err := http.ReadRequest(requests); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, test.head)
+				for sent := 0; err == nil; sent++ {
+					if sent == test.pauseAfter {
+						time.Sleep(500 * time.Millisecond)
+					}
+					_, err = io.WriteString(conn, test.parts[sent%len(test.parts)])
+				}
+			})
+			client := backend.NewClient(backend.ClientConfig{MaxBody: maxBody}, call.NewRunningRequests())
+			client.SetMaxConnections(requests)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			var group conc.WaitGroup
+			for range requests {
+				group.Go(func() {
+					client.Run(ctx, backend.Target{Address: server.address}, newRequest(http.MethodGet, "", ""))
+				})
+			}
+			most := mostMemory(700 * time.Millisecond)
+			t.Logf("%d MiB", most>>20)
+			is.True(most < memory)
+			group.Wait()
+		})
+	}
+}
+
+// headerLines returns parts of 100 header lines each, all with different names.
+func headerLines(parts int) []string {
+	const linesPerPart, base = 100, 36
+	lines := make([]string, parts)
+	for n := range parts * linesPerPart {
+		lines[n/linesPerPart] += strconv.FormatInt(int64(n), base) + ":\r\n"
+	}
+	return lines
+}
+
+// mostMemory measures the memory of the process for a while, and returns the most bytes, garbage included.
+func mostMemory(duration time.Duration) uint64 {
+	var most uint64
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		most = max(most, stats.Sys-stats.HeapReleased)
+	}
+	return most
+}
--- a/internal/traffic/backend/transport.go
+++ b/internal/traffic/backend/transport.go
@@ -28,6 +28,8 @@
 // recognize the responses to earlier requests.
 type transport struct {
 	dialer dialer
+	// budget counts the memory for the responses that are being read.
+	budget *readingBudget
 
 	mu      sync.Mutex
 	address string
@@ -54,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newPersistentConn(conn), nil
+	return newPersistentConn(conn, t.budget), nil
 }
 
 // pop removes and returns the most recently used idle connection that hasn't carried the request, or nil. If all have
@@ -158,8 +160,8 @@
 	writeSucceeded bool
 }
 
-func newPersistentConn(conn net.Conn) *persistentConn {
-	header := &headerLimiter{Reader: conn}
+func newPersistentConn(conn net.Conn, budget *readingBudget) *persistentConn {
+	header := &headerLimiter{Reader: conn, budget: budget}
 	c := &persistentConn{Conn: conn, header: header, reader: bufio.NewReader(header), writer: bufio.NewWriter(conn)}
 	if s, ok := conn.(syscall.Conn); ok {
 		c.raw, _ = s.SyscallConn() // without it, isReusable only checks the idle deadline
