--- a/internal/control/platform/platform.go
+++ b/internal/control/platform/platform.go
@@ -82,7 +82,11 @@
 // NewClient returns a client of the store at the configured URL.
 func NewClient(config Config) *Client {
 	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: config.LocalIP}}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections}
+	transport := &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		MaxResponseHeaderBytes: maxResponseHeader,
+	}
 	return &Client{config: config, http: &http.Client{Transport: transport}}
 }
 
@@ -151,11 +155,21 @@
 	return decodeResponse(response, out)
 }
 
+const (
+	// maxResponseHeader limits the header of a response, in bytes.
+	maxResponseHeader = 64 << 10
+	// maxResponseBytes limits the body of a response.
+	maxResponseBytes = 32 << 20
+)
+
 func decodeResponse(response *http.Response, out any) error {
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return trace.ConnectionProblem(err, "platform: %v", err)
 	}
+	if len(body) > maxResponseBytes {
+		return trace.LimitExceeded("platform: the response has more than %d bytes", maxResponseBytes)
+	}
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotFound:
