Replies without end from another node's address need little memory

Each message was limited by DRPC to 4 MiB, with buffers of twice that and more, and their number by nothing but the connections to one node.

Change: a message is at most as large as the largest body or the routes, and 256 KiB more; and of replies beyond 64 KiB only 16 are received at once, the others wait and are not read meanwhile. A reply that is too large fails, and its place is free again. A wait ends when the request is given up, because that closes the connection.

What other nodes send as requests is limited for each message, not together.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -296,7 +296,7 @@
 		return
 	}
 	handler := peer.NewHandler(parts.CountRPCs(&n.traffic.inFlight, mux), nil)
-	server := drpcserver.NewWithOptions(handler, parts.PeerServerOptions(n.config.Settings, n.limiter))
+	server := drpcserver.NewWithOptions(handler, parts.PeerServerOptions(n.config.Settings, 0, n.limiter))
 	_ = server.Serve(ctx, n.listeners.peer)
 }
 
--- a/internal/process/parts/serve.go
+++ b/internal/process/parts/serve.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
@@ -66,11 +67,12 @@
 	return len(line), nil
 }
 
-// PeerServerOptions returns the options of the server for other nodes. ManualFlush sends each response together with
-// the end of its RPC.
-func PeerServerOptions(s *settings.Settings, limiter *events.Limiter) drpcserver.Options {
+// PeerServerOptions returns the options of the server for other nodes. maxMessage is the maximum size of a message in bytes;
+// 0 for the default of DRPC. ManualFlush sends each response together with the end of its RPC.
+func PeerServerOptions(s *settings.Settings, maxMessage int, limiter *events.Limiter) drpcserver.Options {
 	return drpcserver.Options{
 		Manager: drpcmanager.Options{
+			Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
 			InactivityTimeout: s.Peer.IdleTimeout,
 			Stream:            drpcstream.Options{ManualFlush: true},
 		},
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -180,6 +180,7 @@
 	n.gate = backend.NewGate(gate)
 	pool := parts.PoolConfig(s)
 	pool.Compressor = n.compressor
+	pool.MaxMessage = maxMessage(s)
 	n.pool = peer.NewPool(pool)
 	n.peerClient = peer.NewClient(peer.ClientConfig{Pool: n.pool, Node: s.Node.Name, Versions: n.routes})
 	client := backend.NewClient(backend.ClientConfig{
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/settings"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/drain"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/parts"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
@@ -132,6 +133,18 @@
 	}
 }
 
+const (
+	// maxRoutesBytes is the maximum size of the routes in the store, in bytes.
+	maxRoutesBytes = 1 << 20
+	// messageOverhead is the maximum size of what a message between nodes holds beside a body or the routes, in bytes.
+	messageOverhead = 256 << 10
+)
+
+// maxMessage returns the maximum size of a message between nodes, in bytes.
+func maxMessage(s *settings.Settings) int {
+	return max(int(s.Caller.MaxBody), maxRoutesBytes) + messageOverhead
+}
+
 func (n *Node) servePeers(ctx context.Context) {
 	mux := drpcmux.New()
 	err := peerpb.DRPCRegisterPeer(mux, peer.NewServer(peer.ServerConfig{
@@ -148,7 +161,7 @@
 		return
 	}
 	handler := peer.NewHandler(parts.CountRPCs(&n.traffic.peerRequests, mux), n.compressor)
-	server := drpcserver.NewWithOptions(handler, parts.PeerServerOptions(n.config.Settings, n.limiter))
+	server := drpcserver.NewWithOptions(handler, parts.PeerServerOptions(n.config.Settings, maxMessage(n.config.Settings), n.limiter))
 	_ = server.Serve(ctx, n.listeners.peer)
 }
 
--- a/internal/traffic/peer/pool.go
+++ b/internal/traffic/peer/pool.go
@@ -10,6 +10,8 @@
 	"github.com/gravitational/trace"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
 )
 
 // PoolConfig configures a Pool.
@@ -23,11 +25,14 @@
 	LocalIP net.IP
 	// Compressor compresses messages; nil disables compression.
 	Compressor *Compressor
+	// MaxMessage is the maximum size of a message in bytes; 0 for the default of DRPC.
+	MaxMessage int
 }
 
 // Pool keeps DRPC connections to other nodes. A connection carries one RPC at a time.
 type Pool struct {
-	config PoolConfig
+	config       PoolConfig
+	largeReplies *largeReplies
 
 	mu    sync.Mutex
 	peers map[string]*peerConns
@@ -35,7 +40,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(config PoolConfig) *Pool {
-	return &Pool{config: config, peers: map[string]*peerConns{}}
+	return &Pool{config: config, largeReplies: newLargeReplies(), peers: map[string]*peerConns{}}
 }
 
 // peerConns holds the pooled connections to one node.
@@ -263,7 +268,10 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "dial %s: %v", address, err)
 	}
-	return drpcconn.New(&closeDelayer{Conn: conn}), nil
+	limiter := newReplyLimiter(&closeDelayer{Conn: conn}, p.largeReplies)
+	return drpcconn.NewWithOptions(limiter, drpcconn.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: p.config.MaxMessage},
+	}}), nil
 }
 
 func isClosed(conn *drpcconn.Conn) bool {
