Heads of announcements are limited to the size of those of callers

TestEndlessHeadOfAnAnnouncementIsRefused failed before (a head of 256 KiB was read and handled) and passes now, 3 of 3: 64 KiB, as for callers. The body was limited before.

--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -220,6 +220,7 @@
 func (n *Node) newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
+		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: n.config.Settings.Caller.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          parts.NewHTTPLogger(n.limiter),
