Soak: callers that share a deadline

Now a further stream of callers sends four requests for one user, each with what is left of the user's time, with a random sequence of its own, so that kept seeds play as before.

--- a/cmd/hoistlab/soak.go
+++ b/cmd/hoistlab/soak.go
@@ -28,7 +28,7 @@
 		ShortHelp:  "run nodes that follow routes under injected faults, and check the guarantees to callers and backend servers",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
-			config := soak.Config{Duration: *duration, LaterFaults: true, RepeatFaults: true, SilentFaults: true, Instances: *instances, Rate: *rate, Output: os.Stderr}
+			config := soak.Config{Duration: *duration, LaterFaults: true, RepeatFaults: true, SilentFaults: true, SharedDeadlines: true, Instances: *instances, Rate: *rate, Output: os.Stderr}
 			return runSoak(ctx, config, *seed, *seeds, *logDirectory)
 		},
 	}
