Replies wait for permits, not slots

A slot is the place of a request in flight under the limit of a gate (docs/GLOSSARY.md). Names and comments of largereplies.go only; the tests of the package pass.

--- a/internal/traffic/peer/largereplies.go
+++ b/internal/traffic/peer/largereplies.go
@@ -15,22 +15,22 @@
 
 // largeReplies limits how many large replies are received at once, so that little memory is needed whatever other nodes send.
 type largeReplies struct {
-	slots chan struct{}
+	permits chan struct{}
 }
 
 func newLargeReplies() *largeReplies {
-	return &largeReplies{slots: make(chan struct{}, maxLargeReplies)}
+	return &largeReplies{permits: make(chan struct{}, maxLargeReplies)}
 }
 
-// replyLimiter is a connection to another node on which large replies wait for a slot. While a reply waits, nothing is read,
+// replyLimiter is a connection to another node on which large replies wait for a permit. While a reply waits, nothing is read,
 // so that the other node stops sending.
 type replyLimiter struct {
 	net.Conn
 	replies *largeReplies
 
-	// received is the number of bytes since the last write, and hasSlot whether the reply has a slot.
-	received atomic.Int64
-	hasSlot  atomic.Bool
+	// received is the number of bytes since the last write, and hasPermit whether the reply has a permit.
+	received  atomic.Int64
+	hasPermit atomic.Bool
 	// closed is closed with the connection.
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -40,9 +40,9 @@
 	return &replyLimiter{Conn: conn, replies: replies, closed: make(chan struct{})}
 }
 
-// Read reads from the connection. It waits until the reply, if it is large, has a slot.
+// Read reads from the connection. It waits until the reply, if it is large, has a permit.
 func (l *replyLimiter) Read(p []byte) (int, error) {
-	if l.received.Load() >= smallReplyBytes && !l.hasSlot.Load() && !l.waitForSlot() {
+	if l.received.Load() >= smallReplyBytes && !l.hasPermit.Load() && !l.waitForPermit() {
 		return 0, net.ErrClosed
 	}
 	n, err := l.Conn.Read(p)
@@ -50,39 +50,39 @@
 	return n, err
 }
 
-// waitForSlot waits for a slot. It reports false if the connection is closed.
-func (l *replyLimiter) waitForSlot() bool {
+// waitForPermit waits for a permit. It reports false if the connection is closed.
+func (l *replyLimiter) waitForPermit() bool {
 	select {
-	case l.replies.slots <- struct{}{}:
-		l.hasSlot.Store(true)
+	case l.replies.permits <- struct{}{}:
+		l.hasPermit.Store(true)
 	case <-l.closed:
 		return false
 	}
 	select {
 	case <-l.closed:
-		l.releaseSlot()
+		l.releasePermit()
 		return false
 	default:
 		return true
 	}
 }
 
-func (l *replyLimiter) releaseSlot() {
-	if l.hasSlot.CompareAndSwap(true, false) {
-		<-l.replies.slots
+func (l *replyLimiter) releasePermit() {
+	if l.hasPermit.CompareAndSwap(true, false) {
+		<-l.replies.permits
 	}
 }
 
 // Write writes to the connection. A node writes when an RPC begins or has ended, so the reply before has been received.
 func (l *replyLimiter) Write(p []byte) (int, error) {
 	l.received.Store(0)
-	l.releaseSlot()
+	l.releasePermit()
 	return l.Conn.Write(p)
 }
 
 // Close closes the connection.
 func (l *replyLimiter) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
-	l.releaseSlot()
+	l.releasePermit()
 	return l.Conn.Close()
 }
