--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -47,7 +47,9 @@
 	network   string
 	machines  []*machine
 	version   uint64
-	changed   sync.Mutex
+	// maxBodyBytes is the operator's limit on the size of a body.
+	maxBodyBytes int
+	changed      sync.Mutex
 }
 
 // machine is a node process and the address of the backend server beside it.
@@ -73,7 +75,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	d := &deployment{network: network, ctx: ctx, cancel: cancel, record: r, store: kv.New(), program: program, directory: directory}
+	d := &deployment{network: network, maxBodyBytes: 64 << 10, ctx: ctx, cancel: cancel, record: r, store: kv.New(), program: program, directory: directory}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -245,7 +247,7 @@
 	}
 	value, err := json.Marshal(map[string]any{
 		"version": d.version, "routes": routes, "services": list,
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout": "3000ms", "idle-timeout": "15000ms"},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": d.maxBodyBytes, "header-timeout": "3000ms", "idle-timeout": "15000ms"},
 	})
 	if err != nil {
 		return err
