--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -10,7 +10,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -100,13 +99,6 @@
 	return passedOn > maxLost, nil
 }
 
-// lostRequests holds the ids of the requests that were sent whole on a connection that had carried others before, or was to
-// carry more, and that ended without an answer.
-type lostRequests struct {
-	mu  sync.Mutex
-	ids []string
-}
-
 // upload sends bookings with a document on one connection, in chunks, until the connection or the context ends.
 func (m *machine) upload(ctx context.Context, lost *lostRequests) {
 	conn, err := net.DialTimeout("tcp", m.outbound, time.Second)
@@ -138,9 +130,7 @@
 		}
 		if err != nil {
 			m.d.record.printf("client got no whole answer to %s: %v", id, err)
-			lost.mu.Lock()
-			lost.ids = append(lost.ids, id)
-			lost.mu.Unlock()
+			lost.add(id)
 			return
 		}
 		m.d.record.printf("client got %d for %s", response.StatusCode, id)
--- a/review/standin2/upstream.go
+++ b/review/standin2/upstream.go
@@ -43,6 +43,8 @@
 	slots int
 	// work returns how long a request takes, and whether it crashes the upstream.
 	work func(r *http.Request) (time.Duration, bool)
+	// padding follows the text of each answer.
+	padding string
 
 	mu       sync.Mutex
 	id       string
@@ -207,7 +209,7 @@
 	_, _ = io.WriteString(h, text)
 	w.Header().Set(signatureHeader, strconv.FormatUint(h.Sum64(), 16))
 	w.WriteHeader(status)
-	_, _ = io.WriteString(w, text)
+	_, _ = io.WriteString(w, text+u.padding) // an error means that the node has closed the connection
 	u.m.d.record.printf("upstream %s ends %s with %d", id, a.id, status)
 }
 
