--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -232,8 +232,16 @@
 	Timeout     string `json:"timeout"`
 	Target      string `json:"target-latency"`
 	Priority    int    `json:"priority"`
-	Service     string `json:"service"`
+	Service     string `json:"service,omitempty"`
 	MaxAttempts int    `json:"max-attempts"`
+	// Clusters stands instead of Service on a route that is split.
+	Clusters []cluster `json:"weighted-clusters,omitempty"`
+}
+
+// cluster is a service to which a part of a route's requests goes.
+type cluster struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // configure writes the next version of the configuration.
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	standin2 -case departure -node target/comfreyhoist -record record.txt
+//	standin2 -case pipeline -node target/comfreyhoist -record record.txt
 //
 // It exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case couldn't run. With TROUBLE=0 in the
 // environment it leaves the disruption out.
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -48,7 +48,10 @@
 		upstreams = append(upstreams, u)
 	}
 	d.maxBodyBytes = 1 << 20
-	err := d.configure([]route{{"orders", "orders.example", "/orders/", "non_idempotent", "4500ms", "4000ms", 2, "bookings", 2}}, "bookings", "crews")
+	err := d.configure([]route{{
+		Name: "orders", Host: "orders.example", Prefix: "/orders/", Kind: "non_idempotent", Timeout: "4500ms", Target: "4000ms", Priority: 2,
+		Service: "bookings", MaxAttempts: 2,
+	}}, "bookings", "crews")
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/pipeline.go
+++ b/review/standin2/pipeline.go
@@ -43,7 +43,10 @@
 		u.padding = strings.Repeat("x", answerBytes)
 		upstreams = append(upstreams, u)
 	}
-	err := d.configure([]route{{"browse", "browse.example", "/browse/", "safe", "3000ms", "1500ms", 1, "archive", 2}}, "archive", "crews")
+	err := d.configure([]route{{
+		Name: "browse", Host: "browse.example", Prefix: "/browse/", Kind: "safe", Timeout: "3000ms", Target: "1500ms", Priority: 1,
+		Service: "archive", MaxAttempts: 2,
+	}}, "archive", "crews")
 	if err != nil {
 		return false, err
 	}
