--- a/review/standin2/poison.go
+++ b/review/standin2/poison.go
@@ -17,11 +17,15 @@
 const (
 	// backAfter is the time from the crash of an upstream to its next start.
 	backAfter = 2500 * time.Millisecond
-	// poisonInterval is the time between two attempts of the client whose request crashes upstreams.
-	poisonInterval = 4 * time.Second
+	// poisonInterval is the time between two attempts of the client whose request crashes upstreams. On the split route, which
+	// nothing else disturbs, it is splitInterval.
+	poisonInterval = 3 * time.Second
+	splitInterval  = 4 * time.Second
 	poisonPath     = "/sheets/bad"
 	// playTime is how long requests are sent.
 	playTime = 85 * time.Second
+	// rounds is how often all nodes beside the upstreams are stopped and started in turn.
+	rounds = 3
 	// maxPoisonRetries is how many retries may reach upstreams after the third crash.
 	maxPoisonRetries = 3
 )
@@ -86,8 +90,8 @@
 	return err
 }
 
-// send sends bookings and, if poison is true, the request that crashes upstreams, to the last machine until playTime has passed.
-func (p *poisoned) send(ctx context.Context, poison bool) {
+// send sends bookings, and lookups of the path at intervals, to the last machine until playTime has passed.
+func (p *poisoned) send(ctx context.Context, path string, interval time.Duration) {
 	entry := p.d.machines[len(p.d.machines)-1]
 	p.begun = time.Now()
 	p.clients.Go(func() {
@@ -97,12 +101,8 @@
 			p.clients.Go(func() { p.d.do(ctx, entry, r) })
 		}
 	})
-	path := poisonPath
-	if !poison {
-		path = "/sheets/good"
-	}
 	p.clients.Go(func() {
-		for time.Since(p.begun) < playTime && sleep(ctx, poisonInterval) {
+		for time.Since(p.begun) < playTime && sleep(ctx, interval) {
 			p.d.do(ctx, entry, &request{method: http.MethodGet, host: "sheets.example", path: path, budget: 3 * time.Second})
 		}
 	})
@@ -157,13 +157,13 @@
 	Service: "bookings", MaxAttempts: 2,
 }
 
-// playPoison stops and starts the nodes one after the other, twice, after the third crash.
+// playPoison stops and starts the nodes one after the other, again and again, after the third crash.
 func playPoison(ctx context.Context, d *deployment, trouble bool) (bool, error) {
 	p, err := startPoisoned(ctx, d, []route{sheets, orders}, "bookings", "bookings", "bookings")
 	if err != nil {
 		return false, err
 	}
-	p.send(ctx, true)
+	p.send(ctx, poisonPath, poisonInterval)
 	for {
 		if _, ok := p.third(); ok || !sleep(ctx, 50*time.Millisecond) {
 			break
@@ -171,7 +171,7 @@
 	}
 	d.record.printf("third crash")
 	disturbances := map[*machine][]time.Time{}
-	for round := 0; trouble && round < 2; round++ {
+	for round := 0; trouble && round < rounds; round++ {
 		sleep(ctx, 5*time.Second)
 		for _, m := range d.machines[:3] {
 			disturbances[m] = append(disturbances[m], time.Now())
@@ -181,7 +181,6 @@
 			disturbances[m] = append(disturbances[m], time.Now())
 			sleep(ctx, time.Second)
 		}
-		sleep(ctx, 10*time.Second)
 	}
 	return p.isBroken(ctx, disturbances), nil
 }
@@ -195,7 +194,11 @@
 	if err != nil {
 		return false, err
 	}
-	p.send(ctx, trouble)
+	path := poisonPath
+	if !trouble {
+		path = "/sheets/good"
+	}
+	p.send(ctx, path, splitInterval)
 	return p.isBroken(ctx, nil), nil
 }
 
