A response whose connection is reset while the request is written is not whole

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a whole answer, with the backend server's signature. In the same way a refusal ("not run", 421) that was reset in its body was believed.

Cause: the error of a reset is given out once, to whichever system call on the socket comes first. A request from 16 KiB on is written by a goroutine of its own, beside the one that reads the response. When the write meets the reset first, it takes the error, and the read only sees the end of the stream, which ends a body without a length. The error of the write was dropped, with the remark that the read reports the failure. With a length or chunks the end of the stream comes too early, so these were always noticed; so were small requests, whose write has ended before the response is read.

Change: the end of a body without a length counts only if the write has not taken the error of a reset. The write is broken off and its error is looked at: none, or the break-off itself, means that the read saw all there was; EPIPE means that the end of the stream came before the reset; anything else is a reset. Request.Write hides errors of the connection in one of its own, so the error is that of the flush.

--- /dev/null
+++ b/internal/process/routed/broken_test.go
@@ -0,0 +1,120 @@
+package routed_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// idPlaceholder stands for the ID of the request in the response to it.
+const idPlaceholder = "{id}"
+
+// signedHead begins a response with the status that the backend server signs. Further lines and an empty line follow.
+func signedHead(status string) string {
+	return "HTTP/1.1 " + status + "\r\nSignature: s\r\nRequest-Name: " + idPlaceholder + "\r\n"
+}
+
+// hijack returns a handler that reads no body and writes the response as it is. Then it resets the connection or reads on. It
+// calls count for each request.
+func hijack(count func(), response string, resets bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		count()
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, strings.ReplaceAll(response, idPlaceholder, r.Header.Get("Request-Name")))
+		if resets {
+			time.Sleep(time.Millisecond) // the response is under way, and the request is being written
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
+// post sends a request with a body of the given size on a connection of its own, and returns all bytes that the node responds.
+func (n *testNode) post(t *testing.T, host string, size int) (*http.Response, string) {
+	is := is.New(t)
+	conn, err := net.Dial("tcp", n.settings.Caller.Address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
+	id := fmt.Sprintf("r%d", requestNumber.Add(1))
+	_, err = fmt.Fprintf(conn, "POST /upload/%s HTTP/1.1\r\nHost: %s\r\nRequest-Name: %s\r\nTime-Left: 5000\r\nContent-Length: %d\r\n\r\n%s", id, host, id, size, strings.Repeat("u", size))
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return response, string(body)
+}
+
+// Guards against an incident: a caller got a part of a response as a whole one, or a response that is none. Backend servers in
+// trouble answer uploads before they have read them. The caller must be told promptly that the request may have run, and a
+// request that may run once must not be sent again.
+func TestBrokenResponsesDoNotReachCallers(t *testing.T) {
+	const (
+		upload   = 3 << 20 // bytes; more than the sockets take
+		promptly = time.Second
+		plays    = 8
+	)
+	part := strings.Repeat("p", 128<<10)
+	for name, test := range map[string]struct {
+		response string
+		resets   bool
+	}{
+		"reset, without length": {signedHead("200 OK") + "\r\n" + part, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var mu sync.Mutex
+			received := 0
+			handler := hijack(func() {
+				mu.Lock()
+				defer mu.Unlock()
+				received++
+			}, test.response, test.resets)
+			f := newFleet(t, twoServices(1))
+			f.flags = []string{"-caller.max_body", strconv.Itoa(upload)}
+			crew := f.add(t, "zone_1", "crew", handler)
+			f.add(t, "zone_1", "bookings", handler)
+			f.add(t, "zone_1", "bookings", handler)
+			f.waitReady(t)
+			failed := 0
+			for range plays {
+				begin := time.Now()
+				response, body := crew.post(t, "deposits.example", upload)
+				is.True(time.Since(begin) < promptly)
+				is.Equal(response.Header.Get("Signature"), "")
+				is.True(!strings.Contains(body, "bad") && !strings.Contains(body, part[:10]))
+				if response.StatusCode == http.StatusServiceUnavailable { // the node has seen connections break
+					is.Equal(response.Header.Get("Comfreyhoist-Outcome"), "not_run")
+				} else {
+					failed++
+					is.Equal(response.StatusCode, http.StatusBadGateway)
+					is.Equal(response.Header.Get("Comfreyhoist-Outcome"), "unknown")
+					is.Equal(response.Header.Get("Comfreyhoist-Reason"), "backend_failed")
+				}
+				mu.Lock()
+				is.Equal(received, failed) // each reached one backend server once, or none
+				mu.Unlock()
+				time.Sleep(300 * time.Millisecond) // the node finds out that its backend server accepts connections
+			}
+			is.True(failed > plays/2)
+			response, _ := crew.post(t, "sheets.example", upload)
+			is.True(response.StatusCode >= http.StatusInternalServerError)
+			is.Equal(response.Header.Get("Signature"), "")
+		})
+	}
+}
--- a/internal/process/routed/fleet_test.go
+++ b/internal/process/routed/fleet_test.go
@@ -50,8 +50,10 @@
 	store *kv.Store
 	// stopGrace is the grace time of the nodes that are started.
 	stopGrace time.Duration
-	group     conc.WaitGroup
-	nodes     []*testNode
+	// flags are further flags of the nodes that are added.
+	flags []string
+	group conc.WaitGroup
+	nodes []*testNode
 }
 
 // testNode holds one node and its backend server.
@@ -133,12 +135,12 @@
 func (f *fleet) add(tb testing.TB, zone, service string, handler http.HandlerFunc) *testNode {
 	flags, ip := flag.NewFlagSet("node", flag.ContinueOnError), nextIP()
 	s := settings.Register(flags)
-	is.New(tb).NoErr(s.Parse(flags, []string{
+	is.New(tb).NoErr(s.Parse(flags, append([]string{
 		"-node.name", fmt.Sprintf("node_%d", len(f.nodes)+1), "-node.zone", zone, "-node.zones", zone, "-node.service", service,
 		"-caller.address", net.JoinHostPort(ip, callerPort), "-peer.address", net.JoinHostPort(ip, peerPort),
 		"-backend.address", net.JoinHostPort(ip, backendPort), "-ready.address", net.JoinHostPort(ip, readyPort),
 		"-platform.url", "http://127.0.0.1:1", "-platform.source", settings.SourceRoutes,
-	}))
+	}, f.flags...)))
 	is.New(tb).NoErr(s.Check())
 	n := &testNode{settings: s, log: &syncBuffer{}, service: service}
 	n.started.Store(1)
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -289,6 +289,9 @@
 			c.reportStatement(target, response, sentAt)
 		}
 		body, err := c.readBody(response)
+		if err == nil && endsWithStream(response) {
+			err = conn.checkEndOfStream()
+		}
 		switch {
 		case isStale && err == nil && !isFirst && staleCount < maxStaleResponses:
 			continue
--- a/internal/traffic/backend/transport.go
+++ b/internal/traffic/backend/transport.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -154,10 +157,9 @@
 	// current idle period ends.
 	idleTimeout  time.Duration
 	idleDeadline time.Time
-	// written is closed when the write of the current request has ended. writeSucceeded then reports whether it
-	// succeeded.
-	written        chan struct{}
-	writeSucceeded bool
+	// written is closed when the write of the current request has ended. writeErr is then its error.
+	written  chan struct{}
+	writeErr error
 }
 
 func newPersistentConn(conn net.Conn, budget *readingBudget) *persistentConn {
@@ -190,25 +192,24 @@
 
 // send writes the request. A request with a body of at least asyncWriteSize bytes is written in the background.
 func (c *persistentConn) send(t *transport, request *http.Request) error {
-	c.written, c.writeSucceeded = make(chan struct{}), false
+	c.written, c.writeErr = make(chan struct{}), nil
 	if request.ContentLength < asyncWriteSize {
 		defer close(c.written)
 		return c.write(request)
 	}
 	t.dialer.group.Go(func() {
 		defer close(c.written)
-		_ = c.write(request) // the read of the response reports the failure
+		_ = c.write(request) // checkEndOfStream looks at the error where it matters
 	})
 	return nil
 }
 
 func (c *persistentConn) write(request *http.Request) error {
-	err := request.Write(c.writer)
-	if err == nil {
-		err = c.writer.Flush()
+	c.writeErr = request.Write(c.writer)
+	if err := c.writer.Flush(); err != nil {
+		c.writeErr = err // the error of the connection itself, which Write hides
 	}
-	c.writeSucceeded = err == nil
-	return err
+	return c.writeErr
 }
 
 // receive reads the header of the next response that isn't informational. It returns errHeaderTooLarge for a header
@@ -237,7 +238,25 @@
 		return false // the backend server responded before it read the whole request
 	}
 	c.idleDeadline = now.Add(c.idleTimeout)
-	return c.writeSucceeded && !response.Close && c.reader.Buffered() == 0 && !c.carried.isFull()
+	return c.writeErr == nil && !response.Close && c.reader.Buffered() == 0 && !c.carried.isFull()
+}
+
+// errReset is returned for a response whose end can't be told from a reset of its connection.
+var errReset = errors.New("connection was reset before the response ended")
+
+// checkEndOfStream returns errReset unless the end of the stream that was read is known to come from the backend server. After
+// a reset, either the read or the write of the request gets the error, and the other one only sees a stream that has ended.
+// The write is broken off if it still goes on.
+func (c *persistentConn) checkEndOfStream() error {
+	_ = c.SetWriteDeadline(time.Now())
+	<-c.written
+	switch {
+	case c.writeErr == nil, errors.Is(c.writeErr, os.ErrDeadlineExceeded):
+		return nil // the write met no reset
+	case errors.Is(c.writeErr, syscall.EPIPE):
+		return nil // the reset came after the end of the stream
+	}
+	return fmt.Errorf("%w: %w", errReset, c.writeErr)
 }
 
 // parseIdleTimeout returns how long an idle connection is kept: idleMargin less than the timeout in the Keep-Alive
