A response whose status line is none of HTTP/1 is no response

What callers saw: never status 000 itself, because the caller's side refuses statuses below 200. But they got the text behind it as the answer, where that text looked like one, and waited until their deadline where it did not come: 504 after 2 s, a slot held meanwhile. A 101 was refused to the caller, but its connection carried the next request. A status line of HTTP/2.0 or HTTP/0.9 was an answer.

Cause: every status below 200 was taken for an informational head, which another one follows. net/http takes any three characters that convert to a number of 0 or more for a status: 000, 099, +20, -00; and any version.

Change: receive checks the status line before it asks whether the head is informational. An error there ends the exchange like any other: the request may have run, its connection is closed.

Statuses from 600 to 999 have three digits and are passed on as before.

--- a/internal/traffic/backend/transport.go
+++ b/internal/traffic/backend/transport.go
@@ -213,7 +213,7 @@
 }
 
 // receive reads the header of the next response that isn't informational. It returns errHeaderTooLarge for a header
-// without end.
+// without end, and errMalformed for one that is none of HTTP.
 func (c *persistentConn) receive(request *http.Request) (*http.Response, error) {
 	c.header.begin(c.reader.Buffered())
 	defer c.header.end()
@@ -222,7 +222,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if err := checkStatusLine(response); err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
 			c.idleTimeout = parseIdleTimeout(response.Header.Get("Keep-Alive"))
 			return response, nil
 		}
