A response with a field whose name is none is no response

What callers saw: - with a blank before the name, an answer: the line was joined to the value of the field before it, and passed on with that; - with a blank before the colon of the length or the coding, or a blank before the name of the length: 504 at their deadline, or, where the backend server ended the connection, the bytes up to there as the body, chunk sizes included (refused at the caller's side then); - with a blank inside any other name: 502 "corrupt", as if an answer between nodes was damaged. The node beside the backend server took the response for sound: it counted as a success, a refusal in it ("not run", 421) was believed, so the request could be sent elsewhere, and the connection carried the next request. Names with control bytes, other bytes that can't stand there, or none were refused already; they keep their tests.

Cause: net/http accepts blanks in names on purpose, and joins lines that begin with a blank. Only the node next to the caller looked at the names, and only there and after the parser had decided what the body is.

Change: while the bytes of a head are read, the names of its fields are checked, informational heads included, and no further byte is handed to the parser after a fault. RFC 9112 asks a gateway to refuse blanks before a colon (5.1), and allows a 502 for a line that is continued (5.2). Names in a trailer are checked when it has been read.

--- a/internal/process/routed/broken_test.go
+++ b/internal/process/routed/broken_test.go
@@ -78,6 +78,12 @@
 		"status 000":                           {signedHead("000") + "Content-Length: 3\r\n\r\nbad", false},
 		"status 000 without body":              {signedHead("000") + "\r\n", false},
 		"status 000 with a response as a body": {signedHead("000") + "\r\n" + signedHead("200 OK") + "Content-Length: 3\r\n\r\nbad", false},
+		"blank in a name":                      {signedHead("200 OK") + "X Bad: 1\r\nContent-Length: 3\r\n\r\nbad", false},
+		"blank behind a name":                  {signedHead("200 OK") + "X-Bad : 1\r\nContent-Length: 3\r\n\r\nbad", false},
+		"blank before a name":                  {signedHead("200 OK") + "X-Good: 1\r\n X-Bad: 1\r\nContent-Length: 3\r\n\r\nbad", false},
+		"blank behind the name of the length":  {signedHead("200 OK") + "Content-Length : 3\r\n\r\nbad", false},
+		"blank behind the name of the coding":  {signedHead("200 OK") + "Transfer-Encoding : chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n", false},
+		"control byte in a name":               {signedHead("200 OK") + "X-\x01Bad: 1\r\nContent-Length: 3\r\n\r\nbad", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -289,8 +289,8 @@
 			c.reportStatement(target, response, sentAt)
 		}
 		body, err := c.readBody(response)
-		if err == nil && endsWithStream(response) {
-			err = conn.checkEndOfStream()
+		if err == nil {
+			err = conn.checkEnd(response)
 		}
 		switch {
 		case isStale && err == nil && !isFirst && staleCount < maxStaleResponses:
--- a/internal/traffic/backend/malformed_test.go
+++ b/internal/traffic/backend/malformed_test.go
@@ -1,9 +1,17 @@
 package backend_test
 
 import (
+	"bufio"
 	"net"
+	"regexp"
 	"strings"
+	"sync/atomic"
 	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
 // idPlaceholder stands for the ID of the request in the response to it.
@@ -44,3 +52,120 @@
 		t.Run(name, func(t *testing.T) { checkNoResponse(t, text) })
 	}
 }
+
+// Guards against a field whose name is none: its line was passed on to the caller, or a length or a coding that the backend server
+// meant was not seen, so that the caller got another body, and a claim that the request has not run was believed.
+func TestResponseWithABrokenFieldNameIsNone(t *testing.T) {
+	const good = "Content-Length: 4\r\n\r\ngood"
+	refused := "HTTP/1.1 503 Service Unavailable\r\n" + idLine(idPlaceholder) + "Not-Run: 1\r\n"
+	for name, text := range map[string]string{
+		"blank inside":                          head(idPlaceholder) + "X Bad: 1\r\n" + good,
+		"blank before the colon":                head(idPlaceholder) + "X-Bad : 1\r\n" + good,
+		"blank before the colon of the length":  head(idPlaceholder) + "Content-Length : 4\r\n\r\ngood",
+		"blank before the colon of the coding":  head(idPlaceholder) + "Transfer-Encoding : chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+		"blank before the colon of Connection":  head(idPlaceholder) + "Connection : close\r\n" + good,
+		"blank before the name":                 head(idPlaceholder) + "X-Good: 1\r\n X-Bad: 1\r\n" + good,
+		"tab before the name":                   head(idPlaceholder) + "X-Good: 1\r\n\tX-Bad: 1\r\n" + good,
+		"blank before the first name":           "HTTP/1.1 200 OK\r\n X-Bad: 1\r\n" + idLine(idPlaceholder) + "Signature: s\r\n" + good,
+		"blank before the name of the length":   head(idPlaceholder) + "X-Good: 1\r\n Content-Length: 4\r\n\r\ngood",
+		"line of a blank":                       head(idPlaceholder) + " \r\n" + good,
+		"line of a blank before a second head":  head(idPlaceholder) + " \r\n" + head(idPlaceholder) + good,
+		"tab inside":                            head(idPlaceholder) + "X\tBad: 1\r\n" + good,
+		"tab before the colon":                  head(idPlaceholder) + "X-Bad\t: 1\r\n" + good,
+		"control byte inside":                   head(idPlaceholder) + "X-\x01Bad: 1\r\n" + good,
+		"NUL inside":                            head(idPlaceholder) + "X-\x00Bad: 1\r\n" + good,
+		"delete inside":                         head(idPlaceholder) + "X-\x7fBad: 1\r\n" + good,
+		"carriage return inside":                head(idPlaceholder) + "X-\rBad: 1\r\n" + good,
+		"carriage return before the name":       head(idPlaceholder) + "\rX-Bad: 1\r\n" + good,
+		"line feed inside":                      head(idPlaceholder) + "X-\nBad: 1\r\n" + good,
+		"byte above ASCII":                      head(idPlaceholder) + "X-B\xe4d: 1\r\n" + good,
+		"no name":                               head(idPlaceholder) + ": 1\r\n" + good,
+		"no colon":                              head(idPlaceholder) + "X-Bad\r\n" + good,
+		"control byte in a value":               head(idPlaceholder) + "X-Bad: \x01\r\n" + good,
+		"carriage return in a value":            head(idPlaceholder) + "X-Bad: a\rb\r\n" + good,
+		"in an informational head":              "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\n" + head(idPlaceholder) + good,
+		"before the name, informational head":   "HTTP/1.1 103 Early Hints\r\nX-Good: 1\r\n X-Bad: 1\r\n\r\n" + head(idPlaceholder) + good,
+		"behind an informational head":          "HTTP/1.1 103 Early Hints\r\n\r\n" + head(idPlaceholder) + "X Bad: 1\r\n" + good,
+		"in a refusal":                          refused + "X Bad: 1\r\n" + good,
+		"before the name, in a refusal":         refused + "X-Good: 1\r\n X-Bad: 1\r\n" + good,
+		"behind the name of the refusal":        "HTTP/1.1 421 Misdirected Request\r\n" + idLine(idPlaceholder) + "X-Bad : 1\r\n" + good,
+		"in a trailer":                          head(idPlaceholder) + "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\nX Bad: 1\r\n\r\n",
+		"behind many good ones":                 head(idPlaceholder) + strings.Repeat("X-Good: "+strings.Repeat("g", 90)+"\r\n", 200) + "X Bad: 1\r\n" + good,
+		"cut, and the rest of the head missing": head(idPlaceholder) + "X Bad: 1\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkNoResponse(t, text) })
+	}
+}
+
+// Guards against a sound response that is refused because it is unusual.
+func TestUnusualResponsesAreReturned(t *testing.T) {
+	const good = "Content-Length: 4\r\n\r\ngood"
+	for name, text := range map[string]string{
+		"no reason phrase":               strings.Replace(head(idPlaceholder), " OK", "", 1) + good,
+		"latin-1 in the reason phrase":   strings.Replace(head(idPlaceholder), "OK", "gr\xfcn", 1) + good,
+		"all characters of a name":       head(idPlaceholder) + "!#$%&'*+-.^_`|~09azAZ: 1\r\n" + good,
+		"name of one digit":              head(idPlaceholder) + "0: 1\r\n" + good,
+		"lower-case names":               strings.ToLower(head(idPlaceholder)[17:]) + good,
+		"empty value":                    head(idPlaceholder) + "X-Empty:\r\n" + good,
+		"value of blanks":                head(idPlaceholder) + "X-Blank: \t \r\n" + good,
+		"colons, blanks, tab in a value": head(idPlaceholder) + "X-Value:a: b\tc :d\r\n" + good,
+		"latin-1 in a value":             head(idPlaceholder) + "X-Value: gr\xfcn\r\n" + good,
+		"lines that end with line feeds": strings.ReplaceAll(head(idPlaceholder)+"Content-Length: 4\r\n\r\n", "\r\n", "\n") + "good",
+		"informational heads":            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + head(idPlaceholder) + good,
+		"chunks with extension, trailer": head(idPlaceholder) + "Transfer-Encoding: Chunked\r\n\r\n2;a=b\r\ngo\r\n2\r\nod\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"a long head":                    head(idPlaceholder) + strings.Repeat("X-Good: "+strings.Repeat("g", 90)+"\r\n", 200) + good,
+		"the same length twice":          head(idPlaceholder) + "Content-Length: 4\r\n" + good,
+		"version 1.0":                    strings.Replace(head(idPlaceholder), "1.1", "1.0", 1) + good,
+	} {
+		t.Run(name, func(t *testing.T) {
+			if !strings.HasPrefix(text, "HTTP/") {
+				text = "HTTP/1.1 200 OK\r\n" + text
+			}
+			server := newTroubledServer(t, func(conn net.Conn, id string) {
+				write(conn, strings.ReplaceAll(text, idPlaceholder, id))
+			})
+			is := is.New(t)
+			client := newIdentifyingClient()
+			defer client.SetMaxConnections(1) // closes the idle connections
+			got, _ := server.run(t, client, smallBody, true)
+			is.NoErr(got.Err)
+			is.Equal(got.Reply.Outcome, call.Ran)
+			is.Equal(string(got.Reply.Body), "good")
+		})
+	}
+}
+
+// wellFormedHead matches the heads of RFC 9112, sections 4 and 5, with line feeds that may stand alone.
+var wellFormedHead = regexp.MustCompile("^HTTP/1\\.[0-9] +[1-9][0-9][0-9]( [^\\n]*)?\\n" +
+	"([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\\x00-\\x08\\x0a-\\x1f\\x7f]*\\r?\\n)*\\r?\\n")
+
+// Guards against a head that is broken by a single byte and still believed: each byte of it is replaced in turn, and each byte
+// inserted before it, and the backend server then ends the connection.
+func TestHeadWithABrokenByteIsNotBelieved(t *testing.T) {
+	is := is.New(t)
+	var response atomic.Value
+	server := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+		_ = nextID(requests)
+		write(conn, response.Load().(string))
+	})
+	client := newIdentifyingClient()
+	believed := 0
+	for _, whole := range []string{result("a"), refusal("a")} {
+		for position := range strings.Index(whole, "\r\n\r\n") + 4 {
+			for _, b := range []byte("\x00\x01\t\n\r :,/0a\x7f\x80") {
+				for skipped := range 2 {
+					text := whole[:position] + string([]byte{b}) + whole[position+skipped:]
+					response.Store(text)
+					reply := client.Run(t.Context(), backend.Target{Address: server.address}, newRequestWithID("a")).Reply
+					if reply.Outcome != call.Unknown && !wellFormedHead.MatchString(text) {
+						t.Errorf("outcome %v of %q", reply.Outcome, text)
+					}
+					if reply.Outcome != call.Unknown {
+						believed++
+					}
+				}
+			}
+		}
+	}
+	is.True(believed > 0)
+}
--- a/internal/traffic/backend/transport.go
+++ b/internal/traffic/backend/transport.go
@@ -218,6 +218,10 @@
 	c.header.begin(c.reader.Buffered())
 	defer c.header.end()
 	for {
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		if err := c.header.beginHead(buffered); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
@@ -244,6 +248,14 @@
 	return c.writeErr == nil && !response.Close && c.reader.Buffered() == 0 && !c.carried.isFull()
 }
 
+// checkEnd returns an error unless the response, whose body has been read, is known to have ended well.
+func (c *persistentConn) checkEnd(response *http.Response) error {
+	if endsWithStream(response) {
+		return c.checkEndOfStream()
+	}
+	return checkTrailer(response.Trailer)
+}
+
 // errReset is returned for a response whose end can't be told from a reset of its connection.
 var errReset = errors.New("connection was reset before the response ended")
 
