A malformed reply of another node is none, and its connection carries nothing more

A message between nodes has a checksum, so a damaged one was noticed; a whole message that says what no reply says (another process on the address, another version, a fault of the other node) was not.

What callers could have seen: a status that is none or a header with a blank, a control byte or a carriage return: 502 "corrupt" at the caller's side, but counted as a success before that; or "not run" from such a message, believed. The connection of a message that was noticed, such as the reply to another attempt, went back into the pool. Not seen outside tests.

Cause: parseReply checked the structure of the headers only, and replies were checked after the connection had been given back.

Evidence: TestMalformedReplyOfANodeIsNone failed in 2 of 2 runs before in all 16 cases: 12 were taken for replies, 4 were refused but their connection carried the next request. TestMalformedReplyToAQueryIsNone failed: a reply with status 0 was the outcome of the attempt.

Change: call.Reply.Check holds what a response over HTTP must be; parseReply and both kinds of caller handlers ask it, and the tables of the caller's side go. Replies are parsed while the connection is in use, so that an error closes it, as every other error does. A query about an attempt then goes on with a new connection. The same for the answer to a question for newer routes. In an exchange the outcome stays unknown until the other process is asked, as after a lost reply, so a request that may run once isn't sent again.

Result: the tests of traffic/peer, flow and caller pass, 2 of 2 runs with the race detector.

--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -221,18 +221,14 @@
 	return body, nil
 }
 
-const (
-	// maxStatus is the highest three-digit HTTP status.
-	maxStatus = 999
-	// defaultRetryAfter is the Retry-After of a failure whose reply gives none.
-	defaultRetryAfter = time.Second
-)
+// defaultRetryAfter is the Retry-After of a failure whose reply gives none.
+const defaultRetryAfter = time.Second
 
 // retryAfterMsHeader carries the Retry-After time in milliseconds, since Retry-After has whole seconds only.
 const retryAfterMsHeader = "Comfreyhoist-Retry-After-Ms"
 
 func (h *handler) writeReply(w http.ResponseWriter, request *call.Request, reply call.Reply) {
-	if reply.Status < http.StatusOK || reply.Status > maxStatus || !areHeadersValid(reply.Header) {
+	if reply.Status < http.StatusOK || reply.Status > call.MaxStatus || reply.Check() != nil {
 		reply = call.Refused(call.Unknown, call.ReasonCorrupt, 0)
 	}
 	if reply.Outcome != call.Ran && reply.Status >= http.StatusInternalServerError && reply.RetryAfter <= 0 {
--- a/internal/traffic/caller/headers.go
+++ b/internal/traffic/caller/headers.go
@@ -121,25 +121,3 @@
 	}
 	return int(resends), nil
 }
-
-// areHeadersValid reports whether the headers can be sent over HTTP. An invalid one would break the connection to the
-// caller.
-func areHeadersValid(h http.Header) bool {
-	for name, values := range h {
-		if name == "" || strings.ContainsFunc(name, isNotVisibleASCII) || strings.Contains(name, ":") {
-			return false
-		}
-		for _, value := range values {
-			if strings.ContainsFunc(value, isControl) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-func isControl(c rune) bool {
-	return c < ' ' && c != '\t' || c == deleteCharacter
-}
-
-const deleteCharacter = 0x7f
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -242,7 +242,7 @@
 // writeReply writes the response to the caller. The status of a request that has no response of the backend server shows
 // whether it may have run.
 func (h *RoutedHandler) writeReply(w http.ResponseWriter, reply call.Reply) {
-	if reply.Outcome == call.Ran && (reply.Status < http.StatusOK || reply.Status > maxStatus || !areHeadersValid(reply.Header)) {
+	if reply.Outcome == call.Ran && reply.Check() != nil {
 		reply = call.Refused(call.Unknown, call.ReasonCorrupt, 0)
 	}
 	if reply.Outcome == call.Ran && isPromise(reply.Status) {
--- a/internal/traffic/peer/client.go
+++ b/internal/traffic/peer/client.go
@@ -10,10 +10,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/net/http/httpguts"
 	"storj.io/drpc"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -75,11 +77,15 @@
 func (c *Client) Call(ctx context.Context, address string, r *call.Request) (call.Reply, error) {
 	message := requestMessage(r, c.node, c.versions.InForce(), time.Now())
 	var response *peerpb.CallReply
+	var reply call.Reply
 	sent := false
-	err := c.use(ctx, address, r, func(conn drpc.Conn) error {
+	err := c.use(ctx, address, r, func(conn drpc.Conn) (err error) {
 		sent = true
-		var err error
 		response, err = peerpb.NewDRPCPeerClient(conn).Call(ctx, message)
+		if err != nil {
+			return err
+		}
+		reply, err = checkAndParseReply(r, response)
 		return err
 	})
 	if err != nil && !sent {
@@ -88,10 +94,6 @@
 	if err != nil {
 		return call.Reply{}, noReplyError(ctx, address, err)
 	}
-	reply, err := checkAndParseReply(r, response)
-	if err != nil {
-		return call.Reply{}, &Error{Address: address, Sent: true, Reason: call.ReasonCorrupt, Cause: err}
-	}
 	c.versions.HeardAt(address, response.GetRoutesVersion())
 	return reply, nil
 }
@@ -108,9 +110,13 @@
 	return failure
 }
 
-// noReplyError returns the error of a message that was sent, but got no reply.
+// noReplyError returns the error of a message that was sent, but got no reply, or a malformed one.
 func noReplyError(ctx context.Context, address string, err error) *Error {
-	return &Error{Address: address, Sent: true, Reason: contextReason(ctx), Cause: err}
+	reason := contextReason(ctx)
+	if errors.Is(err, errMalformedReply) {
+		reason = call.ReasonCorrupt
+	}
+	return &Error{Address: address, Sent: true, Reason: reason, Cause: err}
 }
 
 // query sends one query to the node at the address, on a new connection, because an existing one may have gone silent.
@@ -163,20 +169,30 @@
 	}
 }
 
-// checkAndParseReply returns the reply in the message, or an error if the message isn't a reply to the request.
+// errMalformedReply is returned for a reply that is none to its request. Its connection carries nothing more.
+var errMalformedReply = errors.New("reply is malformed")
+
+// checkAndParseReply returns the reply in the message, or errMalformedReply if the message isn't a reply to the request.
 func checkAndParseReply(r *call.Request, response *peerpb.CallReply) (call.Reply, error) {
 	if err := checkReply(r, response); err != nil {
-		return call.Reply{}, err
+		return call.Reply{}, fmt.Errorf("%w: %w", errMalformedReply, err)
 	}
-	return parseReply(response)
+	reply, err := parseReply(response)
+	if err != nil {
+		return call.Reply{}, fmt.Errorf("%w: %w", errMalformedReply, err)
+	}
+	return reply, nil
 }
 
 func checkReply(r *call.Request, response *peerpb.CallReply) error {
 	if response.GetAttemptId() != r.AttemptID {
 		return fmt.Errorf("reply is for attempt %q, not %q", response.GetAttemptId(), r.AttemptID)
 	}
-	if response.GetOutcome() == peerpb.Outcome_OUTCOME_UNSPECIFIED {
-		return fmt.Errorf("reply has no outcome")
+	if _, known := outcomes[response.GetOutcome()]; !known {
+		return fmt.Errorf("outcome %d is unknown", response.GetOutcome())
+	}
+	if !httpguts.ValidHeaderFieldValue(response.GetReason()) {
+		return fmt.Errorf("reason %q can't stand in a header", response.GetReason())
 	}
 	return nil
 }
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return call.Reply{}, err
 	}
-	return call.Reply{
+	reply := call.Reply{
 		Outcome:           outcomes[m.GetOutcome()],
 		Reason:            call.Reason(m.GetReason()),
 		RetryAfter:        time.Duration(m.GetRetryAfterMicros()) * time.Microsecond,
@@ -154,5 +154,6 @@
 
 		CrossZoneBytes: max(m.GetFarBytes(), 0),
 		LeavingStart:   m.GetLeavingStart(),
-	}, nil
+	}
+	return reply, reply.Check()
 }
--- a/internal/traffic/peer/resolve.go
+++ b/internal/traffic/peer/resolve.go
@@ -69,22 +69,19 @@
 	if q.Key != "" {
 		queryNode = query[*peerpb.ResolveReply]
 	}
+	var reply call.Reply
 	response, err := queryNode(ctx, c, address, timeout, func(ctx context.Context, client peerpb.DRPCPeerClient) (*peerpb.ResolveReply, error) {
-		return client.Resolve(ctx, request)
+		response, err := client.Resolve(ctx, request)
+		if err == nil && states[response.GetState()] == outcome.Done {
+			reply, err = checkAndParseReply(&call.Request{AttemptID: q.AttemptID}, response.GetReply())
+		}
+		return response, err
 	})
 	if err != nil {
 		return Resolution{}, err
 	}
 	state, known := states[response.GetState()]
-	resolution := Resolution{State: state, Known: known, Fingerprint: response.GetFingerprint()}
-	if !known || state != outcome.Done {
-		return resolution, nil
-	}
-	resolution.Reply, err = checkAndParseReply(&call.Request{AttemptID: q.AttemptID}, response.GetReply())
-	if err != nil {
-		return Resolution{}, &Error{Address: address, Sent: true, Reason: call.ReasonCorrupt, Cause: err}
-	}
-	return resolution, nil
+	return Resolution{State: state, Known: known, Reply: reply, Fingerprint: response.GetFingerprint()}, nil
 }
 
 // CloseIdle closes the idle connections to the node at the address, because the node stopped replying.
--- a/internal/traffic/peer/routes.go
+++ b/internal/traffic/peer/routes.go
@@ -29,14 +29,14 @@
 	var reply *peerpb.NewerReply
 	err := c.pool.UseFor(ctx, u, func(conn drpc.Conn) (err error) {
 		reply, err = peerpb.NewDRPCRoutesClient(conn).Newer(ctx, request)
+		if err == nil && len(reply.GetValue()) > 0 && reply.GetVersion() <= version {
+			return fmt.Errorf("%w: version %d is not newer than %d", errMalformedReply, reply.GetVersion(), version)
+		}
 		return err
 	})
 	if err != nil {
 		return StoredRoutes{}, noReplyError(ctx, u.Address, err)
 	}
-	if len(reply.GetValue()) > 0 && reply.GetVersion() <= version {
-		return StoredRoutes{}, fmt.Errorf("peer %s: version %d is not newer than %d", u.Address, reply.GetVersion(), version)
-	}
 	return StoredRoutes{Version: reply.GetVersion(), Value: reply.GetValue()}, nil
 }
 
