--- a/internal/traffic/backend/fieldnames.go
+++ b/internal/traffic/backend/fieldnames.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"fmt"
-	"net/http"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/http1"
 )
 
 // fieldNames checks the names of the fields in a response head while its bytes are read. net/http accepts blanks in a name, so
@@ -44,7 +45,7 @@
 	*f = fieldNames{position: inLine}
 }
 
-// check checks the bytes that follow. It returns errMalformed for a byte that can't stand in a name. Bytes behind the head are
+// check checks the bytes that follow. It returns an http1.ErrMalformed for a byte that can't stand in a name. Bytes behind the head are
 // ignored.
 func (f *fieldNames) check(head []byte) error {
 	for len(head) > 0 && f.position != behindHead {
@@ -80,7 +81,7 @@
 		}
 		f.size++
 	default:
-		return fmt.Errorf("%w: %q in the name of a field", errMalformed, b)
+		return fmt.Errorf("%w: %q in the name of a field", http1.ErrMalformed, b)
 	}
 	return nil
 }
@@ -97,13 +98,3 @@
 	f.hasLength = f.hasLength || bytes.EqualFold(name, []byte(lengthField))
 	f.hasCoding = f.hasCoding || bytes.EqualFold(name, []byte(codingField))
 }
-
-// checkTrailer returns an error for a field behind a body in chunks whose name is none.
-func checkTrailer(trailer http.Header) error {
-	for name := range trailer {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("%w: %q is no name of a field", errMalformed, name)
-		}
-	}
-	return nil
-}
--- a/internal/traffic/backend/head.go
+++ b/internal/traffic/backend/head.go
@@ -56,7 +56,7 @@
 	l.budget.release(l.reserved)
 }
 
-// Read reads from the connection, or returns errHeaderTooLarge or errMalformed, also when it is called again.
+// Read reads from the connection, or returns errHeaderTooLarge or http1.ErrMalformed, also when it is called again.
 func (l *headerLimiter) Read(p []byte) (int, error) {
 	if !l.limited {
 		return l.Reader.Read(p)
--- a/internal/traffic/backend/transport.go
+++ b/internal/traffic/backend/transport.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/http1"
 )
 
 const (
@@ -213,7 +215,7 @@
 }
 
 // receive reads the header of the next response that isn't informational. It returns errHeaderTooLarge for a header
-// without end, and errMalformed for one that is none of HTTP.
+// without end, and http1.ErrMalformed for one that is none of HTTP.
 func (c *persistentConn) receive(request *http.Request) (*http.Response, error) {
 	c.header.begin(c.reader.Buffered())
 	defer c.header.end()
@@ -239,7 +241,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkStatusLine(response); err != nil {
+	if err := http1.CheckStatusLine(response); err != nil {
 		return nil, err
 	}
 	return response, checkFraming(response, &c.header.names)
@@ -262,7 +264,7 @@
 	if endsWithStream(response) {
 		return c.checkEndOfStream()
 	}
-	return checkTrailer(response.Trailer)
+	return http1.CheckNames(response.Trailer)
 }
 
 // errReset is returned for a response whose end can't be told from a reset of its connection.
