The product's own platform: a malformed response is none

What callers could have seen: a write counts as refused, a key as gone or a lease as renewed because of a response that was malformed or cut. Not seen outside tests.

Change: the exchange that checks a head, reads JSON to its end and closes the connection after a malformed response moves from the users' platform to internal/wire/http1, and both clients use it.

Not changed: the operators' commands, which read answers of their own node for a person; they take status 000 for a success of drain.

--- a/internal/control/platform/platform.go
+++ b/internal/control/platform/platform.go
@@ -14,7 +14,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
+	"fmt"
 	"net"
 	"net/http"
 	"net/url"
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/comfreyhoist/comfreyhoist/internal/wire/http1"
 )
 
 // Entry is a key with its value.
@@ -147,12 +149,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return trace.ConnectionProblem(err, "platform: %v", err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	return decodeResponse(response, out)
+	err = http1.Exchange(c.http, request, func(response *http.Response) error { return decodeResponse(response, out) })
+	return trace.Wrap(err, "platform")
 }
 
 const (
@@ -163,12 +161,9 @@
 )
 
 func decodeResponse(response *http.Response, out any) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := http1.ReadJSON(response, maxResponseBytes)
 	if err != nil {
-		return trace.ConnectionProblem(err, "platform: %v", err)
-	}
-	if len(body) > maxResponseBytes {
-		return trace.LimitExceeded("platform: the response has more than %d bytes", maxResponseBytes)
+		return err
 	}
 	switch response.StatusCode {
 	case http.StatusOK:
@@ -177,10 +172,13 @@
 	case http.StatusConflict:
 		return trace.Wrap(ErrCompareFailed)
 	default:
-		return trace.ConnectionProblem(nil, "platform: status %d", response.StatusCode)
+		return trace.ConnectionProblem(nil, "status %d", response.StatusCode)
 	}
 	if out == nil {
 		return nil
 	}
-	return trace.Wrap(json.Unmarshal(body, out))
+	if err := json.Unmarshal(body, out); err != nil {
+		return fmt.Errorf("%w: decoding: %w", http1.ErrMalformed, err)
+	}
+	return nil
 }
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -1,12 +1,12 @@
-// Package http1 checks responses that net/http has parsed against the grammar of HTTP/1.1 (RFC 9112). net/http accepts more than
-// that: any version, three characters that convert to a number for a status, and blanks in the names of fields.
+// Package http1 checks responses that net/http has parsed against the grammar of HTTP/1.1 (RFC 9112), and exchanges requests
+// for responses that are checked so. net/http accepts more than that: any version, three characters that convert to a number for a status, and blanks in the names of fields.
 //
 // # Usage
 //
-//	response, err := client.Do(request)
-//	if err == nil {
-//		err = http1.CheckHead(response)
-//	}
+//	err := http1.Exchange(client, request, func(response *http.Response) (err error) {
+//		body, err = http1.ReadJSON(response, maxResponseBytes)
+//		return err
+//	})
 package http1
 
 import (
@@ -28,7 +28,7 @@
 	return CheckNames(response.Header)
 }
 
-// CheckStatusLine returns an ErrMalformed for a response of another version than 1.0 or 1.1, for a status that is none, and for
+// CheckStatusLine returns an ErrMalformed for a response of another major version than 1, for a status that is none, and for
 // a switch of the protocol, which no request asks for.
 func CheckStatusLine(response *http.Response) error {
 	switch {
