An announcement that is not whole is none

What backend servers could have seen: an announcement that broke off behind its JSON, or a withdrawal that broke off in its body, was acknowledged and acted on; of two announcements in one body the first counted; one whose body did not arrive held its connection for ever. Not seen outside tests.

Cause: the decoder stops behind the first JSON value and leaves the rest of the body unread; the body of a withdrawal was not read at all.

Change: the body is read to its end, within a second, which is how long a backend server waits for the acknowledgment, and has to be one JSON value.

TestAnnouncementsOnAKeptConnection shows that the limit is one for each body.

--- a/internal/traffic/backend/announcement.go
+++ b/internal/traffic/backend/announcement.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/julienschmidt/httprouter"
@@ -49,13 +51,32 @@
 // maxAnnouncement is the maximum size of an announcement, in bytes.
 const maxAnnouncement = 4 << 10
 
+// announcementTimeout is how long the body of an announcement may take to arrive.
+const announcementTimeout = time.Second
+
+// ReadAnnouncement reads the body of an announcement to its end and decodes it. It returns a trace.BadParameter for a body that is
+// cut, larger than 4 KiB, or not one JSON value. With nil as the announcement, any body is accepted.
+func ReadAnnouncement(w http.ResponseWriter, r *http.Request, announcement any) error {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(announcementTimeout)) // the server sets another one for the next request
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	if err != nil {
+		return trace.BadParameter("the announcement is not whole: %v", err)
+	}
+	if announcement == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, announcement); err != nil {
+		return trace.BadParameter("the announcement can't be read: %v", err)
+	}
+	return nil
+}
+
 // RegisterAnnouncements adds a route to the router that validates announcements and passes them to announce.
 func RegisterAnnouncements(router *httprouter.Router, announce func(Announcement)) {
 	router.POST(AnnouncePath, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		var a Announcement
-		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
-		if err := decoder.Decode(&a); err != nil {
-			http.Error(w, "announcement is not JSON: "+err.Error(), http.StatusBadRequest)
+		if err := ReadAnnouncement(w, r, &a); err != nil {
+			http.Error(w, trace.UserMessage(err), http.StatusBadRequest)
 			return
 		}
 		if err := a.Check(); err != nil {
