The reasons of broken answers say what they cover, and quote little

Errors quote 40 bytes of what another side sent, because a name or a value may have a megabyte and the error goes into a log line.

The tests of the packages pass.

--- a/internal/traffic/call/check.go
+++ b/internal/traffic/call/check.go
@@ -18,11 +18,11 @@
 	}
 	for name, values := range r.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("header name %q is malformed", name)
+			return fmt.Errorf("header name %.40q is malformed", name)
 		}
 		for _, value := range values {
 			if !httpguts.ValidHeaderFieldValue(value) {
-				return fmt.Errorf("value %q of header %s is malformed", value, name)
+				return fmt.Errorf("value %.40q of header %.40s is malformed", value, name)
 			}
 		}
 	}
--- a/internal/traffic/call/reason.go
+++ b/internal/traffic/call/reason.go
@@ -63,7 +63,7 @@
 	ReasonCanceled:         {Status: 499, Final: true, Text: "The caller went away."},
 	ReasonPeerUnreachable:  {Status: http.StatusBadGateway, Text: "The connection to the instance failed."},
 	ReasonPeerSilent:       {Status: http.StatusGatewayTimeout, Text: "The instance stopped answering."},
-	ReasonBackendFailed:    {Status: http.StatusBadGateway, Text: "The backend server broke the connection before a whole answer."},
+	ReasonBackendFailed:    {Status: http.StatusBadGateway, Text: "The answer of the backend server broke off or is malformed."},
 	ReasonBackendShed:      {Status: http.StatusServiceUnavailable, Text: "The backend server refused the request by itself and did not run it."},
 	ReasonResponseTooLarge: {Status: http.StatusBadGateway, Final: true, Text: "The backend server ran the request, but its answer is larger than the node passes on."},
 	ReasonQuarantined:      {Status: http.StatusServiceUnavailable, Final: true, Text: "The request crashed backend servers and is refused for a time."},
@@ -72,7 +72,7 @@
 	ReasonOwnerUnknown:     {Status: http.StatusServiceUnavailable, Text: "No node may run this key now."},
 	ReasonKeyTime:          {Status: http.StatusBadRequest, Final: true, Text: "The key's own time is too far from the present."},
 	ReasonMemoryFull:       {Status: http.StatusServiceUnavailable, Text: "The node can remember no further keys."},
-	ReasonCorrupt:          {Status: http.StatusBadGateway, Text: "An answer between nodes was damaged."},
+	ReasonCorrupt:          {Status: http.StatusBadGateway, Text: "An answer between nodes was damaged or is malformed."},
 }
 
 // Entry returns the reason's catalogue entry.
--- a/internal/traffic/peer/client.go
+++ b/internal/traffic/peer/client.go
@@ -186,13 +186,13 @@
 
 func checkReply(r *call.Request, response *peerpb.CallReply) error {
 	if response.GetAttemptId() != r.AttemptID {
-		return fmt.Errorf("reply is for attempt %q, not %q", response.GetAttemptId(), r.AttemptID)
+		return fmt.Errorf("reply is for attempt %.40q, not %q", response.GetAttemptId(), r.AttemptID)
 	}
 	if _, known := outcomes[response.GetOutcome()]; !known {
 		return fmt.Errorf("outcome %d is unknown", response.GetOutcome())
 	}
 	if !httpguts.ValidHeaderFieldValue(response.GetReason()) {
-		return fmt.Errorf("reason %q can't stand in a header", response.GetReason())
+		return fmt.Errorf("reason %.40q can't stand in a header", response.GetReason())
 	}
 	return nil
 }
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -44,7 +44,7 @@
 func CheckNames(fields http.Header) error {
 	for name := range fields {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("%w: %q is no name of a field", ErrMalformed, name)
+			return fmt.Errorf("%w: %.40q is no name of a field", ErrMalformed, name)
 		}
 	}
 	return nil
