--- a/internal/control/platform/malformed_test.go
+++ b/internal/control/platform/malformed_test.go
@@ -44,13 +44,13 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var calledBefore atomic.Bool
-			s := harness.NewRawServer(t, func() (string, bool) {
+			s := harness.NewScriptedHTTPServer(t, func() (string, bool) {
 				if calledBefore.Swap(true) {
 					return "HTTP/1.1 200 OK\r\n" + body, false
 				}
 				return test.response, test.ends
 			})
-			client := platform.NewClient(platform.Config{URL: s.URL, Timeout: time.Second})
+			client := platform.NewClient(platform.Config{URL: "http://" + s.Address, Timeout: time.Second})
 			err := calls[test.call](t.Context(), client)
 			is.True(err != nil)
 			is.True(!errors.Is(err, platform.ErrCompareFailed) && !errors.Is(err, platform.ErrNotFound)) // nothing is known
--- a/internal/proof/harness/rawserver.go
+++ b/internal/proof/harness/rawserver.go
@@ -13,24 +13,22 @@
 	"github.com/sourcegraph/conc"
 )
 
-// RawServer is an HTTP server that answers requests with the bytes of a test, and counts its connections.
+// RawServer runs a script on each of its connections, and counts them.
 type RawServer struct {
-	URL string
+	// Address is the IP and port on which the server accepts connections.
+	Address string
 
-	respond     func() (response string, ends bool)
 	connections atomic.Int64
 }
 
-// NewRawServer starts a server that writes the response that respond returns for each request, and ends the connection behind it
-// if ends is true. It stops with the test.
-func NewRawServer(t testing.TB, respond func() (response string, ends bool)) *RawServer {
+// NewRawServer starts a server that runs the script on each connection and closes the connection behind it. The test ends when
+// all scripts have ended.
+func NewRawServer(t testing.TB, script func(conn net.Conn, requests *bufio.Reader)) *RawServer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	s := &RawServer{URL: "http://" + l.Addr().String(), respond: respond}
-	ctx, cancel := context.WithCancel(context.Background())
+	s := &RawServer{Address: l.Addr().String()}
 	var group conc.WaitGroup
 	t.Cleanup(func() {
-		cancel()
 		_ = l.Close()
 		group.Wait()
 	})
@@ -41,7 +39,10 @@
 				return
 			}
 			s.connections.Add(1)
-			group.Go(func() { s.serve(ctx, conn) })
+			group.Go(func() {
+				defer func() { _ = conn.Close() }()
+				script(conn, bufio.NewReader(conn))
+			})
 		}
 	})
 	return s
@@ -52,18 +53,23 @@
 	return s.connections.Load()
 }
 
-func (s *RawServer) serve(ctx context.Context, conn net.Conn) {
-	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
-	defer func() { _ = conn.Close() }()
-	requests := bufio.NewReader(conn)
-	for ends := false; !ends; {
-		r, err := http.ReadRequest(requests)
-		if err != nil {
-			return
+// NewScriptedHTTPServer starts a server that answers each request with the bytes that respond returns, and ends the connection behind
+// them if ends is true. Its connections end with the test.
+func NewScriptedHTTPServer(t testing.TB, respond func() (response string, ends bool)) *RawServer {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := NewRawServer(t, func(conn net.Conn, requests *bufio.Reader) {
+		defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+		for ends := false; !ends; {
+			r, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			response := ""
+			response, ends = respond()
+			_, _ = io.WriteString(conn, response)
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		response := ""
-		response, ends = s.respond()
-		_, _ = io.WriteString(conn, response)
-	}
+	})
+	t.Cleanup(cancel)
+	return s
 }
--- a/internal/traffic/backend/announcement.go
+++ b/internal/traffic/backend/announcement.go
@@ -57,7 +57,8 @@
 // ReadAnnouncement reads the body of an announcement to its end and decodes it. It returns a trace.BadParameter for a body that is
 // cut, larger than 4 KiB, or not one JSON value. With nil as the announcement, any body is accepted.
 func ReadAnnouncement(w http.ResponseWriter, r *http.Request, announcement any) error {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(announcementTimeout)) // the server sets another one for the next request
+	// The server sets another deadline for the next request.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(announcementTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncement))
 	if err != nil {
 		return trace.BadParameter("the announcement is not whole: %v", err)
--- a/internal/traffic/backend/fieldnames.go
+++ b/internal/traffic/backend/fieldnames.go
@@ -45,8 +45,8 @@
 	*f = fieldNames{position: inLine}
 }
 
-// check checks the bytes that follow. It returns an http1.ErrMalformed for a byte that can't stand in a name. Bytes behind the head are
-// ignored.
+// check checks the bytes that follow. It returns an http1.ErrMalformed for a byte that can't stand in a name. Bytes behind the
+// head are ignored.
 func (f *fieldNames) check(head []byte) error {
 	for len(head) > 0 && f.position != behindHead {
 		if f.position == inLine {
--- a/internal/traffic/backend/transport_test.go
+++ b/internal/traffic/backend/transport_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sourcegraph/conc"
 
+	"github.com/comfreyhoist/comfreyhoist/internal/proof/harness"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
@@ -26,27 +26,11 @@
 
 // newScriptedServer starts a server that runs the script on each connection and closes the connection after it.
 func newScriptedServer(t *testing.T, script func(conn net.Conn, requests *bufio.Reader)) *scriptedServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	s := &scriptedServer{address: l.Addr().String()}
-	var group conc.WaitGroup
-	t.Cleanup(func() {
-		_ = l.Close()
-		group.Wait()
-	})
-	group.Go(func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			s.connections.Add(1)
-			group.Go(func() {
-				defer func() { _ = conn.Close() }()
-				script(conn, bufio.NewReader(conn))
-			})
-		}
-	})
+	s := &scriptedServer{}
+	s.address = harness.NewRawServer(t, func(conn net.Conn, requests *bufio.Reader) {
+		s.connections.Add(1)
+		script(conn, requests)
+	}).Address
 	return s
 }
 
--- a/internal/traffic/peer/malformed_test.go
+++ b/internal/traffic/peer/malformed_test.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sourcegraph/conc"
-	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/outcome"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -36,26 +32,6 @@
 	return n.resolve(), nil
 }
 
-// startRawNode starts the node and returns a client of it, its address and the counter of its connections.
-func startRawNode(t *testing.T, n *rawNode) (*peer.Client, string, *countingListener) {
-	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	counter := &countingListener{Listener: l}
-	mux := drpcmux.New()
-	is.NoErr(peerpb.DRPCRegisterPeer(mux, n))
-	ctx, cancel := context.WithCancel(context.Background())
-	var group conc.WaitGroup
-	group.Go(func() { _ = drpcserver.New(peer.NewHandler(mux, nil)).Serve(ctx, counter) })
-	pool := peer.NewPool(peer.PoolConfig{MaxPerPeer: 30, MaxIdle: time.Minute, DialTimeout: time.Second, LocalIP: net.IPv4(127, 0, 0, 1)})
-	t.Cleanup(func() {
-		pool.Close()
-		cancel()
-		group.Wait()
-	})
-	return peer.NewClient(peer.ClientConfig{Pool: pool, Node: "node_1"}), l.Addr().String(), counter
-}
-
 // Guards against a reply of another node that is none: a caller got its status or its headers, or was told that its request has
 // not run, and the connection carried the next request.
 func TestMalformedReplyOfANodeIsNone(t *testing.T) {
@@ -82,11 +58,12 @@
 			is := is.New(t)
 			sound := &peerpb.CallReply{AttemptId: "a", Outcome: ran, Status: 200, Headers: []byte("x-odd!:\xe4\t1\n"), Body: []byte("good")}
 			replies := []*peerpb.CallReply{sound, reply, sound}
-			client, address, counter := startRawNode(t, &rawNode{reply: func(*peerpb.CallRequest) *peerpb.CallReply {
+			counter := &countingListener{}
+			client, _, address := startServer(t, &rawNode{reply: func(*peerpb.CallRequest) *peerpb.CallReply {
 				next := replies[0]
 				replies = replies[1:]
 				return next
-			}})
+			}}, time.Minute, counter)
 			r := &call.Request{AttemptID: "a", Service: "keys", Kind: "keys", Method: "POST", Path: "/", Deadline: time.Now().Add(time.Second)}
 			_, err := client.Call(t.Context(), address, r)
 			is.NoErr(err)
@@ -109,14 +86,15 @@
 	is := is.New(t)
 	sound := &peerpb.CallReply{AttemptId: "a", Outcome: peerpb.Outcome_OUTCOME_RAN, Status: 200, Body: []byte("good")}
 	replies := []*peerpb.CallReply{{AttemptId: "a", Outcome: peerpb.Outcome_OUTCOME_RAN}, sound}
-	client, address, counter := startRawNode(t, &rawNode{
+	counter := &countingListener{}
+	client, _, address := startServer(t, &rawNode{
 		reply: func(*peerpb.CallRequest) *peerpb.CallReply { return sound },
 		resolve: func() *peerpb.ResolveReply {
 			next := replies[0]
 			replies = replies[1:]
 			return &peerpb.ResolveReply{State: peerpb.ResolveReply_STATE_DONE, Reply: next}
 		},
-	})
+	}, time.Minute, counter)
 	sendCall(t, client, address, 0)
 	got, err := client.Resolve(t.Context(), address, peer.ResolveQuery{AttemptID: "a"}, time.Second)
 	is.NoErr(err)
--- a/internal/traffic/peer/reuse_test.go
+++ b/internal/traffic/peer/reuse_test.go
@@ -124,6 +124,11 @@
 // startNode starts a node that passes requests to the receiver, and returns a client of it, the client's pool and the
 // node's address. The counter, if not nil, counts the node's connections.
 func startNode(t *testing.T, receiver peer.Receiver, maxIdle time.Duration, counter *countingListener) (*peer.Client, *peer.Pool, string) {
+	return startServer(t, peer.NewServer(peer.ServerConfig{Receiver: receiver, Outcomes: runningStore{}}), maxIdle, counter)
+}
+
+// startServer is like startNode, for a server of the test.
+func startServer(t *testing.T, server peerpb.DRPCPeerServer, maxIdle time.Duration, counter *countingListener) (*peer.Client, *peer.Pool, string) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -132,7 +137,7 @@
 		counter.Listener, l = l, counter
 	}
 	mux := drpcmux.New()
-	is.NoErr(peerpb.DRPCRegisterPeer(mux, peer.NewServer(peer.ServerConfig{Receiver: receiver, Outcomes: runningStore{}})))
+	is.NoErr(peerpb.DRPCRegisterPeer(mux, server))
 	ctx, cancel := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	group.Go(func() { _ = drpcserver.New(peer.NewHandler(mux, nil)).Serve(ctx, l) })
--- a/internal/wire/http1/exchange.go
+++ b/internal/wire/http1/exchange.go
@@ -28,7 +28,7 @@
 	if err == nil {
 		err = read(response)
 	}
-	if errors.Is(err, ErrMalformed) {
+	if conn != nil && errors.Is(err, ErrMalformed) {
 		_ = conn.Close()
 	}
 	return err
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -1,5 +1,6 @@
-// Package http1 checks responses that net/http has parsed against the grammar of HTTP/1.1 (RFC 9112), and exchanges requests
-// for responses that are checked so. net/http accepts more than that: any version, three characters that convert to a number for a status, and blanks in the names of fields.
+// Package http1 checks responses that net/http has parsed against the grammar of HTTP/1.1 (RFC 9112), and exchanges requests for
+// responses that are checked so. net/http accepts more than that: any version, three characters that convert to a number for a
+// status, and blanks in the names of fields.
 //
 // # Usage
 //
