--- a/internal/control/platform/platform.go
+++ b/internal/control/platform/platform.go
@@ -150,7 +150,10 @@
 		return trace.Wrap(err)
 	}
 	err = http1.Exchange(c.http, request, func(response *http.Response) error { return decodeResponse(response, out) })
-	return trace.Wrap(err, "platform")
+	if err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	return nil
 }
 
 const (
