review: case 14, nobody sees a client leave behind the last request of its connection

GONE is broken: after a request with Connection: close the node doesn't read its client's connection, so the upstream works on to the end.

--- a/review/standin3/machine.go
+++ b/review/standin3/machine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -54,6 +55,11 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	done      chan struct{}
+
+	mu sync.Mutex
+	// processes are all that were started. None is started once closed is set.
+	processes []*os.Process
+	closed    bool
 }
 
 func newDeployment(r *record, program, folder string) (*deployment, error) {
@@ -141,9 +147,15 @@
 	defer func() { _ = log.Close() }()
 	m.process = exec.Command(d.program, "node", "-config", m.settings)
 	m.process.Stdout, m.process.Stderr = log, log
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return errors.New("the case has ended")
+	}
 	if err := m.process.Start(); err != nil {
 		return err
 	}
+	d.processes = append(d.processes, m.process.Process)
 	d.record.line("node %s starts, process %d", m.name, m.process.Process.Pid)
 	return nil
 }
@@ -158,17 +170,16 @@
 func (m *machine) wait() {
 	_ = m.process.Wait()
 	m.record.line("node %s has ended: %v", m.name, m.process.ProcessState)
-	m.process = nil
 }
 
 // close ends all processes and stand-ins.
 func (d *deployment) close() {
-	for _, m := range d.machines {
-		if m.process != nil {
-			_ = m.process.Process.Kill()
-			m.wait()
-		}
+	d.mu.Lock()
+	d.closed = true
+	for _, p := range d.processes {
+		_ = p.Kill() // one that has ended is left alone
 	}
+	d.mu.Unlock()
 	d.cancel()
 	close(d.done)
 }
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -32,6 +32,7 @@
 	11: missingStart,
 	12: clockStep,
 	13: plannedStop,
+	14: clientsLeave,
 }
 
 func main() {
