--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -37,7 +37,11 @@
 	number := flag.Int("case", 0, "number of the case")
 	program := flag.String("program", "target/comfreyhoist", "the node's program")
 	path := flag.String("record", "record.txt", "file to write the record to")
+	onlyGate := flag.Bool("gate", false, "use the gate of a node alone, without any process, while its time of day goes back")
 	flag.Parse()
+	if *onlyGate {
+		os.Exit(useGate(os.Getenv("TROUBLE") != "0"))
+	}
 	os.Exit(run1(*number, *program, *path))
 }
 
