review: case 13, a request that crashes upstreams is let through under each new route

BUDGET is broken: the fingerprint of a request holds the name of its route, so that each version that gives its path another route lets it crash upstreams again.

--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -44,7 +44,7 @@
 	}}
 }
 
-// send sends one request and records its result.
+// send sends one request and records its result. A path that ends with a slash gets the ID of the request behind it.
 func (c *clients) send(m *machine, method, path string) *result {
 	return c.sendWithin(m, method, path, c.budget)
 }
@@ -52,7 +52,10 @@
 // sendWithin is like send, with a time budget.
 func (c *clients) sendWithin(m *machine, method, path string, budget time.Duration) *result {
 	id := fmt.Sprintf("%s%06d", c.prefix, c.number.Add(1))
-	x := &result{id: id, method: method, path: path + id, via: m, budget: budget, sent: time.Now()}
+	if strings.HasSuffix(path, "/") {
+		path += id
+	}
+	x := &result{id: id, method: method, path: path, via: m, budget: budget, sent: time.Now()}
 	c.mu.Lock()
 	c.results = append(c.results, x)
 	c.mu.Unlock()
@@ -89,6 +92,18 @@
 	return response.StatusCode, response.Header.Get(signatureHeader) != "", strings.TrimSpace(string(text)), nil
 }
 
+// load sends a request every interval until the context ends, through the machines in turn.
+func (c *clients) load(ctx context.Context, interval time.Duration, method, path string, machines ...*machine) {
+	for n := 0; ctx.Err() == nil; n++ {
+		m := machines[n%len(machines)]
+		c.group.Go(func() { c.send(m, method, path) })
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
+
 // statuses counts the results by method and status.
 func (c *clients) statuses() map[string]int {
 	c.mu.Lock()
--- a/review/standin3/machine.go
+++ b/review/standin3/machine.go
@@ -77,16 +77,6 @@
 	return d, nil
 }
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // addMachine adds a machine whose node isn't started.
 func (d *deployment) addMachine(zone, service string) (*machine, error) {
 	n := len(d.machines) + 1
@@ -95,11 +85,12 @@
 		ip: fmt.Sprintf("127.41.%d.%d", os.Getpid()%250, n+1),
 	}
 	for _, address := range []*string{&m.outbound, &m.ready, &m.control, &m.peer, &m.other} {
-		free, err := freeAddress(m.ip)
+		l, err := net.Listen("tcp", net.JoinHostPort(m.ip, "0"))
 		if err != nil {
 			return nil, err
 		}
-		*address = free
+		defer func() { _ = l.Close() }() // after the others are chosen, so that each is free once
+		*address = l.Addr().String()
 	}
 	m.settings = filepath.Join(d.folder, m.name+".ini")
 	m.log = filepath.Join(d.folder, m.name+".log")
@@ -224,5 +215,5 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("not all nodes were ready within 15 s")
+	return errors.New("not all nodes were ready within 15 s")
 }
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -31,6 +31,7 @@
 var plays = map[int]play{
 	11: smuggled,
 	12: plannedStop,
+	13: poisonedRoutes,
 }
 
 func main() {
--- a/review/standin3/orders.go
+++ b/review/standin3/orders.go
@@ -14,20 +14,20 @@
 // workTime is how long a request takes.
 func workTime() time.Duration { return 20 * time.Millisecond }
 
-// orderFleet is a front service, through whose node the clients send, and two upstreams of the service orders.
+// orderFleet is a front service, through whose node the clients send, and the upstreams of the service orders.
 type orderFleet struct {
 	front  *machine
 	orders []*upstream
 }
 
-// startOrders starts all machines and upstreams, and returns when the nodes are ready and know each other.
-func startOrders(d *deployment) (*orderFleet, error) {
+// startOrders starts all machines, with an upstream of the service orders in each of the zones, and returns when the nodes are ready and know each other.
+func startOrders(d *deployment, zones ...string) (*orderFleet, error) {
 	front, err := d.addMachine("zone-a", "front")
 	if err != nil {
 		return nil, err
 	}
 	f := &orderFleet{front: front}
-	for _, zone := range []string{"zone-a", "zone-b"} {
+	for _, zone := range zones {
 		if _, err := d.addMachine(zone, "orders"); err != nil {
 			return nil, err
 		}
--- a/review/standin3/smuggle.go
+++ b/review/standin3/smuggle.go
@@ -46,7 +46,7 @@
 
 // smuggled sends orders whose body looks like a request, and whose length field has a blank before its colon.
 func smuggled(d *deployment, trouble bool) (int, error) {
-	f, err := startOrders(d)
+	f, err := startOrders(d, "zone-a", "zone-b")
 	if err != nil {
 		return failed, err
 	}
--- a/review/standin3/upstream.go
+++ b/review/standin3/upstream.go
@@ -56,6 +56,8 @@
 	// calls makes the calls of a request, which end at the deadline. Nil means that there are none. An upstream with calls goes on
 	// with a request whose connection was closed.
 	calls func(deadline time.Time)
+	// poison is the path that crashes the upstream; empty if none does.
+	poison string
 
 	mu       sync.Mutex
 	born     int64
@@ -112,6 +114,10 @@
 	u.runs = append(u.runs, began)
 	u.mu.Unlock()
 	u.record.line("upstream %s runs %s %s %s, %d others running", u.id, id, r.Method, began.path, running)
+	if u.poison != "" && r.URL.Path == u.poison {
+		u.crash()
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -151,6 +157,25 @@
 	r.ended = time.Now()
 }
 
+// downTime is how long an upstream is down after a crash.
+const downTime = 2500 * time.Millisecond
+
+// crash ends the upstream with all that it runs. It is back after downTime, under its ID.
+func (u *upstream) crash() {
+	u.pinging.Store(false)
+	u.mu.Lock()
+	server := u.server
+	u.mu.Unlock()
+	u.record.line("upstream %s crashes", u.id)
+	u.machine.group.Go(func() {
+		_ = server.Close()
+		time.Sleep(downTime)
+		if err := u.start(time.Now()); err != nil {
+			u.record.line("upstream %s doesn't start again: %v", u.id, err)
+		}
+	})
+}
+
 // runsAfter returns the runs that began after the time.
 func (u *upstream) runsAfter(t time.Time) []run {
 	u.mu.Lock()
