--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -43,10 +43,10 @@
 	if *onlyGate {
 		os.Exit(useGate(os.Getenv("TROUBLE") != "0"))
 	}
-	os.Exit(run1(*number, *program, *path))
+	os.Exit(playCase(*number, *program, *path))
 }
 
-func run1(number int, program, path string) int {
+func playCase(number int, program, path string) int {
 	p, known := plays[number]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", number)
