The log shows why a draining node took a call

Event 1706 said what time the call and the drain had left, but not what the node expected of the call, so that a short estimate, a deadline before the end of the drain and a wait in a queue couldn't be told apart.

Event 1706 has typical_ms and longest_ms of the kind now.

--- a/internal/control/events/catalogue.go
+++ b/internal/control/events/catalogue.go
@@ -142,7 +142,7 @@
 	RequestRetried:     {Name: "request_retried", Level: zerolog.InfoLevel, Since: "0.3", Text: "A request is sent to another instance."},
 	RequestNotAdmitted: {Name: "request_not_admitted", Level: zerolog.InfoLevel, Since: "0.3", Text: "The node beside a backend server refused a request; the fields hold the reason and the values that it follows from."},
 	RequestRequeued:    {Name: "request_waits_again", Level: zerolog.InfoLevel, Since: "0.3", Text: "The backend server shed a request, which is requeued at this node's gate."},
-	RequestTakenLate:   {Name: "request_taken_late", Level: zerolog.InfoLevel, Since: "0.5", Text: "A node that drains took a request because it counts as a call of the local backend server; parent is the kind of the running request that it is assigned to, if there is one."},
+	RequestTakenLate:   {Name: "request_taken_late", Level: zerolog.InfoLevel, Since: "0.5", Text: "A node that drains took a request because it counts as a call of the local backend server; parent is the kind of the running request that it is assigned to, if there is one; typical_ms and longest_ms are what its kind takes."},
 	KeyOwnersChanged:   {Name: "homes_changed", Level: zerolog.InfoLevel, Since: "0.1", Text: "The set of nodes that remember idempotency keys has changed."},
 }
 
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -275,8 +275,8 @@
 	})
 }
 
-// logTakenLate logs a call that was taken while the node drains.
-func (n *Node) logTakenLate(r *call.Request, parent *call.RunningRequest) {
+// logTakenLate logs a call that was taken while the node drains, and what was known of it.
+func (n *Node) logTakenLate(r *call.Request, parent *call.RunningRequest, known drain.Request) {
 	kind := ""
 	if parent != nil {
 		kind = parent.Kind
@@ -289,5 +289,7 @@
 		"running":       n.runningRequests.Count(),
 		"left_ms":       time.Until(r.Deadline).Milliseconds(),
 		"drain_left_ms": time.Until(n.traffic.drain().End).Milliseconds(),
+		"typical_ms":    known.Duration.Typical.Milliseconds(),
+		"longest_ms":    known.Duration.Longest.Milliseconds(),
 	})
 }
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -40,9 +40,9 @@
 	MaxBody int64
 	// Drain returns the state of the drain, which determines which requests may begin.
 	Drain func() drain.State
-	// TakenLate is called for each call that begins while the node accepts only calls. parent is the running request that
-	// it is assigned to, or nil.
-	TakenLate func(r *call.Request, parent *call.RunningRequest)
+	// TakenLate is called for each call that begins while the node accepts only calls, with what was known of it. parent is
+	// the running request that it is assigned to, or nil.
+	TakenLate func(r *call.Request, parent *call.RunningRequest, known drain.Request)
 	// Answered is called for each valid request that matched a route, with its reply and its latency.
 	Answered func(r *call.Request, reply *call.Reply, latency time.Duration)
 	// Rejected is called for each request that matches no route or is malformed.
@@ -137,13 +137,14 @@
 	if state.Phase == drain.Serving {
 		return true
 	}
-	accepted := state.Accepts(request.ReceivedAt, drain.Request{
+	known := drain.Request{
 		IsCall:   isCall,
 		Deadline: request.Deadline,
 		Duration: drain.Duration{Typical: h.durations.Of(request.Kind), Longest: h.durations.Longest(request.Kind)},
-	})
+	}
+	accepted := state.Accepts(request.ReceivedAt, known)
 	if accepted && state.Phase == drain.Refusing {
-		h.config.TakenLate(request, parent)
+		h.config.TakenLate(request, parent, known)
 	}
 	return accepted
 }
--- a/internal/traffic/caller/routed_test.go
+++ b/internal/traffic/caller/routed_test.go
@@ -42,7 +42,7 @@
 		Service:         "crew",
 		MaxBody:         100,
 		Drain:           func() drain.State { return drain.State{} },
-		TakenLate:       func(*call.Request, *call.RunningRequest) {},
+		TakenLate:       func(*call.Request, *call.RunningRequest, drain.Request) {},
 		Answered:        func(*call.Request, *call.Reply, time.Duration) {},
 		Rejected:        func(*http.Request, call.Reason, string) {},
 	})
