A late call gets a deadline that ends before the drain does

Cause: an estimate decides what must be certain. A draining node takes a call if its kind's longest duration, the average and four average deviations, ends before the drain. A kind that takes 30 ms, and 700 ms once in 20 times, had 120 to 413 ms (event 1706). Nothing but the estimate kept the call from being at work when the drain ended.

The change: - Each request that a node sends during its drain and that outlasts it gets a deadline 4% of the grace time before requests are given up (drain.State.Limit), in the Sender, so also each retry. A backend server stops at the deadline that it is given and responds; a later response could not reach the caller anyway. The node beside that backend server awaits the response for the same 4% (call.Request.ReplyGrace, reply_grace_micros between nodes) instead of giving up at the deadline. So how the call ends no longer depends on how long it takes. Requests that no draining node sends are treated as before. - The estimate still decides whether a call is worth taking. Longest is now no shorter than any of the last 500 to 1,000 durations of its kind, so that few calls get the backend server's 504.

Ruled out: taking only calls whose own deadline is before the end of the drain. It is as certain, but refuses all calls of long requests from the middle of the drain on, and TestRunningRequestMakesItsCallsUntilTheEndOfADrain with it.

--- a/internal/decide/drain/drain_test.go
+++ b/internal/decide/drain/drain_test.go
@@ -46,3 +46,28 @@
 		})
 	}
 }
+
+// Guards against a backend server that is at work on a request when the drain ends, because the request was expected to take less
+// time: it must stop before that, with time left for its response.
+func TestNoDeadlineIsLaterThanTheLastResponse(t *testing.T) {
+	now := time.Now()
+	const second, replyTime = time.Second, 200 * time.Millisecond
+	for name, test := range map[string]struct {
+		phase drain.Phase
+		// left is the time until the end of the drain, and wait that until the deadline.
+		left, wait time.Duration
+		want       drain.Limit
+	}{
+		"serving":                   {drain.Serving, 0, 5 * second, drain.Limit{Deadline: now.Add(5 * second)}},
+		"closing":                   {drain.Closing, 4 * second, 5 * second, drain.Limit{Deadline: now.Add(3800 * time.Millisecond), ReplyGrace: replyTime}},
+		"closing, ends before":      {drain.Closing, 4 * second, second, drain.Limit{Deadline: now.Add(second)}},
+		"refusing":                  {drain.Refusing, second, 20 * second, drain.Limit{Deadline: now.Add(800 * time.Millisecond), ReplyGrace: replyTime}},
+		"refusing, ends right then": {drain.Refusing, second, second, drain.Limit{Deadline: now.Add(800 * time.Millisecond), ReplyGrace: replyTime}},
+		"refusing, ends before":     {drain.Refusing, second, 900 * time.Millisecond, drain.Limit{Deadline: now.Add(900 * time.Millisecond)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := drain.State{Phase: test.phase, End: now.Add(test.left), ReplyTime: replyTime}
+			is.New(t).Equal(state.Limit(now.Add(test.wait)), test.want)
+		})
+	}
+}
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -156,6 +156,7 @@
 		requestLog:      events.NewBurstLimiter(config.Log, requestLogInterval, requestLogBurst),
 		requestStats:    newRequestStats(),
 	}
+	n.traffic.replyTime = n.partOf(replyRatio)
 	incarnation := uint64(time.Now().UnixNano())
 	n.loop = board.NewLoop(board.Board{Self: board.Self{
 		Node:          s.Node.Name,
@@ -249,6 +250,7 @@
 		Routing:      routing.DefaultConfig(s.Node.Name, s.Node.Zone),
 		Throttle:     throttleConfig(),
 		MaxRefusals:  maxRefusals,
+		Limit:        n.traffic.limitOf,
 		Reachability: n.reachability,
 
 		MaxFleetRetries: maxFleetRetries,
--- a/internal/process/routed/serve.go
+++ b/internal/process/routed/serve.go
@@ -24,6 +24,9 @@
 
 // trafficState counts the requests in flight from callers and from other nodes, and holds the state of the drain.
 type trafficState struct {
+	// replyTime is the drain.State's ReplyTime.
+	replyTime time.Duration
+
 	callerRequests atomic.Int64
 	peerRequests   atomic.Int64
 	// phase is the drain.Phase. drainEnd is when requests are given up, in Unix nanoseconds; it is set before the phase is.
@@ -33,7 +36,12 @@
 
 // drain returns the state of the drain.
 func (s *trafficState) drain() drain.State {
-	return drain.State{Phase: drain.Phase(s.phase.Load()), End: time.Unix(0, s.drainEnd.Load())}
+	return drain.State{Phase: drain.Phase(s.phase.Load()), End: time.Unix(0, s.drainEnd.Load()), ReplyTime: s.replyTime}
+}
+
+// limitOf returns the limit of a request with the deadline that is sent to a backend server now.
+func (s *trafficState) limitOf(deadline time.Time) drain.Limit {
+	return s.drain().Limit(deadline)
 }
 
 // beginDrain begins the drain, which ends at the given time.
@@ -74,6 +82,9 @@
 	// responses. What is left is for the end of the process.
 	drainRatio  = 0.85
 	giveUpRatio = 0.05
+	// replyRatio is the ratio of the grace time, before requests are given up, that is kept for the responses of backend
+	// servers that stop at their deadlines.
+	replyRatio = 0.04
 )
 
 // partOf returns the part of the grace time with the given ratio.
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -75,6 +75,9 @@
 	// CallerDeadline is the time until which the caller waits; it may be later than Deadline. It is not sent to other
 	// nodes.
 	CallerDeadline time.Time
+	// ReplyGrace is how long after Deadline the caller still gets a response of the backend server. Nodes await the response for
+	// so long, instead of giving the request up at its deadline.
+	ReplyGrace time.Duration
 	// TargetLatency is the latency up to which a response has its full value; 0 for none. It is not sent to other nodes.
 	TargetLatency time.Duration
 	// AttemptsLeft is the attempt allowance of the request and of all calls below it.
--- a/internal/traffic/call/typicaldurations_test.go
+++ b/internal/traffic/call/typicaldurations_test.go
@@ -43,3 +43,27 @@
 		})
 	}
 }
+
+// Guards against a longest duration that leaves out what a kind takes seldom, but again and again, and against one that stays for
+// good after a single long request.
+func TestLongestDurationIncludesRareOnes(t *testing.T) {
+	const usual, rare = 30 * time.Millisecond, 700 * time.Millisecond
+	is := is.New(t)
+	d := call.NewTypicalDurations[string](0)
+	observe := func(requests, rareEvery int) {
+		for n := range requests {
+			duration := usual
+			if n%rareEvery == 0 {
+				duration = rare
+			}
+			d.Observe("charges", duration)
+			is.True(d.Longest("charges") >= rare)
+		}
+	}
+	observe(2000, 20)
+	observe(2000, 400)
+	for range 1000 {
+		d.Observe("charges", usual)
+	}
+	is.True(d.Longest("charges") < 2*usual)
+}
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -19,6 +19,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/drain"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/routing"
@@ -41,6 +42,9 @@
 	// MaxFleetRetries limits the retries for one service that all nodes together may make in a burst. With 0, only the
 	// budget of each node limits them.
 	MaxFleetRetries float64
+	// Limit returns the limit of a request that is sent to another node now, given its deadline. With nil, its own deadline
+	// is the only one.
+	Limit func(deadline time.Time) drain.Limit
 	// Reachability keeps requests away from nodes that do not answer. With nil, such nodes are not tracked.
 	Reachability *ReachabilityMonitor
 	// Events receives the events for operators, and Requests the decisions on single requests.
@@ -90,6 +94,7 @@
 func (s *Sender) send(ctx context.Context, r *call.Request) call.Reply {
 	state := newSendState()
 	for {
+		limitDeadline(s.config.Limit, r)
 		target, ok := s.choose(r, state.tried)
 		if !ok {
 			return state.finalReply(state.lastReply)
@@ -110,6 +115,15 @@
 	}
 }
 
+// limitDeadline applies the limit to the request, unless its deadline was limited before.
+func limitDeadline(limitOf func(deadline time.Time) drain.Limit, r *call.Request) {
+	if limitOf == nil || r.ReplyGrace > 0 {
+		return
+	}
+	limit := limitOf(r.Deadline)
+	r.Deadline, r.ReplyGrace = limit.Deadline, limit.ReplyGrace
+}
+
 func (s *Sender) logRetry(node string, r *call.Request, reply *call.Reply) {
 	s.config.Requests.Emit(time.Now(), events.RequestRetried, events.Fields{
 		"request":    r.Root.ID,
--- a/internal/traffic/peer/messages.go
+++ b/internal/traffic/peer/messages.go
@@ -52,6 +52,7 @@
 		TargetIncarnation:   r.TargetIncarnation,
 		Spilled:             r.Spilled,
 		RoutesVersion:       routesVersion,
+		ReplyGraceMicros:    r.ReplyGrace.Microseconds(),
 	}
 }
 
@@ -63,8 +64,8 @@
 	if m.GetRank() < 0 || m.GetRank() >= admission.Ranks {
 		return nil, fmt.Errorf("rank %d is out of range", m.GetRank())
 	}
-	if m.GetAttemptsLeft() < 0 || m.GetDepth() < 0 || m.GetCrashes() < 0 {
-		return nil, fmt.Errorf("attempts, depth or crashes is negative")
+	if m.GetAttemptsLeft() < 0 || m.GetDepth() < 0 || m.GetCrashes() < 0 || m.GetReplyGraceMicros() < 0 {
+		return nil, fmt.Errorf("attempts, depth, crashes or reply grace is negative")
 	}
 	header, err := parseHeaders(m.GetHeaders())
 	if err != nil {
@@ -89,6 +90,7 @@
 		Key:            m.GetKey(),
 		KeyMinted:      m.GetKeyMinted(),
 		Deadline:       now.Add(time.Duration(m.GetTimeLeftMicros()) * time.Microsecond),
+		ReplyGrace:     time.Duration(m.GetReplyGraceMicros()) * time.Microsecond,
 		AttemptsLeft:   int(m.GetAttemptsLeft()),
 		SourceNode:     m.GetSourceNode(),
 		Delegated:      m.GetDelegated(),
--- a/internal/traffic/peer/server.go
+++ b/internal/traffic/peer/server.go
@@ -65,7 +65,7 @@
 		return replyMessage(m.GetAttemptId(), refusal), nil
 	}
 	s.versions.Heard(r.SourceNode, m.GetRoutesVersion())
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(r.ReplyGrace))
 	defer cancel()
 	reply := replyMessage(r.AttemptID, s.receiver.Receive(ctx, r))
 	reply.RoutesVersion = s.versions.InForce()
