Requests of other nodes get such a deadline from a draining node, too

What callers see: a request that another node has passed on to a node that stops, and that is long at work there or still waits for a slot when SIGTERM comes, is broken off when the process ends. Its caller gets 502 from a node that isn't stopping at all.

Evidence: TestRequestsOfOtherNodesGetTheResponseOfAStoppingNodesBackendServer failed before in both cases (502 while the backend server was at work): a request that begins during the stop, and one that has waited for a slot since before.

The change: the Receiver applies the limit of the drain when a request arrives and again right before it is passed to the backend server. The backend server stops with time left for its response, which reaches the other node. A request whose time is over by then is refused as not run. What a backend server got before SIGTERM keeps the deadline that it was given.

--- a/internal/process/routed/fleet_test.go
+++ b/internal/process/routed/fleet_test.go
@@ -219,10 +219,21 @@
 }
 
 func (n *testNode) announceServer(leaving bool) {
-	n.announce(backend.Announcement{
+	n.announce(n.nextAnnouncement(leaving))
+}
+
+// announceSlots announces the backend server with the number of slots.
+func (n *testNode) announceSlots(slots int) {
+	a := n.nextAnnouncement(false)
+	a.Slots = slots
+	n.announce(a)
+}
+
+func (n *testNode) nextAnnouncement(leaving bool) backend.Announcement {
+	return backend.Announcement{
 		Service: n.service, Address: strings.TrimPrefix(n.server.URL, "http://"), Slots: 64, Connections: 256,
 		Instance: "i_" + n.settings.Node.Name, Started: n.started.Load(), Sequence: n.sequence.Add(1), Leaving: leaving,
-	})
+	}
 }
 
 // waitReady waits until every node has routes and is ready, and then 500 ms more, in which the nodes learn of each
--- a/internal/process/routed/routed.go
+++ b/internal/process/routed/routed.go
@@ -225,6 +225,7 @@
 		CallTreeLimits: flow.NewCallTreeLimits(calllimit.DefaultConfig),
 		RequeueShed:    true,
 		RequeueBudget:  &requeueBudget,
+		Limit:          n.traffic.limitOf,
 		Events:         n.limiter,
 		Requests:       n.requestLog,
 	})
--- a/internal/process/routed/slowcalls_test.go
+++ b/internal/process/routed/slowcalls_test.go
@@ -51,6 +51,50 @@
 	return status, ran
 }
 
+// Guards against a request of another node that is broken off at the end of a planned stop while the backend server beside the stopping
+// node is at work on it: one that begins during the stop, and one that has waited for a slot since before.
+func TestRequestsOfOtherNodesGetTheResponseOfAStoppingNodesBackendServer(t *testing.T) {
+	const long = 20 * time.Second
+	for name, test := range map[string]struct {
+		// before is how long the request is sent before the stop, and busy how long the only slot stays taken from then on.
+		before, busy time.Duration
+	}{
+		"begins during the stop":       {before: -time.Second},
+		"has waited since before that": {before: 100 * time.Millisecond, busy: 350 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(t, patientServices())
+			charging := &charges{statuses: map[string]int{}, workFor: func(number int) time.Duration {
+				if number == 0 && test.busy > 0 {
+					return test.busy
+				}
+				return long
+			}}
+			entry := f.add(t, "zone_1", "crew", hello)
+			stopping := f.add(t, "zone_1", "bookings", charging.serve)
+			if test.busy > 0 {
+				stopping.announceSlots(1)
+			}
+			f.waitReady(t)
+			var group conc.WaitGroup
+			defer group.Wait()
+			if test.busy > 0 {
+				group.Go(func() { entry.callWithin(t, &http.Client{}, "POST", "deposits.example", "/busy", "20000") })
+				time.Sleep(100 * time.Millisecond)
+			}
+			time.AfterFunc(max(test.before, 0), stopping.stop)
+			time.Sleep(max(-test.before, 0))
+			got := entry.callWithin(t, &http.Client{}, "POST", "deposits.example", "/long", "20000").status
+			status, ran := charging.status("/long")
+			is.True(ran)
+			is.Equal(got, http.StatusGatewayTimeout)
+			is.Equal(status, http.StatusGatewayTimeout) // the backend server had ended by then
+		})
+	}
+}
+
 // sentCall is a call and the status that the backend server that made it got.
 type sentCall struct {
 	path   string
--- a/internal/traffic/flow/receiver.go
+++ b/internal/traffic/flow/receiver.go
@@ -9,6 +9,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/admission"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/calllimit"
+	"github.com/comfreyhoist/comfreyhoist/internal/decide/drain"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/retry"
 	"github.com/comfreyhoist/comfreyhoist/internal/process/pause"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/backend"
@@ -30,6 +31,9 @@
 	// RequeueBudget limits the requeues of all requests together. Nil means that only the attempts of each request
 	// limit them.
 	RequeueBudget *retry.BudgetConfig
+	// Limit returns the limit of a request that is sent to the backend server now, given its deadline. With nil, its own
+	// deadline is the only one.
+	Limit func(deadline time.Time) drain.Limit
 	// Events receives the events for operators, and Requests the decisions on single requests.
 	Events   *events.Limiter
 	Requests *events.Limiter
@@ -91,6 +95,7 @@
 }
 
 func (v *Receiver) receive(ctx context.Context, r *call.Request) call.Reply {
+	limitDeadline(v.config.Limit, r)
 	b := v.config.Board.Snapshot()
 	if refusal, refused := refusalFor(b, r); refused {
 		return refusal
@@ -164,8 +169,10 @@
 	return result.Reply
 }
 
-// runAdmitted runs a request on the backend server in the slot that the gate granted.
+// runAdmitted runs a request on the backend server in the slot that the gate granted. The node may have begun to drain since the
+// request arrived.
 func (v *Receiver) runAdmitted(ctx context.Context, b *board.Board, r *call.Request, slot backend.Slot) backend.Result {
+	limitDeadline(v.config.Limit, r)
 	result := v.config.Backend.Run(ctx, backend.Target{
 		Address:  b.Backend.Address,
 		Instance: b.Backend.Instance,
--- a/internal/traffic/flow/sender.go
+++ b/internal/traffic/flow/sender.go
@@ -115,13 +115,14 @@
 	}
 }
 
-// limitDeadline applies the limit to the request, unless its deadline was limited before.
+// limitDeadline applies the limit that the state of the node sets to the request, if it is earlier than the request's deadline.
 func limitDeadline(limitOf func(deadline time.Time) drain.Limit, r *call.Request) {
-	if limitOf == nil || r.ReplyGrace > 0 {
+	if limitOf == nil {
 		return
 	}
-	limit := limitOf(r.Deadline)
-	r.Deadline, r.ReplyGrace = limit.Deadline, limit.ReplyGrace
+	if limit := limitOf(r.Deadline); limit.Deadline.Before(r.Deadline) {
+		r.Deadline, r.ReplyGrace = limit.Deadline, limit.ReplyGrace
+	}
 }
 
 func (s *Sender) logRetry(node string, r *call.Request, reply *call.Reply) {
