A request that crashes backend servers is known whatever its route is called

Bookings beside it are cut off by each crash.

Cause: what is known of a request was filed under a name that the operators may change. Its fingerprint held the kind, which is the name of its route.

Evidence: TestCrashesAreKnownUnderEachRoute failed before in all five cases, with 4 to 6 crashes where 2 are allowed: routes that are renamed or split, after the quarantine, between the two crashes, and before the first.

The change: the fingerprint is made of what the caller sends: host (or service, where callers name it), method, path, query and body. The host is new in it; it stood behind the name of the route, and a request with the same path on another host isn't the same. The key of the record in the store follows. Who is told of a crash is found by the host and path in the routes in force, not by the name under which the request was sent. The field kind goes from the messages between nodes and from the records; event 1104 still has it.

Requests that resemble a crashing one are served: TestRequestsThatResembleACrashingOneAreServed (other host, method, query, neighbouring paths), which passed before as well, and TestFingerprintTellsRequestsApart.

The changes to existing tests: two in traffic/flow call the changed functions, one of them with a name of the route that is no longer in force; crashPath of the process tests is below a longer prefix; odd records have the new fields.

--- a/internal/control/crashrecord/crashrecord_test.go
+++ b/internal/control/crashrecord/crashrecord_test.go
@@ -18,7 +18,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/lab/kv"
 )
 
-var bad = quarantine.NewFingerprint("", "sheets", "GET", "/bad", nil)
+var bad = quarantine.NewFingerprint(quarantine.Request{Host: "sheets.example", Method: "GET", Path: "/bad"})
 
 // process is one process of a node: a table, which tells no other node, and its records.
 type process struct {
@@ -187,7 +187,8 @@
 		"no JSON":            "{",
 		"null":               "null",
 		"list":               "[]",
-		"without kind":       `{"hash":1,"crashes":2}`,
+		"without service":    `{"hash":1,"crashes":2}`,
+		"without hash":       `{"service":"sheets","crashes":2}`,
 		"of another key":     `{"kind":"sheets","hash":1,"crashes":2}`,
 		"fields of any type": `{"kind":7,"crashes":"many"}`,
 	} {
--- a/internal/control/crashrecord/record.go
+++ b/internal/control/crashrecord/record.go
@@ -29,7 +29,7 @@
 func keyOf(f quarantine.Fingerprint) string {
 	const hexadecimal = 16
 	h := xxhash.New()
-	for _, part := range []string{f.Service, f.Kind, strconv.FormatUint(f.Hash, hexadecimal)} {
+	for _, part := range []string{f.Service, strconv.FormatUint(f.Hash, hexadecimal)} {
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
@@ -51,7 +51,7 @@
 		return quarantine.Record{}, trace.BadParameter("the value is no JSON of a record: %v", err)
 	}
 	switch {
-	case m.Kind == "" || item.Key != keyOf(m.Fingerprint):
+	case m.Hash == 0 || item.Key != keyOf(m.Fingerprint):
 		return quarantine.Record{}, trace.BadParameter("the fingerprint is not the one of the key")
 	case m.Crashes < 1 || m.Crashes > maxCrashes || len(m.CrashIDs) > m.Crashes:
 		return quarantine.Record{}, trace.BadParameter("%d crashes with %d identifiers are not possible", m.Crashes, len(m.CrashIDs))
--- a/internal/control/routes/routes.go
+++ b/internal/control/routes/routes.go
@@ -132,7 +132,7 @@
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
-		host := canonicalHost(r.Host)
+		host := CanonicalHost(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
 	for _, list := range t.byHost {
@@ -146,7 +146,7 @@
 
 func (t *Table) check(r *Route) error {
 	switch {
-	case canonicalHost(r.Host) == "":
+	case CanonicalHost(r.Host) == "":
 		return trace.BadParameter("route %q has no host", r.Name)
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return trace.BadParameter("route %q: prefix %q must begin and end with a slash", r.Name, r.Prefix)
@@ -172,8 +172,9 @@
 	return nil
 }
 
-// canonicalHost returns the host in small letters, without a port and without the dot of the root.
-func canonicalHost(host string) string {
+// CanonicalHost returns the host in small letters, without a port and without the dot of the root. Hosts are the same if these are
+// equal.
+func CanonicalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
 		host = host[:i]
 	}
@@ -182,7 +183,7 @@
 
 // Match returns the route for the host with the longest prefix that matches the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
-	for _, r := range t.byHost[canonicalHost(host)] {
+	for _, r := range t.byHost[CanonicalHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
@@ -190,17 +191,17 @@
 	return nil, false
 }
 
-// Services returns the services of the named route; none if there is no such route, or if t is nil.
-func (t *Table) Services(route string) []string {
+// Services returns the services of the route for the host and path; none if there is no such route, or if t is nil.
+func (t *Table) Services(host, path string) []string {
 	if t == nil {
 		return nil
 	}
-	i := slices.IndexFunc(t.Routes, func(r Route) bool { return r.Name == route })
-	if i < 0 {
+	route, ok := t.Match(host, path)
+	if !ok {
 		return nil
 	}
 	var services []string
-	for _, c := range t.Routes[i].Clusters {
+	for _, c := range route.Clusters {
 		services = append(services, c.Service)
 	}
 	return services
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 // Package quarantine decides which requests are refused because backend servers crash when they run them.
 //
-// A request is identified by its fingerprint, which excludes its key, so that a new key doesn't hide the request. When
+// A request is identified by its fingerprint: what its caller sends, without its key, so that a new key doesn't hide the request,
+// and without any name that operators give it, so that a renamed or split route doesn't hide it either. When
 // a backend server crashes, the requests that it was running become suspects, except for those that completed recently.
 // Each backend server runs one suspect at a time, so that the next crash has a single suspect. After MaxCrashes crashes
 // across the service that suspect is refused for a term, which doubles with each further crash. A suspect that
@@ -24,23 +25,34 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Request is what identifies a request: what its caller sends.
+type Request struct {
+	// Service is the service that the caller names, and Host the host. One of them is empty: the caller names the service, or
+	// the host from which the service follows.
+	Service, Host string
+	Method        string
+	// Path is the path with the query.
+	Path string
+	Body []byte
+}
+
 // Fingerprint identifies a request, regardless of its sender and its key.
 type Fingerprint struct {
-	// Service is the service that the kind belongs to; empty if requests of a kind go to several services.
+	// Service is the service that the caller names; empty if the service follows from the host and the path.
 	Service string `json:"service"`
-	Kind    string `json:"kind"`
-	Hash    uint64 `json:"hash"`
+	// Hash is the hash of the host, the method, the path and the body. It is never 0.
+	Hash uint64 `json:"hash"`
 }
 
-// NewFingerprint returns the fingerprint of a request.
-func NewFingerprint(service, kind, method, path string, body []byte) Fingerprint {
+// NewFingerprint returns the fingerprint of the request.
+func NewFingerprint(r Request) Fingerprint {
 	h := xxhash.New()
-	_, _ = h.WriteString(method)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.WriteString(path)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(body)
-	return Fingerprint{Service: service, Kind: kind, Hash: h.Sum64()}
+	for _, part := range []string{r.Host, r.Method, r.Path} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	return Fingerprint{Service: r.Service, Hash: max(h.Sum64(), 1)}
 }
 
 // Config configures a Table.
@@ -261,7 +273,7 @@
 }
 
 func (f Fingerprint) isValid() bool {
-	return f.Kind != ""
+	return f.Hash != 0
 }
 
 // noteCrash records a crash, and which suspect was running, when the first request breaks. Requests that break later in
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -42,7 +42,7 @@
 }
 
 func request(body string) quarantine.Fingerprint {
-	return quarantine.NewFingerprint("bookings", "book", "POST", "/bookings", []byte(body))
+	return quarantine.NewFingerprint(quarantine.Request{Service: "bookings", Method: "POST", Path: "/bookings", Body: []byte(body)})
 }
 
 func (s *service) run(t *testing.T, now time.Time, node int, f quarantine.Fingerprint) {
@@ -147,3 +147,31 @@
 	table.Learn(start, quarantine.Blame{Crashes: 9}) // no fingerprint: ignored
 	is.Equal(len(table.Entries()), 3)
 }
+
+// Guards against a request that is refused because it resembles one that crashes backend servers, and against one that isn't
+// recognized under another key.
+func TestFingerprintTellsRequestsApart(t *testing.T) {
+	is := is.New(t)
+	bad := quarantine.Request{Host: "sheets.example", Method: "POST", Path: "/hall/plan?x=1", Body: []byte("body")}
+	same := bad
+	same.Body = []byte("body")
+	is.Equal(quarantine.NewFingerprint(same), quarantine.NewFingerprint(bad))
+	for name, change := range map[string]func(r *quarantine.Request){
+		"other host":    func(r *quarantine.Request) { r.Host = "deposits.example" },
+		"other service": func(r *quarantine.Request) { r.Service = "bookings" },
+		"other method":  func(r *quarantine.Request) { r.Method = "PUT" },
+		"other path":    func(r *quarantine.Request) { r.Path = "/hall/plan2?x=1" },
+		"other query":   func(r *quarantine.Request) { r.Path = "/hall/plan?x=2" },
+		"without query": func(r *quarantine.Request) { r.Path = "/hall/plan" },
+		"other body":    func(r *quarantine.Request) { r.Body = []byte("bodies") },
+		"without body":  func(r *quarantine.Request) { r.Body = nil },
+		"parts moved":   func(r *quarantine.Request) { r.Host, r.Method = "sheets.exampleP", "OST" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			other := bad
+			change(&other)
+			is := is.New(t)
+			is.True(quarantine.NewFingerprint(other) != quarantine.NewFingerprint(bad))
+		})
+	}
+}
--- a/internal/process/routed/poison_test.go
+++ b/internal/process/routed/poison_test.go
@@ -1,6 +1,7 @@
 package routed_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -15,8 +16,9 @@
 )
 
 const (
-	// crashPath is the path of the request that crashes backend servers.
-	crashPath = "/bad"
+	// crashHost and crashPath are the host and the path of the request that crashes backend servers.
+	crashHost = "sheets.example"
+	crashPath = "/hall/plan"
 	// maxCrashes is how many crashes docs/QUARANTINE.md allows until the term ends, which is longer than these tests.
 	maxCrashes = 2
 	// backAfter is the time from a crash of a backend server to its next start.
@@ -47,11 +49,11 @@
 	return s
 }
 
-// add starts a node beside a backend server that crashes when it gets a request for crashPath.
+// add starts a node beside a backend server that crashes when it gets the request for crashPath.
 func (s *crashingServers) add(t *testing.T, service string) *testNode {
 	var n *testNode
 	n = s.fleet.add(t, "zone_1", service, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != crashPath {
+		if r.Host != crashHost || r.Method != http.MethodGet || r.URL.RequestURI() != crashPath {
 			hello(w, r)
 			return
 		}
@@ -97,7 +99,7 @@
 // sendBad sends the request that crashes backend servers to the node, again and again.
 func sendBad(t *testing.T, n *testNode, count int, interval time.Duration) {
 	for range count {
-		n.call(t, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, "GET", "sheets.example", crashPath)
+		n.call(t, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, "GET", crashHost, crashPath)
 		time.Sleep(interval)
 	}
 }
@@ -169,3 +171,79 @@
 		})
 	}
 }
+
+// Guards against a request that crashes backend servers and is let through again because the operators have given its path a route of
+// another name.
+func TestCrashesAreKnownUnderEachRoute(t *testing.T) {
+	renamed := func(c *routes.Configuration, version uint64) {
+		c.Routes[0].Name = fmt.Sprintf("sheets_%d", version)
+	}
+	split := func(c *routes.Configuration, version uint64) {
+		hall := c.Routes[0]
+		hall.Name, hall.Prefix = fmt.Sprintf("hall_%d", version), "/hall/"
+		c.Routes = append(c.Routes, hall)
+	}
+	for name, test := range map[string]struct {
+		change func(c *routes.Configuration, version uint64)
+		// before is how often the request is sent before the first change.
+		before int
+	}{
+		"renamed after the quarantine":    {renamed, 4},
+		"renamed between two crashes":     {renamed, 1},
+		"split off after the quarantine":  {split, 4},
+		"split off between the crashes":   {split, 1},
+		"renamed before anything crashed": {renamed, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(t, crashRoutes("crew"))
+			servers := newCrashingServers(t, f)
+			servers.add(t, "crew")
+			servers.add(t, "crew")
+			entry := f.add(t, "zone_1", "bookings", hello)
+			f.waitReady(t)
+			sendBad(t, entry, test.before, backAfter/2)
+			for version := range uint64(2) {
+				c := crashRoutes("crew")
+				c.Version = version + 2
+				test.change(&c, c.Version)
+				f.setRoutes(t, c)
+				time.Sleep(backAfter)
+				sendBad(t, entry, 2, backAfter/2)
+			}
+			is.Equal(servers.crashes.Load(), int64(maxCrashes))
+		})
+	}
+}
+
+// Guards against requests that are refused because they resemble one that crashes backend servers: with its path on another host, under
+// another method, with a query, or beside it.
+func TestRequestsThatResembleACrashingOneAreServed(t *testing.T) {
+	is := is.New(t)
+	c := crashRoutes("crew")
+	annex := c.Routes[0]
+	annex.Name, annex.Host = "annex", "annex.example"
+	c.Routes = append(c.Routes, annex)
+	f := newFleet(t, c)
+	servers := newCrashingServers(t, f)
+	servers.add(t, "crew")
+	servers.add(t, "crew")
+	entry := f.add(t, "zone_1", "bookings", hello)
+	f.waitReady(t)
+	sendBad(t, entry, 6, backAfter/2)
+	is.Equal(servers.crashes.Load(), int64(maxCrashes))
+	is.Equal(entry.call(t, &http.Client{}, "GET", crashHost, crashPath).status, http.StatusServiceUnavailable)
+	for name, sent := range map[string]struct{ method, host, path string }{
+		"other host":   {"GET", "annex.example", crashPath},
+		"other method": {"POST", crashHost, crashPath},
+		"with a query": {"GET", crashHost, crashPath + "?x=1"},
+		"beside it":    {"GET", crashHost, crashPath + "s"},
+		"below it":     {"GET", crashHost, crashPath + "/1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(entry.call(t, &http.Client{}, sent.method, sent.host, sent.path).status, http.StatusOK)
+		})
+	}
+	is.Equal(servers.crashes.Load(), int64(maxCrashes))
+}
--- a/internal/traffic/backend/client.go
+++ b/internal/traffic/backend/client.go
@@ -369,17 +369,14 @@
 	return call.ReasonBackendShed
 }
 
-// hostHeader carries the host from the caller's request between nodes.
-const hostHeader = "Host"
-
 func (c *Client) setHeaders(request *http.Request, target Target, r *call.Request, token string) {
 	for name, values := range r.Header {
 		request.Header[name] = values
 	}
 	removeHopByHop(request.Header)
-	if host := request.Header.Get(hostHeader); host != "" {
+	if host := request.Header.Get(call.HostHeader); host != "" {
 		request.Host = host
-		request.Header.Del(hostHeader)
+		request.Header.Del(call.HostHeader)
 	}
 	names := c.config.Headers
 	setHeader(request, names.Chain, token)
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -111,6 +111,14 @@
 	TargetIncarnation uint64
 }
 
+// HostHeader carries the host from the caller's request between nodes.
+const HostHeader = "Host"
+
+// Host returns the host that the caller requested; empty if it named the service.
+func (r *Request) Host() string {
+	return r.Header.Get(HostHeader)
+}
+
 // Load is the load of a node's backend server, which the node reports with each reply.
 type Load struct {
 	InFlight int `json:"in_flight"`
--- a/internal/traffic/caller/routed.go
+++ b/internal/traffic/caller/routed.go
@@ -235,7 +235,7 @@
 func (h *RoutedHandler) forwardedHeaders(r *http.Request) http.Header {
 	header := forwardedHeaders(r.Header)
 	header.Del(h.config.Headers.Timeout)
-	header.Set("Host", r.Host)
+	header.Set(call.HostHeader, r.Host)
 	header.Set(h.config.Headers.CallerService, h.config.Service)
 	return header
 }
--- a/internal/traffic/flow/quarantine.go
+++ b/internal/traffic/flow/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/url"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
+	"github.com/comfreyhoist/comfreyhoist/internal/control/routes"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
 	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
@@ -22,17 +24,17 @@
 	Board *board.Loop
 	Peers *peer.Client
 	Log   *events.Log
-	// AcrossServices is whether the kinds are routes, whose requests go to several services at the same time or one after the
-	// other. What one of them has learned then counts for all.
+	// AcrossServices is whether requests go by routes, to several services at the same time or one after the other. What one
+	// of them has learned then counts for all.
 	AcrossServices bool
 	// Crashed is called with each request that a crash is attributed to here. With nil, nothing is called.
 	Crashed func(f quarantine.Fingerprint)
 }
 
 const (
-	// blameQueueLength is how many blames may wait to be sent to other nodes. Further ones are dropped. A blame is
+	// newsQueueLength is how many blames may wait to be sent to other nodes. Further ones are dropped. A blame is
 	// evidence that a request crashes backend servers.
-	blameQueueLength = 256
+	newsQueueLength = 256
 	// blameTimeout is the timeout for sending blames to all nodes.
 	blameTimeout = time.Second
 )
@@ -42,17 +44,24 @@
 // of the availability zone, which take several heartbeats to spread: a caller may send its request again within milliseconds.
 type Quarantine struct {
 	config QuarantineConfig
-	blames chan quarantine.Blame
+	news   chan news
 
 	mu    sync.Mutex
 	table *quarantine.Table
 }
 
+// news is a blame and the nodes that are told of it: those of the services, or all.
+type news struct {
+	blame    quarantine.Blame
+	services []string
+	toAll    bool
+}
+
 // NewQuarantine returns an empty Quarantine. Other nodes are informed only while Run runs.
 func NewQuarantine(config QuarantineConfig) *Quarantine {
 	return &Quarantine{
 		config: config,
-		blames: make(chan quarantine.Blame, blameQueueLength),
+		news:   make(chan news, newsQueueLength),
 		table:  quarantine.NewTable(config.Table),
 	}
 }
@@ -63,19 +72,19 @@
 		select {
 		case <-ctx.Done():
 			return
-		case b := <-q.blames:
-			q.broadcast(ctx, append([]quarantine.Blame{b}, q.waitingBlames()...))
+		case n := <-q.news:
+			q.broadcast(ctx, append([]news{n}, q.waitingNews()...))
 		}
 	}
 }
 
-// waitingBlames returns the blames that wait to be sent.
-func (q *Quarantine) waitingBlames() []quarantine.Blame {
-	var waiting []quarantine.Blame
+// waitingNews returns the news that wait to be sent.
+func (q *Quarantine) waitingNews() []news {
+	var waiting []news
 	for {
 		select {
-		case b := <-q.blames:
-			waiting = append(waiting, b)
+		case n := <-q.news:
+			waiting = append(waiting, n)
 		default:
 			return waiting
 		}
@@ -108,18 +117,20 @@
 		return call.Refused(call.NotRun, call.ReasonSuspected, verdict.RetryAfter)
 	}
 	ending := quarantine.Inconclusive
-	defer func() { q.end(f, start, ending) }()
+	defer func() { q.end(r, f, start, ending) }()
 	reply := run()
 	ending = endingOf(&reply)
 	return reply
 }
 
 func (q *Quarantine) fingerprint(r *call.Request) quarantine.Fingerprint {
-	service := r.Service
+	identity := quarantine.Request{Method: r.Method, Path: r.Path, Body: r.Body}
 	if q.config.AcrossServices {
-		service = ""
+		identity.Host = routes.CanonicalHost(r.Host())
+	} else {
+		identity.Service = r.Service
 	}
-	return quarantine.NewFingerprint(service, r.Kind, r.Method, r.Path, r.Body)
+	return quarantine.NewFingerprint(identity)
 }
 
 func endingOf(reply *call.Reply) quarantine.Ending {
@@ -143,7 +154,7 @@
 	return q.table.Begin(now, f, crashes)
 }
 
-func (q *Quarantine) end(f quarantine.Fingerprint, start time.Time, ending quarantine.Ending) {
+func (q *Quarantine) end(r *call.Request, f quarantine.Fingerprint, start time.Time, ending quarantine.Ending) {
 	q.mu.Lock()
 	blame, blamed := q.table.End(time.Now(), f, start, ending)
 	q.mu.Unlock()
@@ -153,26 +164,36 @@
 	if blame.Term > 0 {
 		q.config.Log.Emit(events.RequestQuarantined, events.Fields{
 			"service": q.config.Board.Snapshot().Backend.Service,
-			"kind":    f.Kind,
+			"kind":    r.Kind,
 			"hash":    f.Hash,
 			"crashes": blame.Crashes,
 			"term":    blame.Term.String(),
 		})
 	}
-	q.spread(blame)
+	q.spread(news{blame: blame, services: servicesOf(q.config.Board.Snapshot(), r)})
 	if q.config.Crashed != nil && blame.Crash != 0 {
 		q.config.Crashed(f)
 	}
 }
 
-// spread tells the other nodes of the blame.
-func (q *Quarantine) spread(b quarantine.Blame) {
+// spread tells the other nodes.
+func (q *Quarantine) spread(n news) {
 	select {
-	case q.blames <- b:
+	case q.news <- n:
 	default:
 	}
 }
 
+// servicesOf returns the services that the request may go to: its own, that of the local backend server, and those of the route that it
+// has now, whatever its route was when it was sent.
+func servicesOf(b *board.Board, r *call.Request) []string {
+	services := []string{r.Service, b.Backend.Service}
+	if target, err := url.ParseRequestURI(r.Path); err == nil {
+		services = append(services, b.Routes.Services(r.Host(), target.Path)...)
+	}
+	return services
+}
+
 // Record returns the evidence against the request. It reports false if the request was not quarantined.
 func (q *Quarantine) Record(f quarantine.Fingerprint) (quarantine.Record, bool) {
 	q.mu.Lock()
@@ -192,20 +213,20 @@
 func (q *Quarantine) Complete(r quarantine.Record) {
 	q.Restore(r)
 	if known, ok := q.Record(r.Fingerprint); ok {
-		q.spread(quarantine.Blame{Fingerprint: r.Fingerprint, Crashes: known.Crashes, Term: known.Left})
+		q.spread(news{blame: quarantine.Blame{Fingerprint: r.Fingerprint, Crashes: known.Crashes, Term: known.Left}, toAll: true})
 	}
 }
 
 // broadcast sends the blames to the other nodes concurrently, so that one that doesn't answer delays them for the others by one
 // timeout at most.
-func (q *Quarantine) broadcast(ctx context.Context, blames []quarantine.Blame) {
+func (q *Quarantine) broadcast(ctx context.Context, waiting []news) {
 	ctx, cancel := context.WithTimeout(ctx, blameTimeout)
 	defer cancel()
 	byAddress := map[string][]quarantine.Blame{}
 	b := q.config.Board.Snapshot()
-	for _, blame := range blames {
-		for _, m := range informedNodes(b, blame.Fingerprint) {
-			byAddress[m.PeerAddress] = append(byAddress[m.PeerAddress], blame)
+	for _, n := range waiting {
+		for _, m := range informedNodes(b, n) {
+			byAddress[m.PeerAddress] = append(byAddress[m.PeerAddress], n.blame)
 		}
 	}
 	var group conc.WaitGroup
@@ -219,16 +240,12 @@
 	}
 }
 
-// informedNodes returns the other nodes that may be asked to run the request. Those whose backend servers are down count: they are
-// back before the evidence is forgotten.
-func informedNodes(b *board.Board, f quarantine.Fingerprint) []membership.Member {
-	services := []string{f.Service}
-	if f.Service == "" {
-		services = append(b.Routes.Services(f.Kind), b.Backend.Service)
-	}
+// informedNodes returns the other nodes that are told the news. Those whose backend servers are down count: they are back before the
+// evidence is forgotten.
+func informedNodes(b *board.Board, n news) []membership.Member {
 	var informed []membership.Member
 	for _, m := range b.Members.ByNode {
-		if m.Node != b.Self.Node && m.State == membership.Up && slices.Contains(services, m.Service) {
+		if m.Node != b.Self.Node && m.State == membership.Up && (n.toAll || slices.Contains(n.services, m.Service)) {
 			informed = append(informed, m)
 		}
 	}
--- a/internal/traffic/flow/quarantine_test.go
+++ b/internal/traffic/flow/quarantine_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -10,7 +11,7 @@
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/routes"
 	"github.com/comfreyhoist/comfreyhoist/internal/decide/membership"
-	"github.com/comfreyhoist/comfreyhoist/internal/decide/quarantine"
+	"github.com/comfreyhoist/comfreyhoist/internal/traffic/call"
 )
 
 // Guards against a node that misses the news of a crash because its own backend server is down at that time, and then runs the
@@ -33,13 +34,14 @@
 			m.Node = "node_2"
 			test.member(&m)
 			b := &board.Board{Self: board.Self{Node: "node_1"}, Members: board.Members{ByNode: map[string]membership.Member{m.Node: m}}}
-			informed := informedNodes(b, quarantine.NewFingerprint("crew", "sheets", "GET", "/bad", nil))
+			informed := informedNodes(b, news{services: []string{"crew"}})
 			is.New(t).Equal(slices.Contains(informed, m), test.want)
 		})
 	}
 }
 
-// Guards against a service of a split route that doesn't learn what the others know of a request.
+// Guards against a service of a split route that doesn't learn what the others know of a request, also if the route had another name
+// when the request was sent.
 func TestNewsOfACrashGoesToAllServicesOfTheRoute(t *testing.T) {
 	is := is.New(t)
 	table, err := routes.NewTable(routes.Configuration{
@@ -57,7 +59,8 @@
 		b.Members.ByNode[service] = membership.Member{Node: service, Service: service, State: membership.Up}
 	}
 	var informed []string
-	for _, m := range informedNodes(b, quarantine.NewFingerprint("", "sheets", "GET", "/bad", nil)) {
+	r := &call.Request{Service: "crew", Kind: "earlier_name", Path: "/bad?x=1", Header: http.Header{call.HostHeader: {"Sheets.Example:80"}}}
+	for _, m := range informedNodes(b, news{services: servicesOf(b, r)}) {
 		informed = append(informed, m.Node)
 	}
 	slices.Sort(informed)
--- a/internal/traffic/peer/quarantine.go
+++ b/internal/traffic/peer/quarantine.go
@@ -14,7 +14,6 @@
 func (c *Client) Blame(ctx context.Context, address string, b quarantine.Blame) error {
 	message := &peerpb.BlameRequest{
 		Service:    b.Fingerprint.Service,
-		Kind:       b.Fingerprint.Kind,
 		Hash:       b.Fingerprint.Hash,
 		Crash:      b.Crash,
 		Crashes:    int32(b.Crashes),
@@ -50,7 +49,7 @@
 // Blame passes the evidence to the receiver, which validates it.
 func (s *QuarantineServer) Blame(_ context.Context, m *peerpb.BlameRequest) (*peerpb.BlameReply, error) {
 	s.receiver.Learn(quarantine.Blame{
-		Fingerprint: quarantine.Fingerprint{Service: m.GetService(), Kind: m.GetKind(), Hash: m.GetHash()},
+		Fingerprint: quarantine.Fingerprint{Service: m.GetService(), Hash: m.GetHash()},
 		Crash:       m.GetCrash(),
 		Crashes:     int(m.GetCrashes()),
 		Term:        time.Duration(m.GetTermMicros()) * time.Microsecond,
