All nodes are told of a quarantined request, wherever its route leads then

What callers see: a request that crashes backend servers crashes one more with each move of its route to a service that it had not been led to before, until the nodes of all services know it.

The news of a crash went to the services that the route had at that time, which the operators may change; the nodes of other services learned it from the first crash of their own.

Evidence: TestCrashesAreKnownWhereARouteMoves failed before in 2 of 2 runs, with 3 crashes where 2 are allowed.

The change: once a request is quarantined, the news goes to all nodes where services follow from routes, at most 128 at a time, each with a timeout of 1 s of its own. The news of a first crash still goes to the services of the route only: a crash makes all requests beside it suspects, which would be many messages. A request whose route moves between its first and its second crash is counted anew there.

--- a/internal/process/routed/poison_test.go
+++ b/internal/process/routed/poison_test.go
@@ -217,6 +217,30 @@
 	}
 }
 
+// Guards against a service that learns nothing of a request that crashes backend servers until the operators let a route lead to it, so
+// that the request crashes one backend server more with each move of its route.
+func TestCrashesAreKnownWhereARouteMoves(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, crashRoutes("crew"))
+	servers := newCrashingServers(t, f)
+	for _, service := range []string{"crew", "crew", "annex", "annex", "bookings"} {
+		servers.add(t, service)
+	}
+	entry := f.nodes[len(f.nodes)-1]
+	f.waitReady(t)
+	sendBad(t, entry, 3, backAfter/2)
+	is.Equal(servers.crashes.Load(), int64(maxCrashes))
+	for version, service := range []string{"annex", "bookings"} {
+		c := crashRoutes(service)
+		c.Version = uint64(version) + 2
+		f.setRoutes(t, c)
+		time.Sleep(backAfter)
+		sendBad(t, entry, 2, backAfter/2)
+		is.Equal(entry.call(t, &http.Client{}, "GET", crashHost, "/hall/").status, http.StatusOK)
+	}
+	is.Equal(servers.crashes.Load(), int64(maxCrashes))
+}
+
 // Guards against requests that are refused because they resemble one that crashes backend servers: with its path on another host, under
 // another method, with a query, or beside it.
 func TestRequestsThatResembleACrashingOneAreServed(t *testing.T) {
--- a/internal/traffic/flow/quarantine.go
+++ b/internal/traffic/flow/quarantine.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/comfreyhoist/comfreyhoist/internal/control/board"
 	"github.com/comfreyhoist/comfreyhoist/internal/control/events"
@@ -35,8 +35,10 @@
 	// newsQueueLength is how many blames may wait to be sent to other nodes. Further ones are dropped. A blame is
 	// evidence that a request crashes backend servers.
 	newsQueueLength = 256
-	// blameTimeout is the timeout for sending blames to all nodes.
+	// blameTimeout is the timeout for sending the waiting blames to one node.
 	blameTimeout = time.Second
+	// maxInforming is the number of nodes that are told at the same time.
+	maxInforming = 128
 )
 
 // Quarantine keeps requests that crash backend servers away from the local one, and informs the other nodes of the
@@ -170,7 +172,11 @@
 			"term":    blame.Term.String(),
 		})
 	}
-	q.spread(news{blame: blame, services: servicesOf(q.config.Board.Snapshot(), r)})
+	q.spread(news{
+		blame:    blame,
+		services: servicesOf(q.config.Board.Snapshot(), r),
+		toAll:    q.config.AcrossServices && blame.Term > 0, // the routes may lead it anywhere before the term ends
+	})
 	if q.config.Crashed != nil && blame.Crash != 0 {
 		q.config.Crashed(f)
 	}
@@ -220,8 +226,6 @@
 // broadcast sends the blames to the other nodes concurrently, so that one that doesn't answer delays them for the others by one
 // timeout at most.
 func (q *Quarantine) broadcast(ctx context.Context, waiting []news) {
-	ctx, cancel := context.WithTimeout(ctx, blameTimeout)
-	defer cancel()
 	byAddress := map[string][]quarantine.Blame{}
 	b := q.config.Board.Snapshot()
 	for _, n := range waiting {
@@ -229,14 +233,19 @@
 			byAddress[m.PeerAddress] = append(byAddress[m.PeerAddress], n.blame)
 		}
 	}
-	var group conc.WaitGroup
-	defer group.Wait()
-	for address, list := range byAddress {
-		group.Go(func() {
-			for _, blame := range list {
-				_ = q.config.Peers.Blame(ctx, address, blame)
-			}
-		})
+	informing := pool.New().WithMaxGoroutines(maxInforming)
+	defer informing.Wait()
+	for address, blames := range byAddress {
+		informing.Go(func() { q.inform(ctx, address, blames) })
+	}
+}
+
+// inform sends the blames to the node at the address.
+func (q *Quarantine) inform(ctx context.Context, address string, blames []quarantine.Blame) {
+	ctx, cancel := context.WithTimeout(ctx, blameTimeout)
+	defer cancel()
+	for _, blame := range blames {
+		_ = q.config.Peers.Blame(ctx, address, blame)
 	}
 }
 
